--- /dev/null
+++ b/crates/config/src/check.rs
@@ -0,0 +1,357 @@
+//! Reads and checks the shared configuration, reporting every mistake at once.
+
+use std::collections::BTreeMap;
+
+use model::{GroupId, Name, ServerId};
+
+use crate::{
+    Configuration, FailoverOptions, Group, GroupOptions, KindOptions, LeavingOptions, LimitOptions,
+    Problems, RuleOptions, Section, Server, ServerOptions, Service, ServiceOptions, UserOptions,
+    document::{RawSection, read_document},
+    problem::{ProblemList, suggest},
+    section::read_section,
+};
+
+/// Reads a configuration.
+///
+/// `file` is the name that problems are reported under. Nothing is returned unless the whole text is
+/// free of mistakes, so that a configuration is in force whole or not at all.
+pub fn check_configuration(file: &str, text: &str) -> Result<Configuration, Problems> {
+    let mut problems = ProblemList::new(file);
+    let mut reader = Reader::default();
+    for section in read_document(text, &mut problems) {
+        reader.read(&section, &mut problems);
+    }
+    let configuration = reader.assemble(&mut problems);
+    problems.finish(configuration)
+}
+
+const KINDS: [&str; 9] = [
+    ServiceOptions::KIND,
+    GroupOptions::KIND,
+    ServerOptions::KIND,
+    KindOptions::KIND,
+    RuleOptions::KIND,
+    UserOptions::KIND,
+    LeavingOptions::KIND,
+    LimitOptions::KIND,
+    FailoverOptions::KIND,
+];
+
+/// A section's options with the line of its header.
+struct Placed<T> {
+    line: u32,
+    header: String,
+    options: T,
+}
+
+/// The sections read so far, each under the parts of its name.
+#[derive(Default)]
+struct Reader {
+    seen: BTreeMap<(String, String), u32>,
+    services: BTreeMap<Name, Placed<ServiceOptions>>,
+    groups: BTreeMap<GroupId, Placed<GroupOptions>>,
+    servers: BTreeMap<(GroupId, Name), Placed<ServerOptions>>,
+    kinds: BTreeMap<(Name, Name), Placed<KindOptions>>,
+    rules: Vec<(Name, Placed<RuleOptions>)>,
+    users: BTreeMap<Name, UserOptions>,
+    leaving: LeavingOptions,
+    limits: LimitOptions,
+    failover: FailoverOptions,
+}
+
+impl Reader {
+    fn read(&mut self, section: &RawSection, problems: &mut ProblemList<'_>) {
+        let key = (section.kind.clone(), section.name.clone());
+        if let Some(first) = self.seen.insert(key, section.line) {
+            let header = format!("{} {}", section.kind, section.name);
+            let message = format!("the section stands twice, first at line {first}");
+            problems.add(section.line, header.trim(), message);
+            return;
+        }
+        match section.kind.as_str() {
+            ServiceOptions::KIND => {
+                if let Some((placed, [service])) = read_named(section, problems) {
+                    self.services.insert(service, placed);
+                }
+            }
+            GroupOptions::KIND => {
+                if let Some((placed, [service, group])) = read_named(section, problems) {
+                    self.groups.insert(GroupId { service, group }, placed);
+                }
+            }
+            ServerOptions::KIND => {
+                if let Some((placed, [service, group, server])) = read_named(section, problems) {
+                    self.servers.insert((GroupId { service, group }, server), placed);
+                }
+            }
+            KindOptions::KIND => {
+                if let Some((placed, [service, kind])) = read_named(section, problems) {
+                    self.kinds.insert((service, kind), placed);
+                }
+            }
+            RuleOptions::KIND => {
+                if let Some((placed, [service, _])) = read_named(section, problems) {
+                    self.rules.push((service, placed));
+                }
+            }
+            UserOptions::KIND => {
+                if let Some((placed, [user])) = read_named(section, problems) {
+                    check_user(&placed, problems);
+                    self.users.insert(user, placed.options);
+                }
+            }
+            LeavingOptions::KIND => self.leaving = read_section(section, problems),
+            LimitOptions::KIND => self.limits = read_section(section, problems),
+            FailoverOptions::KIND => self.failover = read_section(section, problems),
+            other => problems.add_with(
+                section.line,
+                other,
+                "unknown section",
+                suggest(other, KINDS.iter().copied()),
+            ),
+        }
+    }
+
+    fn assemble(mut self, problems: &mut ProblemList<'_>) -> Configuration {
+        self.check_parents(problems);
+        let groups = self.assemble_groups(problems);
+        let services = self.assemble_services(&groups, problems);
+        self.check_users(&services, problems);
+        self.check_failover(problems);
+        Configuration {
+            services,
+            groups,
+            users: self.users,
+            leaving: self.leaving,
+            limits: self.limits,
+            failover: self.failover,
+        }
+    }
+
+    /// Notes every section whose parent is not declared.
+    fn check_parents(&self, problems: &mut ProblemList<'_>) {
+        let missing_service =
+            |service: &Name, line: u32, header: &str, list: &mut ProblemList<'_>| {
+                if !self.services.contains_key(service) {
+                    let known = self.services.keys().map(|name| &**name);
+                    let message = format!("there is no [service {service}]");
+                    list.add_with(line, header, message, suggest(service, known));
+                }
+            };
+        for (id, placed) in &self.groups {
+            missing_service(&id.service, placed.line, &placed.header, problems);
+        }
+        for ((service, _), placed) in &self.kinds {
+            missing_service(service, placed.line, &placed.header, problems);
+        }
+        for (service, placed) in &self.rules {
+            missing_service(service, placed.line, &placed.header, problems);
+        }
+        for ((group, _), placed) in &self.servers {
+            if !self.groups.contains_key(group) {
+                let known: Vec<String> = self.groups.keys().map(GroupId::to_string).collect();
+                let message = format!("there is no [group {group}]");
+                let suggestion = suggest(&group.to_string(), known.iter().map(String::as_str));
+                problems.add_with(placed.line, &placed.header, message, suggestion);
+            }
+        }
+    }
+
+    fn assemble_groups(&mut self, problems: &mut ProblemList<'_>) -> BTreeMap<GroupId, Group> {
+        let mut servers: BTreeMap<GroupId, Vec<Server>> = BTreeMap::new();
+        let mut addresses = BTreeMap::new();
+        for ((group, name), placed) in std::mem::take(&mut self.servers) {
+            let Some(address) = placed.options.address else {
+                problems.add(placed.line, &placed.header, "`address` must be set");
+                continue;
+            };
+            if let Some(first) = addresses.insert(address, placed.header.clone()) {
+                let message = format!("{address} is already the address of [{first}]");
+                problems.add(placed.line, &placed.header, message);
+            }
+            servers.entry(group).or_default().push(Server {
+                name,
+                address,
+                availability_zone: placed.options.availability_zone,
+                leaving: placed.options.leaving,
+            });
+        }
+        let mut groups = BTreeMap::new();
+        for (id, placed) in std::mem::take(&mut self.groups) {
+            let servers = servers.remove(&id).unwrap_or_default();
+            if let Some(group) = assemble_group(id, placed, servers, problems) {
+                groups.insert(group.id.clone(), group);
+            }
+        }
+        groups
+    }
+
+    fn assemble_services(
+        &mut self,
+        groups: &BTreeMap<GroupId, Group>,
+        problems: &mut ProblemList<'_>,
+    ) -> BTreeMap<Name, Service> {
+        let mut services = BTreeMap::new();
+        for (name, placed) in std::mem::take(&mut self.services) {
+            let names: Vec<Name> =
+                groups.keys().filter(|id| id.service == name).map(|id| id.group.clone()).collect();
+            if names.is_empty() {
+                problems.add(placed.line, &placed.header, "the service has no usable group");
+            }
+            check_group_name(placed.options.default_group.as_ref(), &placed, &names, problems);
+            if placed.options.request_deadline_ms == 0 {
+                problems.add(placed.line, "request_deadline_ms", "must be above 0");
+            }
+            services.insert(
+                name.clone(),
+                Service {
+                    name,
+                    options: placed.options,
+                    groups: names,
+                    kinds: BTreeMap::new(),
+                    rules: Vec::new(),
+                },
+            );
+        }
+        for ((service, kind), placed) in std::mem::take(&mut self.kinds) {
+            if let Some(service) = services.get_mut(&service) {
+                service.kinds.insert(kind, placed.options);
+            }
+        }
+        for (service, placed) in std::mem::take(&mut self.rules) {
+            let Some(service) = services.get_mut(&service) else { continue };
+            if placed.options.group.is_none() {
+                problems.add(placed.line, &placed.header, "`group` must be set");
+            }
+            check_group_name(placed.options.group.as_ref(), &placed, &service.groups, problems);
+            service.rules.push(placed.options);
+        }
+        services
+    }
+
+    fn check_users(&self, services: &BTreeMap<Name, Service>, problems: &mut ProblemList<'_>) {
+        for (user, options) in &self.users {
+            for service in &options.services {
+                if !services.contains_key(service) {
+                    let line = self.line_of(UserOptions::KIND, user);
+                    let known = services.keys().map(|name| &**name);
+                    let message = format!("there is no [service {service}]");
+                    problems.add_with(line, "services", message, suggest(service, known));
+                }
+            }
+        }
+    }
+
+    fn check_failover(&self, problems: &mut ProblemList<'_>) {
+        let line = self.line_of(FailoverOptions::KIND, "");
+        if self.failover.heartbeat_ms == 0 {
+            problems.add(line, "heartbeat_ms", "must be above 0");
+        }
+        if self.failover.suspect_after_ms < self.failover.heartbeat_ms {
+            let message = "must not be below heartbeat_ms, or every pause looks like a failure";
+            problems.add(line, "suspect_after_ms", message);
+        }
+    }
+
+    fn line_of(&self, kind: &str, name: &str) -> u32 {
+        self.seen.get(&(kind.to_owned(), name.to_owned())).copied().unwrap_or(1)
+    }
+}
+
+/// Reads a section whose name has `N` parts joined by slashes.
+fn read_named<T: Section, const N: usize>(
+    section: &RawSection,
+    problems: &mut ProblemList<'_>,
+) -> Option<(Placed<T>, [Name; N])> {
+    let header = format!("{} {}", section.kind, section.name).trim().to_owned();
+    let options = read_section(section, problems);
+    let parts: Vec<Name> = section.name.split('/').map(Name::from).collect();
+    let well_formed = parts.iter().all(|part| is_name(part));
+    match <[Name; N]>::try_from(parts) {
+        Ok(parts) if well_formed => Some((Placed { line: section.line, header, options }, parts)),
+        _ => {
+            problems.add_with(
+                section.line,
+                &header,
+                "the section's name has the wrong shape",
+                Some(format!(
+                    "write [{} {}], with letters, digits, `-`, `_` and `.` in each part",
+                    T::KIND,
+                    T::NAME_SHAPE
+                )),
+            );
+            None
+        }
+    }
+}
+
+fn is_name(text: &str) -> bool {
+    !text.is_empty()
+        && text.bytes().all(|byte| byte.is_ascii_alphanumeric() || b"-_.".contains(&byte))
+}
+
+/// Owners keep at least one connection for work and one for control on each server.
+const FEWEST_CONNECTIONS: u32 = 2;
+
+fn assemble_group(
+    id: GroupId,
+    placed: Placed<GroupOptions>,
+    servers: Vec<Server>,
+    problems: &mut ProblemList<'_>,
+) -> Option<Group> {
+    if placed.options.connections < FEWEST_CONNECTIONS {
+        let message =
+            format!("must be at least {FEWEST_CONNECTIONS}: one for work, one for control");
+        problems.add(placed.line, "connections", message);
+    }
+    if placed.options.slots == 0 {
+        problems.add(placed.line, "slots", "must be above 0");
+    }
+    if servers.is_empty() {
+        let message = format!("the group has no [server {id}/…] with an address");
+        problems.add(placed.line, &placed.header, message);
+        return None;
+    }
+    let Some(primary) = &placed.options.primary else {
+        problems.add(placed.line, &placed.header, "`primary` must name one of its servers");
+        return None;
+    };
+    let Some(index) = servers.iter().position(|server| server.name == *primary) else {
+        let known = servers.iter().map(|server| &*server.name);
+        let message = format!("there is no [server {id}/{primary}]");
+        problems.add_with(placed.line, "primary", message, suggest(primary, known));
+        return None;
+    };
+    Some(Group { id, options: placed.options, servers, first_primary: ServerId::from_index(index) })
+}
+
+fn check_group_name<T>(
+    wanted: Option<&Name>,
+    placed: &Placed<T>,
+    groups: &[Name],
+    problems: &mut ProblemList<'_>,
+) {
+    let Some(wanted) = wanted else { return };
+    if !groups.contains(wanted) {
+        let known = groups.iter().map(|group| &**group);
+        let message = format!("the service has no group `{wanted}`");
+        problems.add_with(placed.line, &placed.header, message, suggest(wanted, known));
+    }
+}
+
+fn check_user(placed: &Placed<UserOptions>, problems: &mut ProblemList<'_>) {
+    if let Some(verifier) = &placed.options.verifier
+        && !verifier.starts_with("SCRAM-SHA-256$")
+    {
+        problems.add_with(
+            placed.line,
+            "verifier",
+            "not a SCRAM-SHA-256 verifier",
+            Some("print one with `wardtiller verifier`".to_owned()),
+        );
+    }
+    if placed.options.weight == 0 {
+        problems.add(placed.line, "weight", "must be above 0");
+    }
+}
--- /dev/null
+++ b/crates/config/src/option_value.rs
@@ -0,0 +1,207 @@
+//! How the value of an option is read from text and written back.
+
+use std::net::SocketAddr;
+
+use model::Name;
+
+/// A type that an option can have.
+pub trait OptionValue: Sized {
+    /// Reads the value, or says what was expected.
+    fn parse(text: &str) -> Result<Self, String>;
+    /// Writes the value as the reference page shows it; empty for "not set".
+    fn render(&self) -> String;
+}
+
+macro_rules! number_value {
+    ($($number:ty),*) => {$(
+        impl OptionValue for $number {
+            fn parse(text: &str) -> Result<Self, String> {
+                text.parse().map_err(|_| {
+                    format!("expected a whole number from 0 to {}, found `{text}`", <$number>::MAX)
+                })
+            }
+            fn render(&self) -> String {
+                self.to_string()
+            }
+        }
+    )*};
+}
+
+number_value!(u16, u32, u64);
+
+impl OptionValue for f64 {
+    fn parse(text: &str) -> Result<f64, String> {
+        match text.parse::<f64>() {
+            Ok(number) if number.is_finite() && number >= 0.0 => Ok(number),
+            _ => Err(format!("expected a number that is not negative, found `{text}`")),
+        }
+    }
+
+    fn render(&self) -> String {
+        self.to_string()
+    }
+}
+
+impl OptionValue for bool {
+    fn parse(text: &str) -> Result<bool, String> {
+        match text {
+            "yes" => Ok(true),
+            "no" => Ok(false),
+            _ => Err(format!("expected `yes` or `no`, found `{text}`")),
+        }
+    }
+
+    fn render(&self) -> String {
+        if *self { "yes".to_owned() } else { "no".to_owned() }
+    }
+}
+
+impl OptionValue for Name {
+    fn parse(text: &str) -> Result<Name, String> {
+        Ok(Name::from(text))
+    }
+
+    fn render(&self) -> String {
+        self.to_string()
+    }
+}
+
+impl OptionValue for SocketAddr {
+    fn parse(text: &str) -> Result<SocketAddr, String> {
+        text.parse().map_err(|_| {
+            format!("expected an IP number and a port such as 127.0.0.1:5432, found `{text}`")
+        })
+    }
+
+    fn render(&self) -> String {
+        self.to_string()
+    }
+}
+
+impl<T: OptionValue> OptionValue for Option<T> {
+    fn parse(text: &str) -> Result<Option<T>, String> {
+        if text.is_empty() { Ok(None) } else { T::parse(text).map(Some) }
+    }
+
+    fn render(&self) -> String {
+        self.as_ref().map(T::render).unwrap_or_default()
+    }
+}
+
+impl<T: OptionValue> OptionValue for Vec<T> {
+    fn parse(text: &str) -> Result<Vec<T>, String> {
+        text.split(',').map(str::trim).filter(|part| !part.is_empty()).map(T::parse).collect()
+    }
+
+    fn render(&self) -> String {
+        self.iter().map(T::render).collect::<Vec<_>>().join(", ")
+    }
+}
+
+macro_rules! word_value {
+    ($(#[$outer:meta])* $name:ident { $($(#[$inner:meta])* $variant:ident = $word:literal,)* }) => {
+        $(#[$outer])*
+        #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+        pub enum $name {
+            $($(#[$inner])* $variant,)*
+        }
+
+        impl OptionValue for $name {
+            fn parse(text: &str) -> Result<$name, String> {
+                match text {
+                    $($word => Ok($name::$variant),)*
+                    _ => Err(format!(
+                        "expected one of {}, found `{text}`",
+                        [$(concat!("`", $word, "`")),*].join(", "),
+                    )),
+                }
+            }
+
+            fn render(&self) -> String {
+                match self {
+                    $($name::$variant => $word.to_owned(),)*
+                }
+            }
+        }
+    };
+}
+
+word_value! {
+    /// What the acknowledgement of a write waits for; see `docs/ACKNOWLEDGEMENT.md`.
+    Acknowledge {
+        /// A majority of the group holds the write, still in the same term.
+        Majority = "majority",
+        /// A second server is still in the same term; the write may be lost at a failover.
+        Term = "term",
+    }
+}
+
+word_value! {
+    /// How a read is served when its session brought no token; see `docs/SESSIONS.md`.
+    UntrackedReads {
+        /// The primary's position is asked for first, then any server at that position serves.
+        ReadIndex = "read-index",
+        /// The primary serves, and a second server confirms that it is not an old one.
+        Primary = "primary",
+        /// The connection is taken for the whole session: it sees the writes made over it.
+        Connection = "connection",
+    }
+}
+
+word_value! {
+    /// How the server of a read is chosen; see `docs/ROUTING.md`.
+    ReadPolicy {
+        /// The lowest expected time: latency, requests in flight, availability zone.
+        Cost = "cost",
+        /// The fewest requests in flight.
+        LeastInFlight = "least-in-flight",
+        /// Each replica in turn.
+        RoundRobin = "round-robin",
+        /// The primary for every session that has written; a baseline for measurements.
+        PrimaryAfterWrite = "primary-after-write",
+    }
+}
+
+word_value! {
+    /// The least severe log record that is written.
+    LogLevel {
+        /// Failures that need somebody.
+        Error = "error",
+        /// What may need somebody.
+        Warn = "warn",
+        /// What operators want to follow.
+        Info = "info",
+        /// What developers want to follow.
+        Debug = "debug",
+        /// Everything.
+        Trace = "trace",
+    }
+}
+
+/// How many daemons hold connections to a group.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OwnerCount {
+    /// Derived from the group's connections and the number of daemons.
+    Auto,
+    /// A fixed number.
+    Fixed(u16),
+}
+
+impl OptionValue for OwnerCount {
+    fn parse(text: &str) -> Result<OwnerCount, String> {
+        if text == "auto" {
+            return Ok(OwnerCount::Auto);
+        }
+        match text.parse() {
+            Ok(count) if count > 0 => Ok(OwnerCount::Fixed(count)),
+            _ => Err(format!("expected `auto` or a whole number above 0, found `{text}`")),
+        }
+    }
+
+    fn render(&self) -> String {
+        match self {
+            OwnerCount::Auto => "auto".to_owned(),
+            OwnerCount::Fixed(count) => count.to_string(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/apply.rs
@@ -0,0 +1,210 @@
+//! Puts a configuration into the store: whole or not at all.
+
+use std::{collections::BTreeSet, fmt};
+
+use config::{ChunkHash, Head, Problems, assemble, check_configuration, split};
+use platform::{CasOutcome, KeyValueStore, StoreError};
+
+/// Why a configuration was not applied.
+#[derive(Debug)]
+pub enum ApplyError {
+    /// It has mistakes.
+    Invalid(Problems),
+    /// Another configuration was applied since the base.
+    Raced {
+        /// The revision in force now.
+        revision: u64,
+        /// The sections that differ between the base and what is in force now.
+        changed: Vec<String>,
+    },
+    /// The store can't be reached; nothing was applied.
+    Store(StoreError),
+    /// The store's answers were lost; whether it was applied can't be told.
+    Unclear {
+        /// Made up for this attempt; the head names it if it was applied.
+        change_id: String,
+    },
+}
+
+impl fmt::Display for ApplyError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            ApplyError::Invalid(problems) => problems.fmt(f),
+            ApplyError::Raced { revision, changed } => write!(
+                f,
+                "not applied: revision {revision} was applied meanwhile; it changed {}. Merge these \
+                 and apply again with --base {revision}",
+                if changed.is_empty() { "nothing".to_owned() } else { changed.join(", ") }
+            ),
+            ApplyError::Store(error) => write!(f, "not applied: {error}"),
+            ApplyError::Unclear { change_id } => write!(
+                f,
+                "the store's answers were lost; whether the configuration was applied is not known. \
+                 When the store is back, `wardtiller show` tells whether change {change_id} is in \
+                 force; applying again is safe"
+            ),
+        }
+    }
+}
+
+impl std::error::Error for ApplyError {}
+
+impl From<StoreError> for ApplyError {
+    fn from(error: StoreError) -> ApplyError {
+        ApplyError::Store(error)
+    }
+}
+
+/// How often a lost answer is looked up before the outcome is called unclear.
+const LOOK_UPS: usize = 5;
+
+/// Returns the key of the head.
+pub(crate) fn head_key(prefix: &str) -> String {
+    format!("{prefix}/head")
+}
+
+/// Returns the key of a chunk.
+pub(crate) fn chunk_key(prefix: &str, hash: &ChunkHash) -> String {
+    format!("{prefix}/chunks/{hash}")
+}
+
+/// Applies a configuration on top of the revision `base`, or of the present one if `None`.
+///
+/// Returns the revision under which it is accepted. `change_id` must be new for each attempt.
+pub fn apply_configuration<P: KeyValueStore>(
+    store: &P,
+    prefix: &str,
+    file: &str,
+    text: &str,
+    base: Option<u64>,
+    change_id: &str,
+) -> Result<u64, ApplyError> {
+    check_configuration(file, text).map_err(ApplyError::Invalid)?;
+    let (version, present) = read_head(store, prefix)?;
+    if let Some(base) = base
+        && base != present.revision
+    {
+        let changed = changed_sections(store, prefix, text, &present)?;
+        return Err(ApplyError::Raced { revision: present.revision, changed });
+    }
+    let chunks = split(text);
+    for chunk in &chunks {
+        write_chunk(store, &chunk_key(prefix, &chunk.hash), &chunk.text)?;
+    }
+    let hashes: Vec<ChunkHash> = chunks.iter().map(|chunk| chunk.hash.clone()).collect();
+    let superseded = present.chunks.iter().filter(|hash| !hashes.contains(hash)).cloned().collect();
+    let head = Head {
+        revision: present.revision + 1,
+        change_id: change_id.to_owned(),
+        chunks: hashes,
+        superseded,
+    };
+    let value = serde_json::to_vec(&head)
+        .map_err(|error| ApplyError::Store(StoreError::Malformed(error.to_string())))?;
+    let outcome = store.compare_and_swap(&head_key(prefix), version, &value);
+    match outcome {
+        Ok(CasOutcome::Applied) => {}
+        Ok(CasOutcome::Conflict) | Err(StoreError::AnswerLost(_) | StoreError::Malformed(_)) => {
+            resolve(store, prefix, text, &head)?;
+        }
+        Err(error) => return Err(error.into()),
+    }
+    remove_unused(store, prefix, &present, &head);
+    Ok(head.revision)
+}
+
+/// Finds out by reading whether a change whose answer was lost took effect.
+fn resolve<P: KeyValueStore>(
+    store: &P,
+    prefix: &str,
+    text: &str,
+    head: &Head,
+) -> Result<(), ApplyError> {
+    for _ in 0..LOOK_UPS {
+        let Ok((_, found)) = read_head(store, prefix) else { continue };
+        if found.change_id == head.change_id {
+            return Ok(());
+        }
+        if found.revision < head.revision {
+            // The lost write did not take effect, and it can't any more once this one read.
+            return Err(ApplyError::Store(StoreError::Unreachable(
+                "the store did not take the change".to_owned(),
+            )));
+        }
+        let changed = changed_sections(store, prefix, text, &found)?;
+        return Err(ApplyError::Raced { revision: found.revision, changed });
+    }
+    Err(ApplyError::Unclear { change_id: head.change_id.clone() })
+}
+
+pub(crate) fn read_head<P: KeyValueStore>(
+    store: &P,
+    prefix: &str,
+) -> Result<(u64, Head), StoreError> {
+    let Some(entry) = store.get(&head_key(prefix))? else { return Ok((0, Head::default())) };
+    let head = serde_json::from_slice(&entry.value)
+        .map_err(|error| StoreError::Malformed(error.to_string()))?;
+    Ok((entry.version, head))
+}
+
+/// Writes a chunk. It is named by its content, so a conflict or a lost answer is settled by a look.
+fn write_chunk<P: KeyValueStore>(store: &P, key: &str, text: &str) -> Result<(), StoreError> {
+    match store.compare_and_swap(key, 0, text.as_bytes()) {
+        Ok(_) => Ok(()),
+        Err(StoreError::AnswerLost(detail)) => match store.get(key)? {
+            Some(_) => Ok(()),
+            None => Err(StoreError::Unreachable(detail)),
+        },
+        Err(error) => Err(error),
+    }
+}
+
+/// Removes chunks that neither the new head nor the one before names.
+fn remove_unused<P: KeyValueStore>(store: &P, prefix: &str, before: &Head, head: &Head) {
+    let needed: BTreeSet<&ChunkHash> =
+        head.chunks.iter().chain(&head.superseded).chain(&before.chunks).collect();
+    for hash in before.superseded.iter().filter(|hash| !needed.contains(hash)) {
+        // What is left over costs room only, and the change itself is in force.
+        let _ = store.delete(&chunk_key(prefix, hash));
+    }
+}
+
+/// Lists the sections that differ between a text and the configuration in force.
+fn changed_sections<P: KeyValueStore>(
+    store: &P,
+    prefix: &str,
+    text: &str,
+    present: &Head,
+) -> Result<Vec<String>, StoreError> {
+    let mut found = Vec::new();
+    for hash in &present.chunks {
+        let entry = store.get(&chunk_key(prefix, hash))?;
+        found.push(entry.map(|entry| String::from_utf8_lossy(&entry.value).into_owned()));
+    }
+    let mut chunks = found.iter();
+    let in_force = assemble(present, |_| chunks.next().and_then(|chunk| chunk.as_deref()));
+    let Ok(in_force) = in_force else { return Ok(vec!["(unreadable)".to_owned()]) };
+    let ours: BTreeSet<String> = section_texts(text);
+    let theirs: BTreeSet<String> = section_texts(&in_force);
+    let changed = ours.symmetric_difference(&theirs);
+    let names: BTreeSet<String> =
+        changed.map(|section| section.lines().next().unwrap_or_default().to_owned()).collect();
+    Ok(names.into_iter().collect())
+}
+
+fn section_texts(text: &str) -> BTreeSet<String> {
+    let mut sections = BTreeSet::new();
+    let mut section = String::new();
+    for line in text.lines().map(str::trim_end) {
+        if line.starts_with('[') && !section.is_empty() {
+            sections.insert(std::mem::take(&mut section));
+        }
+        if !line.is_empty() && !line.starts_with(';') {
+            section.push_str(line);
+            section.push('\n');
+        }
+    }
+    sections.insert(section);
+    sections.retain(|section| section.starts_with('['));
+    sections
+}
--- /dev/null
+++ b/crates/daemon/src/cancel.rs
@@ -0,0 +1,65 @@
+//! Which statement a caller's cancellation is for.
+
+use std::{
+    collections::HashMap,
+    sync::{Arc, Weak},
+};
+
+use parking_lot::Mutex;
+
+use crate::executor::Running;
+
+/// What is needed to cancel for a caller.
+#[derive(Clone)]
+pub(crate) struct CancelTarget {
+    secret: i32,
+    pub(crate) session_id: u64,
+    /// What runs on this daemon.
+    pub(crate) running: Weak<Running>,
+    /// The daemon that the session's statements are relayed to.
+    pub(crate) relayed_to: Arc<Mutex<Option<u64>>>,
+}
+
+/// The callers of this daemon by the process numbers given to them.
+#[derive(Default)]
+pub(crate) struct CancelRegistry {
+    targets: Mutex<HashMap<i32, CancelTarget>>,
+}
+
+impl CancelRegistry {
+    /// Registers a caller, returning the process number and the secret that it is to be told.
+    pub(crate) fn register(
+        &self,
+        session_id: u64,
+        running: &Arc<Running>,
+        relayed_to: &Arc<Mutex<Option<u64>>>,
+    ) -> (i32, i32) {
+        let secret: i32 = rand::random();
+        let mut targets = self.targets.lock();
+        loop {
+            let process = rand::random::<i32>() & i32::MAX;
+            if process == 0 || targets.contains_key(&process) {
+                continue;
+            }
+            let target = CancelTarget {
+                secret,
+                session_id,
+                running: Arc::downgrade(running),
+                relayed_to: relayed_to.clone(),
+            };
+            targets.insert(process, target);
+            return (process, secret);
+        }
+    }
+
+    /// Forgets a caller.
+    pub(crate) fn remove(&self, process: i32) {
+        self.targets.lock().remove(&process);
+    }
+
+    /// Finds the caller that a cancellation is for, if the secret is right.
+    pub(crate) fn find(&self, process: i32, secret: i32) -> Option<CancelTarget> {
+        let targets = self.targets.lock();
+        targets.get(&process).filter(|target| target.secret == secret).cloned()
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/configuration_duty.rs
@@ -0,0 +1,309 @@
+//! Keeps the newest accepted configuration and host list in force.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
+
+use config::{ChunkHash, Head, assemble, check_configuration};
+use membership::{Member, MemberState, is_watcher};
+use model::Name;
+use peer::{Body, ChunkRequest, HeadRequest, HostListRequest};
+use platform::{Entry, HostEntry, HostList, HostRole, HostState, KeyValueStore};
+
+use crate::{
+    apply::{chunk_key, head_key},
+    context::{Context, News},
+    gossip::{ask, spread},
+    peers::Peers,
+};
+
+/// Daemons that do not watch the store look at it this often, should they hear from nobody.
+const UNWATCHED_LOOK: Duration = Duration::from_secs(60);
+
+/// How long a failed call to the store is waited after.
+const STORE_RETRY: Duration = Duration::from_millis(500);
+
+/// What the store's threads tell the configuration task.
+pub(crate) enum StoreNews {
+    /// The head changed.
+    Head(Entry),
+    /// The host list was read.
+    Hosts(u64, Vec<HostEntry>),
+}
+
+/// Watches the head, on a thread of its own, until the daemon stops.
+pub(crate) fn watch_head<P: KeyValueStore>(
+    context: &Context,
+    store: &P,
+    news: &flume::Sender<StoreNews>,
+) {
+    let key = head_key(&context.settings.platform.prefix);
+    let wait = Duration::from_millis(context.settings.platform.watch_wait_ms);
+    let mut version = 0;
+    let mut first = true;
+    while !context.is_stopping() {
+        let watcher = watches(context);
+        // The first look and the rare ones of a daemon that does not watch return at once.
+        let found =
+            if watcher && !first { store.watch(&key, version, wait) } else { store.get(&key) };
+        context.metrics.store_calls.with_label_values(&["head"]).inc();
+        context.store_reachable.store(found.is_ok(), Ordering::Relaxed);
+        match found {
+            Ok(Some(entry)) if entry.version != version => {
+                version = entry.version;
+                if news.send(StoreNews::Head(entry)).is_err() {
+                    return;
+                }
+            }
+            Ok(None) if watcher => pause(context, STORE_RETRY),
+            Ok(_) => {}
+            Err(error) => {
+                log::debug!(error = error.to_string().as_str(); "the head can't be read");
+                pause(context, STORE_RETRY);
+                continue;
+            }
+        }
+        first = false;
+        if !watcher {
+            pause(context, UNWATCHED_LOOK);
+        }
+    }
+}
+
+/// Reads the host list, on a thread of its own, until the daemon stops.
+pub(crate) fn read_hosts<P: HostList>(
+    context: &Context,
+    store: &P,
+    news: &flume::Sender<StoreNews>,
+) {
+    let interval = Duration::from_millis(context.settings.platform.host_list_ms);
+    while !context.is_stopping() {
+        let first = context.members.read().all().is_empty();
+        if first || watches(context) {
+            context.metrics.store_calls.with_label_values(&["hosts"]).inc();
+            match store.hosts() {
+                Ok((version, hosts)) => {
+                    if news.send(StoreNews::Hosts(version, hosts)).is_err() {
+                        return;
+                    }
+                }
+                Err(error) => {
+                    log::debug!(error = error.to_string().as_str(); "the host list can't be read");
+                }
+            }
+        }
+        pause(context, interval);
+    }
+}
+
+fn watches(context: &Context) -> bool {
+    let count = usize::from(context.settings.platform.watchers);
+    is_watcher(context.key, context.members.read().all(), count)
+}
+
+/// How long a pause goes on before the stop is looked at.
+const PAUSE_STEP: Duration = Duration::from_millis(50);
+
+fn pause(context: &Context, time: Duration) {
+    let mut left = time;
+    while !left.is_zero() && !context.is_stopping() {
+        let step = left.min(PAUSE_STEP);
+        std::thread::sleep(step);
+        left -= step;
+    }
+}
+
+/// Takes news from the store and from other daemons, one after the other.
+pub(crate) async fn keep_configuration<P: KeyValueStore + 'static>(
+    context: Arc<Context>,
+    peers: Arc<Peers>,
+    store: Arc<P>,
+    store_news: flume::Receiver<StoreNews>,
+    news: flume::Receiver<News>,
+) {
+    loop {
+        tokio::select! {
+            told = store_news.recv_async() => match told {
+                Ok(StoreNews::Head(entry)) => take_head(&context, &peers, &store, &entry).await,
+                Ok(StoreNews::Hosts(version, hosts)) => take_hosts(&context, version, &hosts),
+                Err(_) => return,
+            },
+            told = news.recv_async() => match told {
+                Ok(News::Configuration(address)) => fetch(&context, &peers, address).await,
+                Ok(News::HostList(address)) => fetch_hosts(&context, &peers, address).await,
+                Ok(News::Installed) => {
+                    let fanout = usize::from(context.settings.control.fanout);
+                    spread(&context, &peers, fanout).await;
+                }
+                Err(_) => return,
+            },
+        }
+    }
+}
+
+/// Takes a head that the store gave, reading the chunks that are missing from the store.
+async fn take_head<P: KeyValueStore + 'static>(
+    context: &Arc<Context>,
+    peers: &Arc<Peers>,
+    store: &Arc<P>,
+    entry: &Entry,
+) {
+    let Ok(head) = serde_json::from_slice::<Head>(&entry.value) else {
+        log::error!("the store's head is malformed; the configuration in force stays");
+        return;
+    };
+    if head.revision <= context.in_force.load().revision {
+        return;
+    }
+    let mut chunks = known_chunks(context, &head);
+    for hash in head.chunks.clone() {
+        if chunks.contains_key(&hash) {
+            continue;
+        }
+        let (store, key) = (store.clone(), chunk_key(&context.settings.platform.prefix, &hash));
+        let found = tokio::task::spawn_blocking(move || store.get(&key)).await;
+        context.metrics.store_calls.with_label_values(&["chunk"]).inc();
+        let text = match found {
+            Ok(Ok(Some(entry))) => String::from_utf8(entry.value).ok(),
+            _ => None,
+        };
+        let Some(text) = text else {
+            log::warn!(revision = head.revision; "a chunk of the configuration can't be read yet");
+            // The head was seen, but not taken; other daemons may have the rest.
+            spread(context, peers, 1).await;
+            return;
+        };
+        chunks.insert(hash, Arc::from(text));
+    }
+    install(context, head, chunks);
+}
+
+fn known_chunks(context: &Context, head: &Head) -> HashMap<ChunkHash, Arc<str>> {
+    let known = head
+        .chunks
+        .iter()
+        .filter_map(|hash| Some((hash.clone(), context.configuration_store.chunk(hash)?)));
+    known.collect()
+}
+
+/// Gets the configuration from another daemon, moving only what is missing here.
+async fn fetch(context: &Arc<Context>, peers: &Arc<Peers>, address: SocketAddr) {
+    let Some(Body::HeadAnswer(answer)) =
+        ask(context, peers, address, Body::HeadRequest(HeadRequest {})).await
+    else {
+        return;
+    };
+    let Ok(head) = serde_json::from_slice::<Head>(&answer.head) else { return };
+    if head.revision <= context.in_force.load().revision {
+        return;
+    }
+    let mut chunks = known_chunks(context, &head);
+    for hash in &head.chunks {
+        if chunks.contains_key(hash) {
+            continue;
+        }
+        let request = Body::ChunkRequest(ChunkRequest { hash: hash.0.clone() });
+        let answer = ask(context, peers, address, request).await;
+        let Some(Body::ChunkAnswer(chunk)) = answer else { return };
+        let Some(text) = chunk.text else { return };
+        chunks.insert(hash.clone(), Arc::from(text));
+    }
+    install(context, head, chunks);
+}
+
+fn install(context: &Context, head: Head, chunks: HashMap<ChunkHash, Arc<str>>) {
+    let text = assemble(&head, |hash| chunks.get(hash).map(|text| &**text));
+    let Ok(text) = text else {
+        log::error!(revision = head.revision; "a chunk does not match its name; not installed");
+        return;
+    };
+    let configuration = match check_configuration("the accepted configuration", &text) {
+        Ok(configuration) => configuration,
+        Err(problems) => {
+            let problems = problems.to_string();
+            log::error!(
+                revision = head.revision, problems = problems.as_str();
+                "the accepted configuration can't be read by this version; the one in force stays"
+            );
+            return;
+        }
+    };
+    let revision = head.revision;
+    if context.install(revision, configuration) {
+        context.configuration_store.replace(head, chunks);
+        note_leaving(context);
+        log::info!(revision; "a configuration is in force");
+        // A full ring will spread it all the same.
+        let _ = context.news.try_send(News::Installed);
+    }
+}
+
+fn take_hosts(context: &Context, version: u64, hosts: &[HostEntry]) {
+    let members = hosts
+        .iter()
+        .filter(|host| host.role == HostRole::Daemon)
+        .map(|host| {
+            let state = match host.state {
+                HostState::Live => MemberState::Live,
+                HostState::Leaving => MemberState::Leaving,
+            };
+            Member::new(host.host.clone(), host.availability_zone.clone(), host.address, state)
+        })
+        .collect();
+    let leaving = hosts
+        .iter()
+        .filter(|host| host.role == HostRole::Endpoint && host.state == HostState::Leaving)
+        .map(|host| host.address)
+        .collect();
+    replace_hosts(context, version, members, leaving);
+}
+
+fn replace_hosts(context: &Context, version: u64, members: Vec<Member>, leaving: Vec<SocketAddr>) {
+    if context.members.write().replace(version, members) {
+        *context.listed_leaving.write() = leaving;
+        note_leaving(context);
+    }
+}
+
+async fn fetch_hosts(context: &Arc<Context>, peers: &Arc<Peers>, address: SocketAddr) {
+    let request = Body::HostListRequest(HostListRequest {});
+    let Some(Body::HostListAnswer(answer)) = ask(context, peers, address, request).await else {
+        return;
+    };
+    let mut members = Vec::new();
+    let mut leaving = Vec::new();
+    for host in &answer.hosts {
+        let Ok(address) = host.address.parse() else { continue };
+        if host.endpoint {
+            leaving.push(address);
+            continue;
+        }
+        let state = if host.leaving { MemberState::Leaving } else { MemberState::Live };
+        let zone = Name::from(host.availability_zone.as_str());
+        members.push(Member::new(Name::from(host.host.as_str()), zone, address, state));
+    }
+    replace_hosts(context, answer.version, members, leaving);
+}
+
+/// Brings the leaving endpoints in line with the host list and the configuration.
+fn note_leaving(context: &Context) {
+    let now = std::time::Instant::now();
+    let in_force = context.in_force.load();
+    let configured = in_force
+        .configuration
+        .groups
+        .values()
+        .flat_map(|group| &group.servers)
+        .filter(|server| server.leaving)
+        .map(|server| server.address);
+    let all: Vec<SocketAddr> =
+        configured.chain(context.listed_leaving.read().iter().copied()).collect();
+    let mut leaving = context.leaving.write();
+    for address in &all {
+        leaving.note(*address, now);
+    }
+    leaving.retain(|address| all.contains(address));
+}
--- /dev/null
+++ b/crates/daemon/src/context.rs
@@ -0,0 +1,319 @@
+//! What every part of a daemon shares.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use arc_swap::ArcSwap;
+use config::{Configuration, Group, HostSettings};
+use membership::{LeavingEndpoints, Member, MemberList, WorkAllowed, owner_count, owners};
+use model::{GroupId, Name};
+use parking_lot::{Mutex, RwLock};
+use telemetry::{Metrics, Tracer};
+use tokio::{runtime::Handle, sync::watch};
+use wire::Classifier;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::{
+    cancel::CancelRegistry,
+    configuration_store::ConfigurationStore,
+    group_state::{GroupOptionsInForce, GroupState},
+    peers::Peers,
+};
+
+/// A configuration with its revision.
+#[derive(Debug, Default)]
+pub(crate) struct InForce {
+    pub(crate) revision: u64,
+    pub(crate) configuration: Arc<Configuration>,
+}
+
+/// The shared state of a daemon.
+pub(crate) struct Context {
+    pub(crate) settings: HostSettings,
+    pub(crate) key: u64,
+    pub(crate) endpoint_password: Option<String>,
+    pub(crate) metrics: Metrics,
+    pub(crate) tracer: Tracer,
+    pub(crate) classifier: Classifier,
+    pub(crate) in_force: ArcSwap<InForce>,
+    pub(crate) configuration_store: ConfigurationStore,
+    pub(crate) members: RwLock<MemberList>,
+    /// Endpoints that the platform's list names as leaving.
+    pub(crate) listed_leaving: RwLock<Vec<SocketAddr>>,
+    pub(crate) leaving: RwLock<LeavingEndpoints>,
+    pub(crate) groups: RwLock<HashMap<GroupId, Arc<GroupState>>>,
+    /// What other owners want of shared connections: by group, by owner's key.
+    pub(crate) demands: Mutex<HashMap<GroupId, HashMap<u64, NotedDemand>>>,
+    pub(crate) relay_peers: Peers,
+    pub(crate) cancels: CancelRegistry,
+    pub(crate) stopping: watch::Sender<bool>,
+    pub(crate) store_reachable: AtomicBool,
+    pub(crate) callers: AtomicU32,
+    pub(crate) next_session: AtomicU64,
+    pub(crate) watch_runtime: Handle,
+    pub(crate) started_at: Instant,
+    /// Where news from other daemons goes.
+    pub(crate) news: flume::Sender<News>,
+    owner_cache: Mutex<OwnerCache>,
+}
+
+/// Something that another daemon knows and this one does not.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum News {
+    /// A newer configuration.
+    Configuration(SocketAddr),
+    /// A newer host list.
+    HostList(SocketAddr),
+    /// This daemon has put a newer configuration in force, which others may not know of.
+    Installed,
+}
+
+/// The demand of another owner, with the time at which it was told.
+#[derive(Clone, Debug)]
+pub(crate) struct NotedDemand {
+    pub(crate) wanted: Vec<u32>,
+    pub(crate) told_at: Instant,
+}
+
+/// Owner sets worked out for the present members.
+#[derive(Default)]
+struct OwnerCache {
+    members: Arc<Vec<Member>>,
+    worked_out_at: Option<Instant>,
+    list_version: u64,
+    sets: HashMap<GroupId, Arc<Vec<Member>>>,
+}
+
+/// Suspicions come and go without a new list, so the members are looked at again this often.
+const OWNERS_LAST: Duration = Duration::from_millis(250);
+
+/// The pieces from which a context is made.
+pub(crate) struct ContextParts {
+    pub(crate) settings: HostSettings,
+    pub(crate) endpoint_password: Option<String>,
+    pub(crate) tracer: Tracer,
+    pub(crate) watch_runtime: Handle,
+    pub(crate) news: flume::Sender<News>,
+}
+
+impl Context {
+    pub(crate) fn new(parts: ContextParts) -> Context {
+        let key = xxh3_64(parts.settings.daemon.host.as_bytes());
+        let peer_timeout = Duration::from_millis(parts.settings.control.peer_timeout_ms);
+        Context {
+            key,
+            endpoint_password: parts.endpoint_password,
+            metrics: Metrics::new(),
+            tracer: parts.tracer,
+            classifier: Classifier::default(),
+            in_force: ArcSwap::from_pointee(InForce::default()),
+            configuration_store: ConfigurationStore::default(),
+            members: RwLock::default(),
+            listed_leaving: RwLock::default(),
+            leaving: RwLock::default(),
+            groups: RwLock::default(),
+            demands: Mutex::default(),
+            relay_peers: Peers::new(peer_timeout),
+            cancels: CancelRegistry::default(),
+            stopping: watch::Sender::new(false),
+            store_reachable: AtomicBool::new(false),
+            callers: AtomicU32::new(0),
+            // Sessions of a daemon that restarts under its name must differ from its earlier ones.
+            next_session: AtomicU64::new(rand::random::<u64>() | 1),
+            watch_runtime: parts.watch_runtime,
+            started_at: Instant::now(),
+            settings: parts.settings,
+            news: parts.news,
+            owner_cache: Mutex::default(),
+        }
+    }
+
+    /// Whether a planned stop has begun.
+    pub(crate) fn is_stopping(&self) -> bool {
+        *self.stopping.borrow()
+    }
+
+    /// Names a new session.
+    pub(crate) fn new_session(&self) -> u64 {
+        self.next_session.fetch_add(1, Ordering::Relaxed)
+    }
+
+    /// Whether an endpoint may get new work.
+    pub(crate) fn may_get_new_work(
+        &self,
+        address: &SocketAddr,
+        configuration: &Configuration,
+    ) -> bool {
+        let rules = &configuration.leaving;
+        let allowed = self.leaving.read().work_allowed(
+            address,
+            Duration::from_millis(rules.new_work_ms),
+            Duration::from_millis(rules.finish_ms),
+            Instant::now(),
+        );
+        allowed == WorkAllowed::All
+    }
+
+    /// Returns the daemons that may get work, this one among them unless it is leaving.
+    pub(crate) fn usable_members(&self) -> Arc<Vec<Member>> {
+        let mut cache = self.owner_cache.lock();
+        self.refresh_owners(&mut cache);
+        cache.members.clone()
+    }
+
+    /// Returns a group's owners, best first.
+    pub(crate) fn owners_of(&self, group: &Group) -> Arc<Vec<Member>> {
+        let mut cache = self.owner_cache.lock();
+        self.refresh_owners(&mut cache);
+        if let Some(known) = cache.sets.get(&group.id) {
+            return known.clone();
+        }
+        let members = cache.members.clone();
+        let count = owner_count(group.options.owners, group.options.connections, members.len());
+        let set: Vec<Member> = owners(&group.id, &members, count).into_iter().cloned().collect();
+        let set = Arc::new(set);
+        cache.sets.insert(group.id.clone(), set.clone());
+        set
+    }
+
+    fn refresh_owners(&self, cache: &mut OwnerCache) {
+        let now = Instant::now();
+        let members = self.members.read();
+        let fresh = cache.worked_out_at.is_some_and(|at| now.duration_since(at) < OWNERS_LAST)
+            && cache.list_version == members.version();
+        if fresh {
+            return;
+        }
+        let mut usable = members.usable(now);
+        if self.is_stopping() {
+            usable.retain(|member| member.key != self.key);
+        }
+        cache.worked_out_at = Some(now);
+        cache.list_version = members.version();
+        if *cache.members != usable {
+            cache.members = Arc::new(usable);
+            cache.sets.clear();
+        }
+    }
+
+    /// Forgets owner sets, as when a configuration changes the number of owners.
+    pub(crate) fn forget_owners(&self) {
+        *self.owner_cache.lock() = OwnerCache::default();
+    }
+
+    /// Whether this daemon owns a group; a daemon that knows no others owns every group.
+    pub(crate) fn owns(&self, group: &Group) -> bool {
+        let owners = self.owners_of(group);
+        owners.is_empty() || owners.iter().any(|owner| owner.key == self.key)
+    }
+
+    /// Returns the state of a group, making it if it is configured and not there yet.
+    pub(crate) fn group(&self, id: &GroupId) -> Option<Arc<GroupState>> {
+        if let Some(group) = self.groups.read().get(id) {
+            return Some(group.clone());
+        }
+        let in_force = self.in_force.load();
+        let options = group_options(&in_force.configuration, id)?;
+        let mut groups = self.groups.write();
+        if let Some(group) = groups.get(id) {
+            return Some(group.clone());
+        }
+        let group = GroupState::new(self, options, &self.watch_runtime);
+        groups.insert(id.clone(), group.clone());
+        drop(groups);
+        self.share_connections(&group);
+        Some(group)
+    }
+
+    /// Lists the groups that are held now.
+    pub(crate) fn held_groups(&self) -> Vec<Arc<GroupState>> {
+        self.groups.read().values().cloned().collect()
+    }
+
+    /// Puts a newer configuration in force; an older or equal one changes nothing.
+    pub(crate) fn install(&self, revision: u64, configuration: Configuration) -> bool {
+        let mut groups = self.groups.write();
+        if revision <= self.in_force.load().revision {
+            return false;
+        }
+        let configuration = Arc::new(configuration);
+        self.in_force.store(Arc::new(InForce { revision, configuration: configuration.clone() }));
+        groups.retain(|id, group| match group_options(&configuration, id) {
+            Some(options) if options.group.servers_match(&group.in_force.load().group) => {
+                let limits = &configuration.limits;
+                for pool in &group.pools {
+                    pool.set_limits(limits.queue_length, limits.prepared_statements);
+                }
+                group.in_force.store(Arc::new(options));
+                true
+            }
+            // A group whose servers changed is made anew; work that runs in the old one ends there.
+            _ => {
+                group.close();
+                false
+            }
+        });
+        drop(groups);
+        self.metrics.revision.set(i64::try_from(revision).unwrap_or(i64::MAX));
+        self.forget_owners();
+        true
+    }
+
+    /// Divides a group's connections among its owners by their demands.
+    pub(crate) fn share_connections(&self, group: &GroupState) {
+        let in_force = group.in_force.load();
+        let owners = self.owners_of(&in_force.group);
+        let others: Vec<u64> =
+            owners.iter().map(|owner| owner.key).filter(|key| *key != self.key).collect();
+        // Every owner keeps one connection to each server for control.
+        let control = 1 + others.len() as u32;
+        let limit = in_force.group.options.connections.saturating_sub(control).max(1);
+        let demands = self.demands.lock();
+        let noted = demands.get(&group.id);
+        for (index, pool) in group.pools.iter().enumerate() {
+            let other_demands: Vec<routing::Demand> = others
+                .iter()
+                .map(|key| routing::Demand {
+                    owner: *key,
+                    wanted: wanted_by(noted.and_then(|noted| noted.get(key)), index),
+                })
+                .collect();
+            let own = routing::Demand { owner: self.key, wanted: pool.wanted().max(1) };
+            // Demand that is not there yet may come at any moment, so what nobody wants is kept
+            // available to whoever asks first.
+            let own = routing::Demand { wanted: own.wanted + HEADROOM, ..own };
+            pool.set_share(routing::connection_share(limit, own, &other_demands));
+        }
+    }
+
+    /// Returns the name of this daemon's host.
+    pub(crate) fn host(&self) -> &Name {
+        &self.settings.daemon.host
+    }
+}
+
+/// Connections that an owner counts as wanted beyond those that it can use at the moment.
+const HEADROOM: u32 = 4;
+
+/// A demand that was told longer ago is taken for none.
+const DEMAND_LASTS: Duration = Duration::from_secs(5);
+
+fn wanted_by(noted: Option<&NotedDemand>, server: usize) -> u32 {
+    let fresh = noted.filter(|noted| noted.told_at.elapsed() < DEMAND_LASTS);
+    let wanted = fresh.and_then(|noted| noted.wanted.get(server)).copied().unwrap_or(0);
+    // An owner that says nothing still needs its first connection at once when work comes.
+    wanted.max(1)
+}
+
+fn group_options(configuration: &Arc<Configuration>, id: &GroupId) -> Option<GroupOptionsInForce> {
+    let group = configuration.groups.get(id)?.clone();
+    let service = configuration.services.get(&id.service)?.clone();
+    Some(GroupOptionsInForce { group, service, configuration: configuration.clone() })
+}
--- /dev/null
+++ b/crates/daemon/src/control_link.rs
@@ -0,0 +1,167 @@
+//! The connection by which a server is asked for its standing and told to change it.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use model::ServerStatus;
+use pgwire::messages::PgWireBackendMessage;
+use wire::{EndpointAddress, EndpointError, EndpointStream};
+
+use crate::{
+    dialect::{Dialect, ServerDialect},
+    endpoint_connection::read_status_row,
+};
+
+/// Requests that may wait for the link.
+const RING_REQUESTS: usize = 1_024;
+
+/// A status with the time at which it was asked for.
+#[derive(Clone, Debug)]
+pub(crate) struct StatusAnswer {
+    pub(crate) status: Arc<ServerStatus>,
+    pub(crate) asked_at: Instant,
+}
+
+/// The server did not answer, or answered with an error.
+#[derive(Clone, Debug)]
+pub(crate) struct LinkError {
+    /// The SQLSTATE, if it was the server that refused.
+    pub(crate) code: Option<String>,
+}
+
+impl LinkError {
+    /// Whether the server says that it is shutting down.
+    pub(crate) fn is_shutting_down(&self) -> bool {
+        matches!(self.code.as_deref(), Some("57P01" | "57P03"))
+    }
+}
+
+type StatusReply = flume::Sender<Result<StatusAnswer, LinkError>>;
+
+enum LinkRequest {
+    /// Ask for the status; everyone who waits shares one answer.
+    Status(StatusReply),
+    /// Run a statement that changes the server's standing and returns its status.
+    Call(String, StatusReply),
+}
+
+/// The asking end of a link.
+#[derive(Clone, Debug)]
+pub(crate) struct ControlLink {
+    ring: flume::Sender<LinkRequest>,
+}
+
+impl ControlLink {
+    /// Starts a link on the current runtime; it ends when its last asking end is dropped.
+    pub(crate) fn start(target: EndpointAddress, timeout: Duration) -> ControlLink {
+        let (ring, requests) = flume::bounded(RING_REQUESTS);
+        let link = LinkTask { target, timeout, stream: None, requests };
+        tokio::spawn(link.run());
+        ControlLink { ring }
+    }
+
+    /// Asks for the status, sharing the query with everyone who asks before it is sent. The answer
+    /// was asked for after this call began.
+    pub(crate) async fn status(&self) -> Result<StatusAnswer, LinkError> {
+        self.ask(LinkRequest::Status).await
+    }
+
+    /// Runs a statement that changes the server's standing.
+    pub(crate) async fn call(&self, statement: String) -> Result<StatusAnswer, LinkError> {
+        self.ask(|reply| LinkRequest::Call(statement, reply)).await
+    }
+
+    async fn ask(
+        &self,
+        request: impl FnOnce(StatusReply) -> LinkRequest,
+    ) -> Result<StatusAnswer, LinkError> {
+        let closed = || LinkError { code: None };
+        let (reply, answer) = flume::bounded(1);
+        self.ring.send_async(request(reply)).await.map_err(|_| closed())?;
+        answer.recv_async().await.map_err(|_| closed())?
+    }
+}
+
+struct LinkTask {
+    target: EndpointAddress,
+    timeout: Duration,
+    stream: Option<EndpointStream>,
+    requests: flume::Receiver<LinkRequest>,
+}
+
+impl LinkTask {
+    async fn run(mut self) {
+        while let Ok(first) = self.requests.recv_async().await {
+            let mut waiting = Vec::new();
+            let mut calls = Vec::new();
+            let mut next = Some(first);
+            while let Some(request) = next {
+                match request {
+                    LinkRequest::Status(reply) => waiting.push(reply),
+                    LinkRequest::Call(statement, reply) => calls.push((statement, reply)),
+                }
+                next = self.requests.try_recv().ok();
+            }
+            for (statement, reply) in calls {
+                let answer = self.query(&statement).await;
+                // Whoever asked may have given up.
+                let _ = reply.send(answer);
+            }
+            if !waiting.is_empty() {
+                let answer = self.query(Dialect::STATUS).await;
+                for reply in waiting {
+                    let _ = reply.send(answer.clone());
+                }
+            }
+        }
+    }
+
+    /// Asks once. A link that failed is given up, since a late answer could be taken for another.
+    async fn query(&mut self, statement: &str) -> Result<StatusAnswer, LinkError> {
+        let asked_at = Instant::now();
+        let timeout = self.timeout;
+        let answer = tokio::time::timeout(timeout, self.query_now(statement)).await;
+        let error = match answer {
+            Ok(Ok(status)) => return Ok(StatusAnswer { status: Arc::new(status), asked_at }),
+            Ok(Err(error)) => error,
+            Err(_) => EndpointError::TimedOut,
+        };
+        let code = match &error {
+            EndpointError::Refused { code, .. } => Some(code.clone()),
+            _ => {
+                self.stream = None;
+                None
+            }
+        };
+        log::debug!(error = error.to_string().as_str(); "a server did not answer its link");
+        Err(LinkError { code })
+    }
+
+    async fn query_now(&mut self, statement: &str) -> Result<ServerStatus, EndpointError> {
+        if self.stream.as_ref().is_none_or(EndpointStream::is_stale) {
+            self.stream = Some(EndpointStream::connect(&self.target, self.timeout).await?);
+        }
+        let Some(stream) = self.stream.as_mut() else { return Err(EndpointError::TimedOut) };
+        stream.add_query(statement)?;
+        stream.flush().await?;
+        let mut answer = None;
+        let mut refused = None;
+        loop {
+            match stream.next().await? {
+                PgWireBackendMessage::DataRow(row) => answer = read_status_row(&row.data),
+                PgWireBackendMessage::ErrorResponse(error) => {
+                    refused = Some(EndpointError::from(&error));
+                }
+                PgWireBackendMessage::ReadyForQuery(_) => break,
+                _ => {}
+            }
+        }
+        match (refused, answer) {
+            (Some(refused), _) => Err(refused),
+            (None, Some(status)) => Ok(status),
+            (None, None) => Err(EndpointError::Protocol("the status can't be read".to_owned())),
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/control_messages.rs
@@ -0,0 +1,98 @@
+//! Answers to what other daemons ask beside jobs.
+
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use config::ChunkHash;
+use model::GroupId;
+use peer::{
+    Body, ChunkAnswer, GossipNote, HeadAnswer, HoldAnswer, HoldRequest, HostListAnswer, HostNote,
+    ViewAnswer, ViewRequest,
+};
+
+use crate::{
+    context::{Context, NotedDemand},
+    gossip::{own_note, take_note},
+};
+
+/// Answers a request; `None` for messages that have no answer.
+pub(crate) async fn answer_control(context: &Context, body: Body) -> Option<Body> {
+    match body {
+        Body::Gossip(note) => Some(Body::Gossip(exchange_notes(context, &note))),
+        Body::HeadRequest(_) => Some(Body::HeadAnswer(head_answer(context))),
+        Body::ChunkRequest(request) => {
+            let chunk = context.configuration_store.chunk(&ChunkHash(request.hash));
+            Some(Body::ChunkAnswer(ChunkAnswer { text: chunk.map(|text| text.to_string()) }))
+        }
+        Body::HostListRequest(_) => Some(Body::HostListAnswer(host_list_answer(context))),
+        Body::ViewRequest(request) => Some(Body::ViewAnswer(view_answer(context, &request))),
+        Body::HoldRequest(request) => Some(Body::HoldAnswer(hold(context, &request))),
+        _ => None,
+    }
+}
+
+fn exchange_notes(context: &Context, note: &GossipNote) -> GossipNote {
+    take_note(context, note);
+    own_note(context, &note.host)
+}
+
+fn head_answer(context: &Context) -> HeadAnswer {
+    let head = context.configuration_store.head();
+    if head.revision == 0 {
+        return HeadAnswer { head: Bytes::new() };
+    }
+    let head = serde_json::to_vec(&head).unwrap_or_default();
+    HeadAnswer { head: Bytes::from(head) }
+}
+
+fn host_list_answer(context: &Context) -> HostListAnswer {
+    let members = context.members.read();
+    let daemons = members.all().iter().map(|member| HostNote {
+        host: member.host.to_string(),
+        availability_zone: member.availability_zone.to_string(),
+        address: member.peer_address.to_string(),
+        endpoint: false,
+        leaving: member.state == membership::MemberState::Leaving,
+    });
+    let leaving = context.listed_leaving.read();
+    let endpoints = leaving.iter().map(|address| HostNote {
+        address: address.to_string(),
+        endpoint: true,
+        leaving: true,
+        ..HostNote::default()
+    });
+    HostListAnswer { version: members.version(), hosts: daemons.chain(endpoints).collect() }
+}
+
+fn view_answer(context: &Context, request: &ViewRequest) -> ViewAnswer {
+    let id = GroupId::new(request.service.as_str(), request.group.as_str());
+    let group = context.groups.read().get(&id).cloned();
+    let Some(group) = group else { return ViewAnswer { reachable: false, term: 0 } };
+    let board = group.board.read();
+    let reachable = board.primary.is_some_and(|primary| board.answers(primary));
+    ViewAnswer { reachable, term: board.term.0 }
+}
+
+/// Holds new transactions of a group back, or lets them go on.
+pub(crate) fn hold(context: &Context, request: &HoldRequest) -> HoldAnswer {
+    let id = GroupId::new(request.service.as_str(), request.group.as_str());
+    let group = context.groups.read().get(&id).cloned();
+    let Some(group) = group else { return HoldAnswer { running: 0 } };
+    let until = Instant::now() + Duration::from_millis(request.hold_ms);
+    group.board.write().held_until = (request.hold_ms > 0).then_some(until);
+    if request.hold_ms == 0 {
+        group.changed.notify_waiters();
+    }
+    let running = group.writing.load(std::sync::atomic::Ordering::Acquire);
+    HoldAnswer { running }
+}
+
+/// Notes what another owner wants of the groups that it shares with this daemon.
+pub(crate) fn note_demands(context: &Context, owner: u64, note: &GossipNote) {
+    let mut demands = context.demands.lock();
+    for demand in &note.demands {
+        let id = GroupId::new(demand.service.as_str(), demand.group.as_str());
+        let noted = NotedDemand { wanted: demand.wanted.clone(), told_at: Instant::now() };
+        demands.entry(id).or_default().insert(owner, noted);
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/daemon.rs
@@ -0,0 +1,329 @@
+//! Starts and stops the duties of a daemon.
+
+use std::{
+    net::SocketAddr,
+    path::Path,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    thread,
+    time::{Duration, Instant},
+};
+
+use config::HostSettings;
+use eyre::{Context as _, OptionExt};
+use platform::{HostList, KeyValueStore};
+use telemetry::{SpanExporter, Tracer};
+use tokio::{
+    net::TcpListener,
+    runtime::{Builder, Runtime},
+};
+use tokio_rustls::TlsAcceptor;
+
+use crate::{
+    caller_session::serve_caller,
+    configuration_duty::{keep_configuration, read_hosts, watch_head},
+    context::{Context, ContextParts},
+    gossip::{gossip, spread},
+    operator::{bind_operators, serve_operators},
+    peers::Peers,
+    relay::RelayServer,
+    show::{ShowReport, show_report},
+    watch_duty::watch_groups,
+};
+
+/// News that may wait for the configuration task.
+const RING_NEWS: usize = 64;
+
+/// How often a planned stop looks at what still runs.
+const STOP_LOOK: Duration = Duration::from_millis(20);
+
+/// A running daemon. Dropping it ends it at once, as a crash would; [`Daemon::stop`] is planned.
+pub struct Daemon {
+    context: Arc<Context>,
+    serve: Option<Runtime>,
+    watch: Option<Runtime>,
+    control: Option<Runtime>,
+    operator: Option<Runtime>,
+    caller_address: SocketAddr,
+    peer_address: SocketAddr,
+    operator_address: SocketAddr,
+}
+
+impl Daemon {
+    /// Starts a daemon on the addresses of its settings (port 0 for any).
+    pub fn start<P>(settings: HostSettings, store: Arc<P>) -> eyre::Result<Daemon>
+    where
+        P: KeyValueStore + HostList + 'static,
+    {
+        let addresses = Addresses::read(&settings)?;
+        let tls = read_tls(&settings)?;
+        let serve = serve_runtime(&settings)?;
+        let watch = duty_runtime("watch")?;
+        let control = duty_runtime("control")?;
+        let operator = duty_runtime("operator")?;
+        let (exporter, sink) =
+            SpanExporter::new(settings.trace.otlp_address, settings.daemon.host.to_string());
+        spawn("trace", move || exporter.run())?;
+        let (news, news_ring) = flume::bounded(RING_NEWS);
+        let tracer = Tracer::new(sink, settings.trace.sample);
+        let endpoint_password = read_password(&settings)?;
+        let context = Arc::new(Context::new(ContextParts {
+            endpoint_password,
+            tracer,
+            watch_runtime: watch.handle().clone(),
+            news,
+            settings,
+        }));
+        let listeners = serve.block_on(addresses.bind())?;
+        let daemon = Daemon {
+            caller_address: listeners.caller.local_addr()?,
+            peer_address: listeners.peer.local_addr()?,
+            operator_address: listeners.operator.local_addr()?,
+            context: context.clone(),
+            serve: Some(serve),
+            watch: Some(watch),
+            control: Some(control),
+            operator: Some(operator),
+        };
+        daemon.start_store_threads(&store, news_ring)?;
+        daemon.spawn_watch(store);
+        daemon.spawn_serve(listeners, tls);
+        Ok(daemon)
+    }
+
+    fn start_store_threads<P>(
+        &self,
+        store: &Arc<P>,
+        news: flume::Receiver<crate::context::News>,
+    ) -> eyre::Result<()>
+    where
+        P: KeyValueStore + HostList + 'static,
+    {
+        let (store_news, store_ring) = flume::bounded(RING_NEWS);
+        let (context, watched, told) = (self.context.clone(), store.clone(), store_news.clone());
+        spawn("head", move || watch_head(&context, &*watched, &told))?;
+        let (context, listed) = (self.context.clone(), store.clone());
+        spawn("hosts", move || read_hosts(&context, &*listed, &store_news))?;
+        let peer_timeout = Duration::from_millis(self.context.settings.control.peer_timeout_ms);
+        let peers = Arc::new(Peers::new(peer_timeout));
+        if let Some(control) = &self.control {
+            let context = self.context.clone();
+            control.spawn(gossip(context.clone(), peers.clone()));
+            control.spawn(keep_configuration(context, peers, store.clone(), store_ring, news));
+        }
+        Ok(())
+    }
+
+    fn spawn_watch<P: KeyValueStore + 'static>(&self, store: Arc<P>) {
+        if let Some(watch) = &self.watch {
+            watch.spawn(watch_groups(self.context.clone(), store));
+        }
+    }
+
+    fn spawn_serve(&self, listeners: Listeners, tls: Option<Arc<TlsAcceptor>>) {
+        if let Some(serve) = &self.serve {
+            serve.spawn(accept_callers(self.context.clone(), listeners.caller, tls));
+            serve.spawn(accept_peers(self.context.clone(), listeners.peer));
+        }
+        if let Some(operator) = &self.operator {
+            operator.spawn(serve_operators(self.context.clone(), listeners.operator));
+        }
+    }
+
+    /// Returns where callers connect.
+    pub fn caller_address(&self) -> SocketAddr {
+        self.caller_address
+    }
+
+    /// Returns where other daemons connect.
+    pub fn peer_address(&self) -> SocketAddr {
+        self.peer_address
+    }
+
+    /// Returns where operators connect.
+    pub fn operator_address(&self) -> SocketAddr {
+        self.operator_address
+    }
+
+    /// Returns the daemon's state.
+    pub fn show(&self) -> ShowReport {
+        show_report(&self.context)
+    }
+
+    /// Stops as planned: takes no new callers, finishes every request, closes sessions between
+    /// transactions, tells the other daemons, then ends. Returns whether everything was finished
+    /// within the operators' limit.
+    pub fn stop(mut self) -> bool {
+        let limit = self.context.in_force.load().configuration.limits.stop_ms;
+        let until = Instant::now() + Duration::from_millis(limit);
+        self.context.stopping.send_replace(true);
+        self.context.forget_owners();
+        self.tell_others();
+        let finished = self.wait_for_work(until);
+        log::info!(finished; "the daemon has stopped");
+        self.end();
+        finished
+    }
+
+    /// Tells the other daemons at once that this one gets no more work.
+    fn tell_others(&self) {
+        let Some(control) = &self.control else { return };
+        let context = self.context.clone();
+        let timeout = Duration::from_millis(self.context.settings.control.peer_timeout_ms);
+        let count = self.context.members.read().all().len().min(MOST_TOLD);
+        control.block_on(async move {
+            spread(&context, &Arc::new(Peers::new(timeout)), count).await;
+        });
+    }
+
+    fn wait_for_work(&self, until: Instant) -> bool {
+        loop {
+            let callers = self.context.callers.load(Ordering::Relaxed);
+            let writing: u32 = self
+                .context
+                .held_groups()
+                .iter()
+                .map(|group| group.writing.load(Ordering::Acquire))
+                .sum();
+            let in_flight: u32 = self
+                .context
+                .held_groups()
+                .iter()
+                .flat_map(|group| group.pools.iter().map(|pool| pool.in_flight()))
+                .sum();
+            if callers == 0 && writing == 0 && in_flight == 0 {
+                // What was answered last may still be on its way to another daemon.
+                thread::sleep(STOP_LOOK);
+                return true;
+            }
+            if Instant::now() >= until {
+                log::warn!(callers, writing; "the time for a planned stop is over");
+                return false;
+            }
+            thread::sleep(STOP_LOOK);
+        }
+    }
+
+    fn end(&mut self) {
+        // Threads that wait for the store see this and end by themselves.
+        self.context.stopping.send_replace(true);
+        for runtime in [&mut self.serve, &mut self.control, &mut self.watch, &mut self.operator] {
+            if let Some(runtime) = runtime.take() {
+                runtime.shutdown_background();
+            }
+        }
+    }
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        self.end();
+    }
+}
+
+/// Daemons that are told of a planned stop at once; the rest hear of it from them.
+const MOST_TOLD: usize = 16;
+
+struct Addresses {
+    caller: SocketAddr,
+    peer: SocketAddr,
+    operator: SocketAddr,
+}
+
+struct Listeners {
+    caller: TcpListener,
+    peer: TcpListener,
+    operator: TcpListener,
+}
+
+impl Addresses {
+    fn read(settings: &HostSettings) -> eyre::Result<Addresses> {
+        let daemon = &settings.daemon;
+        Ok(Addresses {
+            caller: daemon.listen.ok_or_eyre("[daemon] listen must be set")?,
+            peer: daemon.peer_listen.ok_or_eyre("[daemon] peer_listen must be set")?,
+            operator: daemon.operator_listen.ok_or_eyre("[daemon] operator_listen must be set")?,
+        })
+    }
+
+    async fn bind(&self) -> eyre::Result<Listeners> {
+        let failed = |address: SocketAddr| move || format!("can't listen at {address}");
+        Ok(Listeners {
+            caller: TcpListener::bind(self.caller).await.wrap_err_with(failed(self.caller))?,
+            peer: TcpListener::bind(self.peer).await.wrap_err_with(failed(self.peer))?,
+            operator: bind_operators(self.operator).await.wrap_err_with(failed(self.operator))?,
+        })
+    }
+}
+
+fn read_tls(settings: &HostSettings) -> eyre::Result<Option<Arc<TlsAcceptor>>> {
+    let files = settings.tls.certificate_file.as_ref().zip(settings.tls.key_file.as_ref());
+    let Some((certificate, key)) = files else { return Ok(None) };
+    let acceptor = wire::tls_acceptor(Path::new(&**certificate), Path::new(&**key))?;
+    Ok(Some(Arc::new(acceptor)))
+}
+
+fn read_password(settings: &HostSettings) -> eyre::Result<Option<String>> {
+    let Some(file) = &settings.endpoint.password_file else { return Ok(None) };
+    let password = std::fs::read_to_string(&**file)
+        .wrap_err_with(|| format!("[endpoint] password_file: can't read {file}"))?;
+    Ok(Some(password.trim_end().to_owned()))
+}
+
+fn serve_runtime(settings: &HostSettings) -> eyre::Result<Runtime> {
+    let mut builder = Builder::new_multi_thread();
+    if settings.daemon.serve_threads > 0 {
+        builder.worker_threads(usize::from(settings.daemon.serve_threads));
+    }
+    Ok(builder.thread_name("serve").enable_all().build()?)
+}
+
+/// Makes the runtime of a duty with a single thread.
+fn duty_runtime(name: &str) -> eyre::Result<Runtime> {
+    Ok(Builder::new_multi_thread().worker_threads(1).thread_name(name).enable_all().build()?)
+}
+
+fn spawn(name: &str, run: impl FnOnce() + Send + 'static) -> eyre::Result<()> {
+    thread::Builder::new().name(name.to_owned()).spawn(run)?;
+    Ok(())
+}
+
+/// How long to wait after a socket could not be accepted, as when files have run out.
+const ACCEPT_RETRY: Duration = Duration::from_millis(50);
+
+async fn accept_callers(
+    context: Arc<Context>,
+    listener: TcpListener,
+    tls: Option<Arc<TlsAcceptor>>,
+) {
+    loop {
+        match listener.accept().await {
+            Ok((socket, _)) => {
+                tokio::spawn(serve_caller(context.clone(), socket, tls.clone()));
+            }
+            Err(error) => {
+                log::warn!(error = error.to_string().as_str(); "a caller can't be accepted");
+                tokio::time::sleep(ACCEPT_RETRY).await;
+            }
+        }
+    }
+}
+
+async fn accept_peers(context: Arc<Context>, listener: TcpListener) {
+    let handler = Arc::new(RelayServer::new(context));
+    let next_connection = AtomicU64::new(1);
+    loop {
+        match listener.accept().await {
+            Ok((socket, _)) => {
+                let id = next_connection.fetch_add(1, Ordering::Relaxed);
+                tokio::spawn(peer::serve_connection(socket, id, handler.clone()));
+            }
+            Err(error) => {
+                log::warn!(error = error.to_string().as_str(); "a daemon can't be accepted");
+                tokio::time::sleep(ACCEPT_RETRY).await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/endpoint_connection.rs
@@ -0,0 +1,467 @@
+//! One pooled connection to an endpoint, and the run of a job on it.
+
+use std::{num::NonZeroUsize, time::Instant};
+
+use bytes::{Bytes, BytesMut};
+use lru::LruCache;
+use model::ServerStatus;
+use peer::{Job, StepShape};
+use pgwire::messages::{
+    PgWireBackendMessage, PgWireFrontendMessage,
+    extendedquery::{Close, Sync},
+};
+use wire::{
+    EndpointAddress, EndpointError, EndpointStream, SessionSettings, endpoint_statement_name,
+};
+
+use crate::dialect::{Dialect, ServerDialect};
+
+/// Where the parts of an answer go as they arrive.
+pub(crate) trait AnswerSink: Send {
+    /// Passes whole backend messages on; `false` when nobody takes them any more.
+    fn send(&mut self, messages: Bytes) -> impl Future<Output = bool> + Send;
+
+    /// Whether anything was passed on, so that the job can't be run elsewhere any more.
+    fn has_begun(&self) -> bool;
+}
+
+/// When the server's status is asked for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Probe {
+    /// Not at all.
+    None,
+    /// Before the job, to prove what its reads can see.
+    Before,
+    /// Behind the job, to learn where its write stands.
+    After,
+}
+
+/// How a job's answer is treated while it arrives.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct RunOptions {
+    /// When the status is asked for.
+    pub(crate) probe: Probe,
+    /// Bytes held back until the job may be acknowledged; `None` passes the answer on at once.
+    pub(crate) hold_bytes: Option<usize>,
+}
+
+/// What the caller of [`EndpointConnection::run`] says to a status that came before the answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Proof {
+    /// Give the answer.
+    Accept,
+    /// Drop the answer; the connection stays usable.
+    Reject,
+}
+
+/// A job's answer.
+#[derive(Debug)]
+pub(crate) struct JobAnswer {
+    /// What was not passed on yet, without `ReadyForQuery`.
+    pub(crate) tail: BytesMut,
+    /// The transaction status byte.
+    pub(crate) transaction: u8,
+    /// The status before or behind the job.
+    pub(crate) status: Option<ServerStatus>,
+    /// Whether any statement was completed.
+    pub(crate) completed: bool,
+    /// The SQLSTATE of the error that it contains, if it does.
+    pub(crate) error_code: Option<String>,
+    /// Whether the answer was dropped, by the proof.
+    pub(crate) rejected: bool,
+}
+
+/// Why a job has no answer.
+#[derive(Debug)]
+pub(crate) enum RunError {
+    /// The connection failed before any byte of the job was sent.
+    NotSent(EndpointError),
+    /// The connection failed after that.
+    Lost(EndpointError),
+    /// The answer outgrew what may be held back.
+    TooLarge,
+    /// Nobody takes the answer any more.
+    CallerGone,
+}
+
+/// A part of the answer is passed on once it has this size.
+const CHUNK_BYTES: usize = 32 * 1024;
+
+/// A connection with what was done to it.
+#[derive(Debug)]
+pub(crate) struct EndpointConnection {
+    stream: EndpointStream,
+    prepared: LruCache<u64, ()>,
+    settings: u64,
+    /// When it was last given back.
+    pub(crate) idle_since: Instant,
+}
+
+/// What the next messages of the endpoint belong to.
+enum Slot {
+    /// A statement that the caller does not know of.
+    Hidden { statement: u64 },
+    /// The end of a statement that was dropped to make room.
+    HiddenClose,
+    /// A step of the job.
+    Step { shape: StepShape, statement: u64 },
+    /// An answer that is known without the endpoint.
+    Canned(Bytes),
+}
+
+impl EndpointConnection {
+    /// Connects.
+    pub(crate) async fn open(
+        target: &EndpointAddress,
+        timeout: std::time::Duration,
+        prepared_statements: u32,
+    ) -> Result<EndpointConnection, EndpointError> {
+        let stream = EndpointStream::connect(target, timeout).await?;
+        let capacity = NonZeroUsize::new(prepared_statements as usize).unwrap_or(NonZeroUsize::MIN);
+        Ok(EndpointConnection {
+            stream,
+            prepared: LruCache::new(capacity),
+            settings: 0,
+            idle_since: Instant::now(),
+        })
+    }
+
+    /// Whether the endpoint has closed it or says something unasked.
+    pub(crate) fn is_stale(&self) -> bool {
+        self.stream.is_stale()
+    }
+
+    /// Returns what is needed to cancel what runs on it.
+    pub(crate) fn cancel_key(&self) -> CancelKey {
+        let (address, process, secret) = self.stream.cancel_key();
+        CancelKey { address, process, secret }
+    }
+
+    /// Runs a job. Unless an error is returned, the connection is in step with the endpoint.
+    pub(crate) async fn run<S: AnswerSink>(
+        &mut self,
+        job: &Job,
+        options: RunOptions,
+        mut prove: impl FnMut(&ServerStatus) -> Proof + Send,
+        sink: &mut S,
+    ) -> Result<JobAnswer, RunError> {
+        let replayed = self.add_settings(job).map_err(RunError::NotSent)?;
+        if options.probe == Probe::Before {
+            self.stream.add_query(Dialect::STATUS).map_err(RunError::NotSent)?;
+        }
+        let slots = self.add_steps(job).map_err(RunError::NotSent)?;
+        if options.probe == Probe::After {
+            self.stream.add_query(Dialect::STATUS).map_err(RunError::NotSent)?;
+        }
+        self.stream.flush().await.map_err(RunError::Lost)?;
+        if replayed {
+            self.skip_to_ready().await?;
+        }
+        let mut reader = AnswerReader {
+            answer: JobAnswer {
+                tail: BytesMut::new(),
+                transaction: b'I',
+                status: None,
+                completed: false,
+                error_code: None,
+                rejected: false,
+            },
+            hold_bytes: options.hold_bytes,
+            sink,
+        };
+        if options.probe == Probe::Before {
+            let status = self.read_status().await?;
+            reader.answer.rejected = prove(&status) == Proof::Reject;
+            reader.answer.status = Some(status);
+        }
+        self.read_answer(slots, &mut reader).await?;
+        if options.probe == Probe::After {
+            let status = self.read_status().await?;
+            reader.answer.status = Some(status);
+        }
+        Ok(reader.answer)
+    }
+
+    /// Gives the connection the job's settings where it has others.
+    fn add_settings(&mut self, job: &Job) -> Result<bool, EndpointError> {
+        let settings =
+            || job.settings.iter().map(|setting| (setting.name.as_str(), setting.value.as_str()));
+        let wanted = SessionSettings::fingerprint(settings());
+        if wanted == self.settings {
+            return Ok(false);
+        }
+        let replay = SessionSettings::replay_statement(settings());
+        self.stream.add_query(&format!("RESET ALL;{replay}"))?;
+        self.settings = wanted;
+        Ok(true)
+    }
+
+    /// Adds the job's messages, preparing the statements that this connection does not have.
+    fn add_steps(&mut self, job: &Job) -> Result<Vec<Slot>, EndpointError> {
+        let mut slots = Vec::with_capacity(job.steps.len() + 1);
+        let mut preparing: Vec<u64> = Vec::new();
+        let mut extended = false;
+        for step in &job.steps {
+            let shape = step.shape();
+            extended |= !matches!(shape, StepShape::Query | StepShape::Canned);
+            let statement = step.statement;
+            let has = statement == 0
+                || self.prepared.get(&statement).is_some()
+                || preparing.contains(&statement);
+            match shape {
+                StepShape::Canned => slots.push(Slot::Canned(step.message.clone())),
+                StepShape::Parse if has => slots.push(Slot::Canned(parse_complete())),
+                StepShape::Parse => {
+                    self.make_room(&mut slots, preparing.len())?;
+                    preparing.push(statement);
+                    self.stream.add_bytes(&step.message);
+                    slots.push(Slot::Step { shape, statement });
+                }
+                _ => {
+                    if !has {
+                        self.make_room(&mut slots, preparing.len())?;
+                        preparing.push(statement);
+                        self.stream.add_bytes(&find_parse(job, statement)?);
+                        slots.push(Slot::Hidden { statement });
+                    }
+                    self.stream.add_bytes(&step.message);
+                    slots.push(Slot::Step { shape, statement });
+                }
+            }
+        }
+        if extended {
+            self.stream.add_message(&PgWireFrontendMessage::Sync(Sync::new()))?;
+        }
+        Ok(slots)
+    }
+
+    /// Drops the statement used longest ago when the connection has as many as it may.
+    fn make_room(&mut self, slots: &mut Vec<Slot>, preparing: usize) -> Result<(), EndpointError> {
+        if self.prepared.len() + preparing < self.prepared.cap().get() {
+            return Ok(());
+        }
+        let Some((oldest, ())) = self.prepared.pop_lru() else { return Ok(()) };
+        let close = Close::new(b'S', Some(endpoint_statement_name(oldest)));
+        self.stream.add_message(&PgWireFrontendMessage::Close(close))?;
+        slots.push(Slot::HiddenClose);
+        Ok(())
+    }
+
+    async fn next(&mut self) -> Result<PgWireBackendMessage, RunError> {
+        self.stream.next().await.map_err(RunError::Lost)
+    }
+
+    async fn skip_to_ready(&mut self) -> Result<(), RunError> {
+        loop {
+            match self.next().await? {
+                PgWireBackendMessage::ReadyForQuery(_) => return Ok(()),
+                PgWireBackendMessage::ErrorResponse(error) => {
+                    return Err(RunError::Lost((&error).into()));
+                }
+                _ => {}
+            }
+        }
+    }
+
+    async fn read_status(&mut self) -> Result<ServerStatus, RunError> {
+        let mut status = None;
+        loop {
+            match self.next().await? {
+                PgWireBackendMessage::DataRow(row) => status = read_status_row(&row.data),
+                PgWireBackendMessage::ErrorResponse(error) => {
+                    return Err(RunError::Lost((&error).into()));
+                }
+                PgWireBackendMessage::ReadyForQuery(_) => break,
+                _ => {}
+            }
+        }
+        status.ok_or_else(|| {
+            RunError::Lost(EndpointError::Protocol("the status can't be read".to_owned()))
+        })
+    }
+
+    async fn read_answer<S: AnswerSink>(
+        &mut self,
+        slots: Vec<Slot>,
+        reader: &mut AnswerReader<'_, S>,
+    ) -> Result<(), RunError> {
+        let mut sent_any = false;
+        for slot in slots {
+            sent_any |= !matches!(slot, Slot::Canned(_));
+            if reader.answer.error_code.is_some() {
+                continue;
+            }
+            match slot {
+                Slot::Canned(messages) => reader.pass_bytes(&messages),
+                Slot::Step { shape: StepShape::Query, .. } => {
+                    return self.read_until_ready(reader).await;
+                }
+                Slot::Step { shape, statement } => {
+                    self.read_step(shape, reader).await?;
+                    if shape == StepShape::Parse && reader.answer.error_code.is_none() {
+                        self.prepared.put(statement, ());
+                    }
+                }
+                Slot::Hidden { statement } => {
+                    if self.read_hidden(reader).await? {
+                        self.prepared.put(statement, ());
+                    }
+                }
+                Slot::HiddenClose => {
+                    self.read_hidden(reader).await?;
+                }
+            }
+        }
+        if sent_any {
+            self.read_until_ready(reader).await?;
+        }
+        Ok(())
+    }
+
+    /// Passes messages on until the endpoint is ready for more.
+    async fn read_until_ready<S: AnswerSink>(
+        &mut self,
+        reader: &mut AnswerReader<'_, S>,
+    ) -> Result<(), RunError> {
+        loop {
+            match self.next().await? {
+                PgWireBackendMessage::ReadyForQuery(ready) => {
+                    reader.answer.transaction = ready.status as u8;
+                    return Ok(());
+                }
+                message => reader.pass(&message).await?,
+            }
+        }
+    }
+
+    /// Passes messages on until the step's own answer is complete.
+    async fn read_step<S: AnswerSink>(
+        &mut self,
+        shape: StepShape,
+        reader: &mut AnswerReader<'_, S>,
+    ) -> Result<(), RunError> {
+        loop {
+            let message = self.next().await?;
+            let last = ends_step(shape, &message);
+            reader.pass(&message).await?;
+            if last || reader.answer.error_code.is_some() {
+                return Ok(());
+            }
+        }
+    }
+
+    /// Reads an answer that the caller does not know of; `false` when it is an error, which the
+    /// caller gets to know of.
+    async fn read_hidden<S: AnswerSink>(
+        &mut self,
+        reader: &mut AnswerReader<'_, S>,
+    ) -> Result<bool, RunError> {
+        loop {
+            match self.next().await? {
+                PgWireBackendMessage::ParseComplete(_) | PgWireBackendMessage::CloseComplete(_) => {
+                    return Ok(true);
+                }
+                PgWireBackendMessage::NoticeResponse(_) => {}
+                message => {
+                    reader.pass(&message).await?;
+                    return Ok(false);
+                }
+            }
+        }
+    }
+}
+
+/// What cancels the statement that runs on a connection.
+#[derive(Clone, Debug)]
+pub(crate) struct CancelKey {
+    address: std::net::SocketAddr,
+    process: i32,
+    secret: pgwire::messages::startup::SecretKey,
+}
+
+impl CancelKey {
+    /// Sends the cancellation; that it came too late can't be known.
+    pub(crate) async fn cancel(self) {
+        if let Err(error) = EndpointStream::cancel(self.address, self.process, self.secret).await {
+            log::debug!(error = error.to_string().as_str(); "a cancellation could not be sent");
+        }
+    }
+}
+
+struct AnswerReader<'a, S> {
+    answer: JobAnswer,
+    hold_bytes: Option<usize>,
+    sink: &'a mut S,
+}
+
+impl<S: AnswerSink> AnswerReader<'_, S> {
+    async fn pass(&mut self, message: &PgWireBackendMessage) -> Result<(), RunError> {
+        match message {
+            PgWireBackendMessage::ErrorResponse(error) => {
+                let code = error.fields.iter().find(|(field, _)| *field == b'C');
+                let code = code.map(|(_, code)| code.clone()).unwrap_or_default();
+                self.answer.error_code = Some(code);
+            }
+            PgWireBackendMessage::CommandComplete(_) => self.answer.completed = true,
+            _ => {}
+        }
+        if self.answer.rejected {
+            return Ok(());
+        }
+        message
+            .encode(&mut self.answer.tail)
+            .map_err(|error| RunError::Lost(EndpointError::Protocol(error.to_string())))?;
+        let tail = self.answer.tail.len();
+        match self.hold_bytes {
+            // Rows show no commit, so they may go before it; an end of statement may not.
+            Some(most) if tail > most && self.answer.completed => Err(RunError::TooLarge),
+            Some(most) if tail > most => self.send().await,
+            None if tail > CHUNK_BYTES => self.send().await,
+            _ => Ok(()),
+        }
+    }
+
+    fn pass_bytes(&mut self, messages: &Bytes) {
+        if !self.answer.rejected {
+            self.answer.tail.extend_from_slice(messages);
+        }
+    }
+
+    async fn send(&mut self) -> Result<(), RunError> {
+        let messages = self.answer.tail.split().freeze();
+        if self.sink.send(messages).await { Ok(()) } else { Err(RunError::CallerGone) }
+    }
+}
+
+fn ends_step(shape: StepShape, message: &PgWireBackendMessage) -> bool {
+    use PgWireBackendMessage as M;
+    match shape {
+        StepShape::Parse => matches!(message, M::ParseComplete(_)),
+        StepShape::Bind => matches!(message, M::BindComplete(_)),
+        StepShape::Describe => matches!(message, M::RowDescription(_) | M::NoData(_)),
+        StepShape::Execute => matches!(
+            message,
+            M::CommandComplete(_) | M::EmptyQueryResponse(_) | M::PortalSuspended(_)
+        ),
+        StepShape::Close => matches!(message, M::CloseComplete(_)),
+        StepShape::Query | StepShape::Canned => true,
+    }
+}
+
+fn parse_complete() -> Bytes {
+    use pgwire::messages::extendedquery::ParseComplete;
+    let message = PgWireBackendMessage::ParseComplete(ParseComplete::new());
+    wire::Answer::default().with(&message).finish()
+}
+
+fn find_parse(job: &Job, statement: u64) -> Result<Bytes, EndpointError> {
+    let found = job.statements.iter().find(|known| known.id == statement);
+    found.map(|known| known.parse.clone()).ok_or_else(|| {
+        EndpointError::Protocol("a job refers to a statement that it does not bring".to_owned())
+    })
+}
+
+/// Reads the status out of a row with one column, which stands behind its length.
+pub(crate) fn read_status_row(row: &[u8]) -> Option<ServerStatus> {
+    Dialect::read_status(row.get(size_of::<i32>()..)?)
+}
--- /dev/null
+++ b/crates/daemon/src/failover_duty.rs
@@ -0,0 +1,278 @@
+//! Carries out the steps of a change of primary.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use failover::{
+    Driver, DriverEvent, DriverGroup, DriverStep, Ending, LeadershipRecord, RecordStage,
+};
+use futures::{StreamExt, stream::FuturesUnordered};
+use model::{ServerId, ServerStatus, Term};
+use platform::{CasOutcome, KeyValueStore, StoreError};
+
+use crate::{
+    context::Context,
+    dialect::{Dialect, ServerDialect},
+    group_state::GroupState,
+};
+
+/// Why the primary is changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum DriveReason {
+    /// It has failed.
+    Failure,
+    /// Operators or the platform take it out.
+    Switch {
+        /// The server that is to lead.
+        target: ServerId,
+    },
+}
+
+/// Once a majority is sealed, the rest get this long to answer.
+const SEAL_GRACE: Duration = Duration::from_millis(20);
+
+/// A step count that no sound change of primary comes near; it ends a driver that goes in circles.
+const MOST_STEPS: usize = 64;
+
+/// The changes of one group's primary, as far as this daemon drives them.
+pub(crate) struct FailoverDuty<P> {
+    context: Arc<Context>,
+    store: Arc<P>,
+    group: Arc<GroupState>,
+    /// The record last read and when it was first seen, to tell whether its driver has stalled.
+    seen: Option<(LeadershipRecord, Instant)>,
+    complained_at: Option<Instant>,
+}
+
+/// A standing complaint is written to the log this often.
+const COMPLAINT_INTERVAL: Duration = Duration::from_secs(10);
+
+impl<P: KeyValueStore + 'static> FailoverDuty<P> {
+    pub(crate) fn new(
+        context: Arc<Context>,
+        store: Arc<P>,
+        group: Arc<GroupState>,
+    ) -> FailoverDuty<P> {
+        FailoverDuty { context, store, group, seen: None, complained_at: None }
+    }
+
+    /// Writes to the log that nothing can be promoted, now and then.
+    pub(crate) fn note_no_majority(&mut self) {
+        self.complain("too few servers answer to choose a new primary");
+    }
+
+    fn complain(&mut self, message: &str) {
+        let due = self.complained_at.is_none_or(|at| at.elapsed() >= COMPLAINT_INTERVAL);
+        if due {
+            self.complained_at = Some(Instant::now());
+            log::warn!(group = self.group.id.to_string().as_str(); "{message}");
+        }
+    }
+
+    /// Drives a change until it is over, one way or another.
+    pub(crate) async fn drive(&mut self, reason: DriveReason) -> Ending {
+        let claim_id = format!("{}-{:016x}", self.context.host(), rand::random::<u64>());
+        let host = self.context.host().to_string();
+        let mut driver =
+            Driver::new(self.driver_group(reason), host, claim_id, self.highest_term());
+        let began = Instant::now();
+        let mut ending = Ending::PromotionFailed;
+        for _ in 0..MOST_STEPS {
+            let stage = driver.stage();
+            let step = driver.step().clone();
+            if let DriverStep::End(found) = step {
+                ending = found;
+                break;
+            }
+            let step_began = Instant::now();
+            let event = self.carry_out(step).await;
+            let seconds = step_began.elapsed().as_secs_f64();
+            let metrics = &self.context.metrics;
+            metrics.failover_seconds.with_label_values(&[stage.as_str()]).observe(seconds);
+            log::info!(
+                group = self.group.id.to_string().as_str(), step = stage.as_str(),
+                took_us = step_began.elapsed().as_micros() as u64;
+                "a step of a change of primary"
+            );
+            driver.on_event(event);
+        }
+        self.report(ending, began);
+        ending
+    }
+
+    fn report(&mut self, ending: Ending, began: Instant) {
+        let word = match ending {
+            Ending::Opened { .. } => "opened",
+            Ending::LeftToOther => "left_to_other",
+            Ending::StoreUnreachable => "store_unreachable",
+            Ending::NoMajority => "no_majority",
+            Ending::PromotionFailed => "promotion_failed",
+        };
+        self.context.metrics.promotions.with_label_values(&[word]).inc();
+        match ending {
+            Ending::Opened { primary, term } => log::warn!(
+                group = self.group.id.to_string().as_str(), server = primary.0, term = term.0,
+                took_ms = began.elapsed().as_millis() as u64;
+                "a new primary leads"
+            ),
+            Ending::LeftToOther => {}
+            _ => self.complain(&format!("the primary could not be changed: {word}")),
+        }
+    }
+
+    fn driver_group(&self, reason: DriveReason) -> DriverGroup {
+        let in_force = self.group.in_force.load();
+        let servers = &in_force.group.servers;
+        let mut unwanted: Vec<ServerId> = servers
+            .iter()
+            .enumerate()
+            .filter(|(_, server)| {
+                !self.context.may_get_new_work(&server.address, &in_force.configuration)
+            })
+            .map(|(index, _)| ServerId::from_index(index))
+            .collect();
+        let preferred = match reason {
+            DriveReason::Failure => None,
+            DriveReason::Switch { target } => {
+                unwanted.extend(self.group.board.read().primary);
+                Some(target)
+            }
+        };
+        DriverGroup {
+            servers: servers.iter().map(|server| server.name.to_string()).collect(),
+            unwanted,
+            preferred,
+        }
+    }
+
+    fn highest_term(&self) -> Term {
+        let board = self.group.board.read();
+        let promised = board.statuses().map(|(_, status)| status.promised_term).max();
+        board.term.max(promised.unwrap_or_default())
+    }
+
+    async fn carry_out(&mut self, step: DriverStep) -> DriverEvent {
+        match step {
+            DriverStep::ReadRecord => self.read_record().await,
+            DriverStep::WriteRecord { expected_version, record } => {
+                self.write_record(expected_version, &record).await
+            }
+            DriverStep::Seal { term } => DriverEvent::Sealed { statuses: self.seal(term).await },
+            DriverStep::Promote { server, term } => {
+                match self.group.tell(server, Dialect::promote(term)).await {
+                    Ok(answer) if answer.status.leads() => DriverEvent::Promoted,
+                    _ => DriverEvent::PromotionFailed,
+                }
+            }
+            DriverStep::Follow { primary, term } => {
+                self.follow(primary, term).await;
+                DriverEvent::Followed
+            }
+            DriverStep::End(_) => DriverEvent::Followed,
+        }
+    }
+
+    fn key(&self) -> String {
+        let id = &self.group.id;
+        LeadershipRecord::key(&self.context.settings.platform.prefix, &id.service, &id.group)
+    }
+
+    async fn read_record(&mut self) -> DriverEvent {
+        let (store, key) = (self.store.clone(), self.key());
+        let found = tokio::task::spawn_blocking(move || store.get(&key)).await;
+        self.context.metrics.store_calls.with_label_values(&["leadership"]).inc();
+        let Ok(Ok(entry)) = found else { return DriverEvent::StoreUnreachable };
+        let Some(entry) = entry else {
+            return DriverEvent::Record { record: None, version: 0, stalled: false };
+        };
+        let Ok(record) = serde_json::from_slice::<LeadershipRecord>(&entry.value) else {
+            log::error!(key = self.key().as_str(); "a leadership record is malformed");
+            return DriverEvent::StoreUnreachable;
+        };
+        let stalled = self.has_stalled(&record);
+        DriverEvent::Record { record: Some(record), version: entry.version, stalled }
+    }
+
+    /// Whether nobody is at work on a record: its change is over, or it has stood still for long.
+    fn has_stalled(&mut self, record: &LeadershipRecord) -> bool {
+        let over =
+            record.stage != RecordStage::Claimed && self.group.board.read().term >= record.term;
+        if over {
+            return true;
+        }
+        let takeover = self.group.in_force.load().configuration.failover.takeover_after_ms;
+        match &self.seen {
+            Some((seen, since)) if seen == record => {
+                since.elapsed() >= Duration::from_millis(takeover)
+            }
+            _ => {
+                self.seen = Some((record.clone(), Instant::now()));
+                false
+            }
+        }
+    }
+
+    async fn write_record(&self, expected_version: u64, record: &LeadershipRecord) -> DriverEvent {
+        let Ok(value) = serde_json::to_vec(record) else { return DriverEvent::StoreUnreachable };
+        let (store, key) = (self.store.clone(), self.key());
+        let claim_id = record.claim_id.clone();
+        self.context.metrics.store_calls.with_label_values(&["leadership"]).inc();
+        let written = tokio::task::spawn_blocking(move || {
+            match store.compare_and_swap(&key, expected_version, &value)? {
+                CasOutcome::Conflict => Ok(None),
+                // The version is needed for the next step, and only a read tells it.
+                CasOutcome::Applied => {
+                    let entry = store.get(&key)?;
+                    Ok(entry.filter(|entry| entry.value == value).map(|entry| entry.version))
+                }
+            }
+        })
+        .await;
+        match written {
+            Ok(Ok(Some(version))) => DriverEvent::Written { version },
+            Ok(Ok(None) | Err(StoreError::AnswerLost(_) | StoreError::Malformed(_))) => {
+                log::info!(claim = claim_id.as_str(); "a leadership record has to be read back");
+                DriverEvent::WriteUnclear
+            }
+            Ok(Err(StoreError::Unreachable(_))) | Err(_) => DriverEvent::StoreUnreachable,
+        }
+    }
+
+    /// Seals every server that answers; once a majority has, the rest get little time.
+    async fn seal(&self, term: Term) -> Vec<(ServerId, ServerStatus)> {
+        let step = self.group.in_force.load().configuration.failover.step_timeout_ms;
+        let mut until = tokio::time::Instant::now() + Duration::from_millis(step);
+        let majority = self.group.links.len() / 2 + 1;
+        let mut sealing: FuturesUnordered<_> =
+            (0..self.group.links.len())
+                .map(ServerId::from_index)
+                .map(|server| async move {
+                    (server, self.group.tell(server, Dialect::seal(term)).await)
+                })
+                .collect();
+        let mut sealed = Vec::new();
+        while let Ok(Some((server, answer))) = tokio::time::timeout_at(until, sealing.next()).await
+        {
+            let Ok(answer) = answer else { continue };
+            sealed.push((server, (*answer.status).clone()));
+            if sealed.len() == majority {
+                until = until.min(tokio::time::Instant::now() + SEAL_GRACE);
+            }
+        }
+        sealed
+    }
+
+    /// Tells the others to follow; those that can't be told now are told by the watch later.
+    async fn follow(&self, primary: ServerId, term: Term) {
+        let address = self.group.in_force.load().group.servers[primary.index()].address;
+        for server in (0..self.group.links.len()).map(ServerId::from_index) {
+            if server == primary {
+                continue;
+            }
+            let group = self.group.clone();
+            tokio::spawn(async move { group.tell(server, Dialect::follow(term, address)).await });
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/gossip.rs
@@ -0,0 +1,168 @@
+//! Daemons compare notes in pairs, so that news reaches everyone without a sender that knows all.
+
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use membership::Member;
+use peer::{Body, GossipNote, GroupDemand};
+use rand::seq::IndexedRandom;
+
+use crate::{
+    context::{Context, News},
+    control_messages::note_demands,
+    peers::Peers,
+};
+
+/// Writes this daemon's note for another.
+pub(crate) fn own_note(context: &Context, to_host: &str) -> GossipNote {
+    GossipNote {
+        host: context.host().to_string(),
+        revision: context.in_force.load().revision,
+        host_list_version: context.members.read().version(),
+        stopping: context.is_stopping(),
+        demands: demands_for(context, to_host),
+    }
+}
+
+/// Lists the demands for the groups that both daemons own.
+fn demands_for(context: &Context, to_host: &str) -> Vec<GroupDemand> {
+    let mut demands = Vec::new();
+    for group in context.held_groups() {
+        let in_force = group.in_force.load();
+        let owners = context.owners_of(&in_force.group);
+        if owners.iter().any(|owner| *owner.host == *to_host) {
+            demands.push(GroupDemand {
+                service: group.id.service.to_string(),
+                group: group.id.group.to_string(),
+                wanted: group.pools.iter().map(|pool| pool.wanted()).collect(),
+            });
+        }
+    }
+    demands
+}
+
+/// Takes in another daemon's note.
+pub(crate) fn take_note(context: &Context, note: &GossipNote) {
+    let sender = {
+        let members = context.members.read();
+        members.all().iter().find(|member| *member.host == *note.host).cloned()
+    };
+    let Some(sender) = sender else { return };
+    {
+        let mut members = context.members.write();
+        members.clear(sender.key);
+        if note.stopping {
+            members.note_stopping(sender.key, Instant::now());
+        } else {
+            members.note_running(sender.key);
+        }
+    }
+    note_demands(context, sender.key, note);
+    note_news(context, note, sender.peer_address);
+}
+
+fn note_news(context: &Context, note: &GossipNote, address: SocketAddr) {
+    // A full ring holds the same news already.
+    if note.revision > context.in_force.load().revision {
+        let _ = context.news.try_send(News::Configuration(address));
+    }
+    if note.host_list_version > context.members.read().version() {
+        let _ = context.news.try_send(News::HostList(address));
+    }
+}
+
+/// Compares notes with one daemon at a time, at the configured interval.
+pub(crate) async fn gossip(context: Arc<Context>, peers: Arc<Peers>) {
+    let interval = Duration::from_millis(context.settings.control.gossip_ms.max(1));
+    loop {
+        tokio::time::sleep(interval).await;
+        for target in targets(&context, 1) {
+            exchange(&context, &peers, target).await;
+        }
+        for group in context.held_groups() {
+            context.share_connections(&group);
+        }
+    }
+}
+
+/// Passes news on to some daemons at once.
+pub(crate) async fn spread(context: &Arc<Context>, peers: &Arc<Peers>, count: usize) {
+    for target in targets(context, count) {
+        let (context, peers) = (context.clone(), peers.clone());
+        tokio::spawn(async move { exchange(&context, &peers, target).await });
+    }
+}
+
+/// Whom to compare notes with: listed daemons, or the seeds while none is listed.
+fn targets(context: &Context, count: usize) -> Vec<Target> {
+    let members = context.members.read();
+    let others: Vec<&Member> =
+        members.all().iter().filter(|member| member.key != context.key).collect();
+    if others.is_empty() {
+        return context
+            .settings
+            .control
+            .seeds
+            .iter()
+            .map(|address| Target::seed(*address))
+            .collect();
+    }
+    let mut rng = rand::rng();
+    others.sample(&mut rng, count).map(|member| Target::member(member)).collect()
+}
+
+struct Target {
+    address: SocketAddr,
+    host: String,
+    key: Option<u64>,
+}
+
+impl Target {
+    fn seed(address: SocketAddr) -> Target {
+        Target { address, host: String::new(), key: None }
+    }
+
+    fn member(member: &Member) -> Target {
+        Target {
+            address: member.peer_address,
+            host: member.host.to_string(),
+            key: Some(member.key),
+        }
+    }
+}
+
+async fn exchange(context: &Context, peers: &Peers, target: Target) {
+    let note = own_note(context, &target.host);
+    let answer = ask(context, peers, target.address, Body::Gossip(note)).await;
+    match answer {
+        Some(Body::Gossip(note)) => {
+            take_note(context, &note);
+            // A seed is not listed yet, but what it knows is wanted all the more.
+            note_news(context, &note, target.address);
+        }
+        _ => {
+            if let Some(key) = target.key {
+                context.members.write().suspect(key, Instant::now());
+            }
+        }
+    }
+}
+
+/// Asks a daemon something that has one answer.
+pub(crate) async fn ask(
+    context: &Context,
+    peers: &Peers,
+    address: SocketAddr,
+    body: Body,
+) -> Option<Body> {
+    let timeout = Duration::from_millis(context.settings.control.peer_timeout_ms);
+    let answer = async {
+        let client = peers.get(address).await.ok()?;
+        let mut answers = client.call(body).await.ok()?;
+        answers.next().await.ok()
+    };
+    tokio::time::timeout(timeout, answer).await.ok().flatten()
+}
--- /dev/null
+++ b/crates/daemon/src/group_state.rs
@@ -0,0 +1,305 @@
+//! A group as this daemon holds it: knowledge, links, pools.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicU32, AtomicU64, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use arc_swap::ArcSwap;
+use config::{Acknowledge, Configuration, Group, Service};
+use failover::{Evidence, SecondStatus, judge_evidence};
+use futures::{StreamExt, stream::FuturesUnordered};
+use model::{GroupId, LogPoint, Refusal, RefusalReason, ServerId, ServerStatus};
+use parking_lot::{Mutex, RwLock};
+use routing::{Candidate, RetryBudget};
+use tokio::{runtime::Handle, sync::Notify};
+use wire::EndpointAddress;
+
+use crate::{
+    board::GroupBoard,
+    context::Context,
+    control_link::{ControlLink, LinkError, StatusAnswer},
+    pool::ServerPool,
+    read_index::ReadIndex,
+};
+
+/// The parts of the configuration that a group's work depends on.
+#[derive(Clone, Debug)]
+pub(crate) struct GroupOptionsInForce {
+    pub(crate) group: Group,
+    pub(crate) service: Service,
+    pub(crate) configuration: Arc<Configuration>,
+}
+
+/// A group with everything that this daemon keeps for it.
+pub(crate) struct GroupState {
+    pub(crate) id: GroupId,
+    pub(crate) in_force: ArcSwap<GroupOptionsInForce>,
+    pub(crate) board: RwLock<GroupBoard>,
+    /// Told when the primary or the term changes.
+    pub(crate) changed: Notify,
+    pub(crate) links: Vec<ControlLink>,
+    pub(crate) pools: Vec<Arc<ServerPool>>,
+    pub(crate) read_index: ReadIndex,
+    pub(crate) retries: Mutex<RetryBudget>,
+    /// Writing transactions and writes that run now.
+    pub(crate) writing: AtomicU32,
+    turn: AtomicU64,
+    used_at: Mutex<Instant>,
+}
+
+/// An interval between two rounds of questions for evidence that was not there yet.
+const EVIDENCE_INTERVAL: Duration = Duration::from_millis(1);
+
+impl GroupState {
+    /// Makes the group's state, with its links on the watch runtime.
+    pub(crate) fn new(
+        context: &Context,
+        in_force: GroupOptionsInForce,
+        watch: &Handle,
+    ) -> Arc<GroupState> {
+        let _runtime = watch.enter();
+        let limits = &in_force.configuration.limits;
+        let timeout = Duration::from_millis(in_force.configuration.failover.status_timeout_ms);
+        let target = |address| EndpointAddress {
+            address,
+            user: context.settings.endpoint.user.to_string(),
+            database: in_force.group.id.service.to_string(),
+            password: context.endpoint_password.clone(),
+            application_name: format!("wardtiller:{}", context.settings.daemon.host),
+        };
+        let links: Vec<ControlLink> = in_force
+            .group
+            .servers
+            .iter()
+            .map(|server| ControlLink::start(target(server.address), timeout))
+            .collect();
+        let pools = in_force
+            .group
+            .servers
+            .iter()
+            .map(|server| {
+                ServerPool::new(
+                    target(server.address),
+                    1,
+                    limits.queue_length,
+                    limits.prepared_statements,
+                )
+            })
+            .collect();
+        let now = Instant::now();
+        let servers = in_force.group.servers.len();
+        let retry_percent = limits.retry_percent;
+        let (read_index, index_requests) = ReadIndex::new();
+        let group = Arc::new(GroupState {
+            id: in_force.group.id.clone(),
+            in_force: ArcSwap::from_pointee(in_force),
+            board: RwLock::new(GroupBoard::new(servers, now)),
+            changed: Notify::new(),
+            links,
+            pools,
+            read_index,
+            retries: Mutex::new(RetryBudget::new(retry_percent)),
+            writing: AtomicU32::new(0),
+            turn: AtomicU64::new(0),
+            used_at: Mutex::new(now),
+        });
+        tokio::spawn(crate::read_index::serve(Arc::downgrade(&group), index_requests));
+        group
+    }
+
+    /// Notes that the group was used, so that it is kept and watched.
+    pub(crate) fn touch(&self) {
+        *self.used_at.lock() = Instant::now();
+    }
+
+    /// Returns how long ago the group was last used.
+    pub(crate) fn unused_for(&self) -> Duration {
+        self.used_at.lock().elapsed()
+    }
+
+    /// Asks a server for its status and notes the answer, or the silence.
+    pub(crate) async fn ask(&self, server: ServerId) -> Result<StatusAnswer, LinkError> {
+        let answer = self.links[server.index()].status().await;
+        self.note(server, &answer);
+        answer
+    }
+
+    /// Tells a server to change its standing and notes the answer.
+    pub(crate) async fn tell(
+        &self,
+        server: ServerId,
+        statement: String,
+    ) -> Result<StatusAnswer, LinkError> {
+        let answer = self.links[server.index()].call(statement).await;
+        if answer.is_ok() {
+            self.note(server, &answer);
+        }
+        answer
+    }
+
+    fn note(&self, server: ServerId, answer: &Result<StatusAnswer, LinkError>) {
+        match answer {
+            Ok(answer) => self.note_status(server, answer.status.clone(), answer.asked_at),
+            Err(_) => self.board.write().note_silence(server, Instant::now()),
+        }
+    }
+
+    /// Notes a status, wherever it came from.
+    pub(crate) fn note_status(
+        &self,
+        server: ServerId,
+        status: Arc<ServerStatus>,
+        asked_at: Instant,
+    ) {
+        if self.board.write().note_status(server, status, asked_at) {
+            self.changed.notify_waiters();
+        }
+    }
+
+    /// Notes the status that came with a job, unless it tells nothing new.
+    pub(crate) fn note_proof(&self, server: ServerId, status: &ServerStatus) {
+        if !self.board.read().is_old_news(server, status) {
+            self.note_status(server, Arc::new(status.clone()), Instant::now());
+        }
+    }
+
+    /// Notes that a server failed a request by not answering.
+    pub(crate) fn note_failure(&self, server: ServerId) {
+        self.board.write().note_silence(server, Instant::now());
+    }
+
+    /// Returns a number that changes from call to call.
+    pub(crate) fn next_turn(&self) -> u64 {
+        self.turn.fetch_add(1, Ordering::Relaxed)
+    }
+
+    /// Lists the servers as the choice for a read needs them.
+    pub(crate) fn candidates(&self, context: &Context) -> Vec<Candidate> {
+        let in_force = self.in_force.load();
+        let board = self.board.read();
+        let own_zone = &context.settings.daemon.availability_zone;
+        in_force
+            .group
+            .servers
+            .iter()
+            .enumerate()
+            .map(|(index, server)| {
+                let id = ServerId::from_index(index);
+                Candidate {
+                    server: id,
+                    usable: board.answers(id)
+                        && context.may_get_new_work(&server.address, &in_force.configuration),
+                    primary: board.primary == Some(id),
+                    applied: board.applied(id),
+                    in_flight: self.pools[index].in_flight(),
+                    slots: in_force.group.options.slots,
+                    latency_us: self.pools[index].latency().get_us(),
+                    near: server.availability_zone == *own_zone,
+                }
+            })
+            .collect()
+    }
+
+    /// Waits until enough other servers confirm a write or a position of the primary.
+    pub(crate) async fn evidence(
+        &self,
+        rule: Acknowledge,
+        write: LogPoint,
+        primary: ServerId,
+        primary_status: &ServerStatus,
+        deadline: Instant,
+    ) -> Evidence {
+        let servers = self.links.len();
+        loop {
+            match self.evidence_round(rule, write, primary, primary_status, deadline).await {
+                Evidence::Wait if servers > 1 && Instant::now() < deadline => {
+                    tokio::time::sleep(EVIDENCE_INTERVAL).await;
+                }
+                evidence => return evidence,
+            }
+        }
+    }
+
+    /// Asks every other server once, ending as soon as the answers suffice.
+    async fn evidence_round(
+        &self,
+        rule: Acknowledge,
+        write: LogPoint,
+        primary: ServerId,
+        primary_status: &ServerStatus,
+        deadline: Instant,
+    ) -> Evidence {
+        let servers = self.links.len();
+        let mut answers: Vec<Arc<ServerStatus>> = Vec::with_capacity(servers);
+        let mut asking: FuturesUnordered<_> = (0..servers)
+            .map(ServerId::from_index)
+            .filter(|server| *server != primary)
+            .map(|server| self.ask(server))
+            .collect();
+        let judge = |answers: &[Arc<ServerStatus>]| {
+            let others: Vec<SecondStatus<'_>> =
+                answers.iter().map(|status| SecondStatus { status }).collect();
+            judge_evidence(rule, write, primary_status, &others, servers)
+        };
+        let mut evidence = judge(&answers);
+        let until = tokio::time::Instant::from_std(deadline);
+        while evidence == Evidence::Wait {
+            match tokio::time::timeout_at(until, asking.next()).await {
+                Ok(Some(Ok(answer))) => answers.push(answer.status),
+                Ok(Some(Err(_))) => continue,
+                Ok(None) | Err(_) => return evidence,
+            }
+            evidence = judge(&answers);
+        }
+        evidence
+    }
+
+    /// Waits until the primary or the term changes, or the deadline passes.
+    pub(crate) async fn wait_for_change(&self, deadline: Instant) {
+        let until = tokio::time::Instant::from_std(deadline);
+        // A short bound makes up for a change between the look at the board and the wait.
+        let until = until.min(tokio::time::Instant::now() + Duration::from_millis(20));
+        let _ = tokio::time::timeout_at(until, self.changed.notified()).await;
+    }
+
+    /// Ends the group's pools; running work is finished.
+    pub(crate) fn close(&self) {
+        for pool in &self.pools {
+            pool.close();
+        }
+    }
+
+    /// Builds the refusal for a write that finds no primary.
+    pub(crate) fn no_primary(&self) -> Refusal {
+        Refusal::not_run(
+            RefusalReason::NoPrimary,
+            format!("the group {} has no primary at present", self.id),
+        )
+        .retry_after(NO_PRIMARY_RETRY_MS)
+    }
+}
+
+/// When a request that found no primary may try again; a promotion takes about this long.
+const NO_PRIMARY_RETRY_MS: u64 = 1_000;
+
+/// Counts something that runs for as long as it lives.
+pub(crate) struct WritingGuard {
+    group: Arc<GroupState>,
+}
+
+impl WritingGuard {
+    pub(crate) fn new(group: &Arc<GroupState>) -> WritingGuard {
+        group.writing.fetch_add(1, Ordering::AcqRel);
+        WritingGuard { group: group.clone() }
+    }
+}
+
+impl Drop for WritingGuard {
+    fn drop(&mut self) {
+        self.group.writing.fetch_sub(1, Ordering::AcqRel);
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,36 @@
+//! The wardtiller daemon as a library.
+//!
+//! [`Daemon`] starts a thread for each duty: `serve` (callers, endpoints, other daemons), `watch`
+//! (servers and changes of primary), `control` (gossip and configuration), `head` and `hosts` (the
+//! store), `operator` (HTTP) and `trace` (spans). `docs/ARCHITECTURE.md` shows how they are joined.
+
+mod apply;
+mod board;
+mod caller_session;
+mod cancel;
+mod configuration_duty;
+mod configuration_store;
+mod context;
+mod control_link;
+mod control_messages;
+mod daemon;
+mod dialect;
+mod endpoint_connection;
+mod executor;
+mod failover_duty;
+mod gossip;
+mod group_state;
+mod operator;
+mod peers;
+mod pool;
+mod read_index;
+mod relay;
+mod request;
+mod show;
+mod switch_duty;
+mod watch_duty;
+
+pub use apply::{ApplyError, apply_configuration};
+pub use daemon::Daemon;
+pub use dialect::{Dialect, ServerDialect, StatusFunctions};
+pub use show::{ShowGroup, ShowReport, ShowServer};
--- /dev/null
+++ b/crates/daemon/src/pool.rs
@@ -0,0 +1,431 @@
+//! The connections of this daemon to one server.
+
+use std::{
+    collections::HashMap,
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use model::{Refusal, RefusalReason};
+use parking_lot::Mutex;
+use routing::{Admission, AdmissionQueue, LatencyAverage, Next, Request, Ticket};
+use wire::{EndpointAddress, EndpointError};
+
+use crate::endpoint_connection::EndpointConnection;
+
+/// How long a connection may take to be made.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// What a waiting request is told.
+enum Grant {
+    /// Here is a connection.
+    Connection(Box<EndpointConnection>),
+    /// It may open one of its own.
+    MayOpen,
+    /// Its place was given to a more urgent request, or its deadline has passed.
+    Refused(Refusal),
+}
+
+/// What a request gets at once.
+enum Claim {
+    Connection(Box<EndpointConnection>),
+    MayOpen,
+    Waits(Ticket, flume::Receiver<Grant>),
+}
+
+struct PoolState {
+    idle: Vec<EndpointConnection>,
+    /// Connections in use, idle or being made.
+    open: u32,
+    /// The most that may be open.
+    share: u32,
+    queue: AdmissionQueue,
+    waiting: HashMap<Ticket, flume::Sender<Grant>>,
+    closed: bool,
+    prepared_statements: u32,
+}
+
+/// A pool of connections to one server, with the queue of requests that wait for them.
+pub(crate) struct ServerPool {
+    target: EndpointAddress,
+    state: Mutex<PoolState>,
+    in_use: AtomicU32,
+    waiting: AtomicU32,
+    latency: LatencyAverage,
+}
+
+impl ServerPool {
+    pub(crate) fn new(
+        target: EndpointAddress,
+        share: u32,
+        queue_length: u32,
+        prepared_statements: u32,
+    ) -> Arc<ServerPool> {
+        Arc::new(ServerPool {
+            target,
+            state: Mutex::new(PoolState {
+                idle: Vec::new(),
+                open: 0,
+                share,
+                queue: AdmissionQueue::new(queue_length as usize),
+                waiting: HashMap::new(),
+                closed: false,
+                prepared_statements,
+            }),
+            in_use: AtomicU32::new(0),
+            waiting: AtomicU32::new(0),
+            latency: LatencyAverage::default(),
+        })
+    }
+
+    /// Returns the average answering time.
+    pub(crate) fn latency(&self) -> &LatencyAverage {
+        &self.latency
+    }
+
+    /// Returns how many requests it works on or has waiting.
+    pub(crate) fn in_flight(&self) -> u32 {
+        self.in_use.load(Ordering::Relaxed) + self.waiting.load(Ordering::Relaxed)
+    }
+
+    /// Returns how many connections could be used now.
+    pub(crate) fn wanted(&self) -> u32 {
+        self.in_flight()
+    }
+
+    /// Returns how many requests wait.
+    pub(crate) fn waiting(&self) -> u32 {
+        self.waiting.load(Ordering::Relaxed)
+    }
+
+    /// Returns how many connections are open and how many may be.
+    pub(crate) fn open_and_share(&self) -> (u32, u32) {
+        let state = self.state.lock();
+        (state.open, state.share)
+    }
+
+    /// Changes how many connections may be open; idle ones beyond that are closed.
+    pub(crate) fn set_share(&self, share: u32) {
+        let mut state = self.state.lock();
+        let grew = share > state.share;
+        state.share = share;
+        while state.open > state.share && state.idle.pop().is_some() {
+            state.open -= 1;
+        }
+        if grew {
+            while state.open < state.share && self.grant_opening(&mut state) {}
+        }
+    }
+
+    /// Changes the limits that operators set.
+    pub(crate) fn set_limits(&self, queue_length: u32, prepared_statements: u32) {
+        let mut state = self.state.lock();
+        state.queue.set_capacity(queue_length as usize);
+        state.prepared_statements = prepared_statements;
+    }
+
+    /// Closes connections that have been idle for long, down to `keep` open ones.
+    pub(crate) fn close_idle(&self, idle_for: Duration, keep: u32) {
+        let mut state = self.state.lock();
+        let now = Instant::now();
+        while state.open > keep {
+            let oldest = state.idle.first().map(|connection| connection.idle_since);
+            if oldest.is_none_or(|since| now.saturating_duration_since(since) < idle_for) {
+                return;
+            }
+            state.idle.remove(0);
+            state.open -= 1;
+        }
+    }
+
+    /// Takes no more work; idle connections are closed, running work is finished.
+    pub(crate) fn close(&self) {
+        let mut state = self.state.lock();
+        state.closed = true;
+        state.open -= state.idle.len() as u32;
+        state.idle.clear();
+        for (_, waiter) in state.waiting.drain() {
+            let refusal =
+                Refusal::not_run(RefusalReason::Unreachable, "the endpoint was taken out");
+            let _ = waiter.send(Grant::Refused(refusal));
+        }
+    }
+
+    /// Gets a connection for a request, waiting in the queue until the request's deadline.
+    pub(crate) async fn acquire(
+        self: &Arc<ServerPool>,
+        request: Request,
+    ) -> Result<PooledConnection, Refusal> {
+        let (ticket, answer) = match self.claim(request)? {
+            Claim::Connection(connection) => return Ok(self.lend(*connection)),
+            Claim::MayOpen => return self.open().await,
+            Claim::Waits(ticket, answer) => (ticket, answer),
+        };
+        let mut place = Place { pool: self, request, ticket, answer, ended: false };
+        self.waiting.fetch_add(1, Ordering::Relaxed);
+        let grant = place.wait().await;
+        drop(place);
+        match grant {
+            Grant::Connection(connection) => Ok(self.lend(*connection)),
+            Grant::MayOpen => self.open().await,
+            Grant::Refused(refusal) => Err(refusal),
+        }
+    }
+
+    /// Takes an idle connection, the right to open one, or a place in the queue.
+    fn claim(&self, request: Request) -> Result<Claim, Refusal> {
+        let mut state = self.state.lock();
+        if state.closed {
+            return Err(Refusal::not_run(RefusalReason::Unreachable, "the endpoint was taken out"));
+        }
+        if let Some(connection) = take_idle(&mut state) {
+            return Ok(Claim::Connection(Box::new(connection)));
+        }
+        if state.open < state.share {
+            state.open += 1;
+            return Ok(Claim::MayOpen);
+        }
+        let (ticket, answer) = self.enqueue(&mut state, request)?;
+        Ok(Claim::Waits(ticket, answer))
+    }
+
+    fn enqueue(
+        &self,
+        state: &mut PoolState,
+        request: Request,
+    ) -> Result<(Ticket, flume::Receiver<Grant>), Refusal> {
+        let connections = state.share;
+        let ticket = match state.queue.offer(request, connections, Instant::now()) {
+            Admission::Queued(ticket) => ticket,
+            Admission::QueuedInsteadOf { ticket, displaced } => {
+                if let Some(waiter) = state.waiting.remove(&displaced) {
+                    let refusal = Refusal::not_run(
+                        RefusalReason::Overloaded,
+                        "the queue is full of more urgent requests",
+                    );
+                    let _ = waiter.send(Grant::Refused(refusal.retry_after(DISPLACED_RETRY_MS)));
+                }
+                ticket
+            }
+            Admission::Refused { retry_after_ms } => {
+                let refusal = Refusal::not_run(
+                    RefusalReason::Overloaded,
+                    "too many requests wait for the group's connections",
+                );
+                return Err(refusal.retry_after(retry_after_ms));
+            }
+        };
+        let (sender, answer) = flume::bounded(1);
+        state.waiting.insert(ticket, sender);
+        Ok((ticket, answer))
+    }
+
+    /// Opens a connection whose place was counted already.
+    async fn open(self: &Arc<ServerPool>) -> Result<PooledConnection, Refusal> {
+        let prepared = self.state.lock().prepared_statements;
+        // The count is given back if the request is dropped while it connects.
+        let place = OpenPlace { pool: self, counted: true };
+        let opened = EndpointConnection::open(&self.target, CONNECT_TIMEOUT, prepared).await;
+        match opened {
+            Ok(connection) => {
+                place.keep();
+                Ok(self.lend(connection))
+            }
+            Err(error) => Err(connect_refusal(&error)),
+        }
+    }
+
+    fn lend(self: &Arc<ServerPool>, connection: EndpointConnection) -> PooledConnection {
+        self.in_use.fetch_add(1, Ordering::Relaxed);
+        PooledConnection {
+            pool: self.clone(),
+            connection: Some(connection),
+            lent_at: Instant::now(),
+        }
+    }
+
+    fn give_back(&self, mut connection: EndpointConnection, held: Duration) {
+        let mut state = self.state.lock();
+        state.queue.on_served(held);
+        if state.closed || state.open > state.share {
+            state.open -= 1;
+            return;
+        }
+        connection.idle_since = Instant::now();
+        let mut grant = Grant::Connection(Box::new(connection));
+        while let Some(waiter) = next_waiter(&mut state) {
+            match waiter.send(grant) {
+                Ok(()) => return,
+                Err(flume::SendError(back)) => grant = back,
+            }
+        }
+        if let Grant::Connection(connection) = grant {
+            state.idle.push(*connection);
+        }
+    }
+
+    /// Gives up a place for a connection, letting the next waiting request open one.
+    fn give_up_place(&self) {
+        let mut state = self.state.lock();
+        state.open -= 1;
+        if !state.closed && state.open < state.share {
+            self.grant_opening(&mut state);
+        }
+    }
+
+    fn grant_opening(&self, state: &mut PoolState) -> bool {
+        while let Some(waiter) = next_waiter(state) {
+            if waiter.send(Grant::MayOpen).is_ok() {
+                state.open += 1;
+                return true;
+            }
+        }
+        false
+    }
+}
+
+/// When a request that was displaced may try again.
+const DISPLACED_RETRY_MS: u64 = 100;
+
+fn take_idle(state: &mut PoolState) -> Option<EndpointConnection> {
+    while let Some(connection) = state.idle.pop() {
+        if !connection.is_stale() {
+            return Some(connection);
+        }
+        state.open -= 1;
+    }
+    None
+}
+
+/// Takes the next waiting request, refusing those whose deadlines have passed.
+fn next_waiter(state: &mut PoolState) -> Option<flume::Sender<Grant>> {
+    loop {
+        match state.queue.next(Instant::now()) {
+            Next::Idle => return None,
+            Next::Grant(ticket) => {
+                if let Some(waiter) = state.waiting.remove(&ticket) {
+                    return Some(waiter);
+                }
+            }
+            Next::Expire(ticket) => {
+                if let Some(waiter) = state.waiting.remove(&ticket) {
+                    let _ = waiter.send(Grant::Refused(deadline_refusal()));
+                }
+            }
+        }
+    }
+}
+
+fn deadline_refusal() -> Refusal {
+    Refusal::not_run(
+        RefusalReason::DeadlinePassed,
+        "no connection to the group became free in time",
+    )
+    .retry_after(DISPLACED_RETRY_MS)
+}
+
+fn connect_refusal(error: &EndpointError) -> Refusal {
+    let reason = match error {
+        EndpointError::Refused { code, .. } if code == "53300" => RefusalReason::Overloaded,
+        _ => RefusalReason::Unreachable,
+    };
+    Refusal::not_run(reason, format!("no connection to the endpoint: {error}"))
+}
+
+/// A request's place in the queue; dropping it leaves the queue and returns what came too late.
+struct Place<'a> {
+    pool: &'a Arc<ServerPool>,
+    request: Request,
+    ticket: Ticket,
+    answer: flume::Receiver<Grant>,
+    ended: bool,
+}
+
+impl Place<'_> {
+    async fn wait(&mut self) -> Grant {
+        let deadline = tokio::time::Instant::from_std(self.request.deadline);
+        match tokio::time::timeout_at(deadline, self.answer.recv_async()).await {
+            Ok(Ok(grant)) => {
+                self.ended = true;
+                grant
+            }
+            Ok(Err(_)) | Err(_) => Grant::Refused(deadline_refusal()),
+        }
+    }
+}
+
+impl Drop for Place<'_> {
+    fn drop(&mut self) {
+        self.pool.waiting.fetch_sub(1, Ordering::Relaxed);
+        if self.ended {
+            return;
+        }
+        {
+            let mut state = self.pool.state.lock();
+            state.queue.withdraw(&self.request, self.ticket);
+            state.waiting.remove(&self.ticket);
+        }
+        match self.answer.try_recv() {
+            Ok(Grant::Connection(connection)) => self.pool.give_back(*connection, Duration::ZERO),
+            Ok(Grant::MayOpen) => self.pool.give_up_place(),
+            Ok(Grant::Refused(_)) | Err(_) => {}
+        }
+    }
+}
+
+/// A counted place for a connection that is being made.
+struct OpenPlace<'a> {
+    pool: &'a Arc<ServerPool>,
+    counted: bool,
+}
+
+impl OpenPlace<'_> {
+    fn keep(mut self) {
+        self.counted = false;
+    }
+}
+
+impl Drop for OpenPlace<'_> {
+    fn drop(&mut self) {
+        if self.counted {
+            self.pool.give_up_place();
+        }
+    }
+}
+
+/// A connection lent to a request. Unless it is given back, it is closed: it may owe an answer.
+pub(crate) struct PooledConnection {
+    pool: Arc<ServerPool>,
+    connection: Option<EndpointConnection>,
+    lent_at: Instant,
+}
+
+impl PooledConnection {
+    /// Returns the connection.
+    ///
+    /// # Panics
+    /// Never: the connection is only taken out when the loan ends.
+    pub(crate) fn get(&mut self) -> &mut EndpointConnection {
+        self.connection.as_mut().expect("the loan has not ended")
+    }
+
+    /// Gives the connection back for others to use. It must be idle and in step.
+    pub(crate) fn give_back(mut self) {
+        if let Some(connection) = self.connection.take() {
+            self.pool.in_use.fetch_sub(1, Ordering::Relaxed);
+            self.pool.give_back(connection, self.lent_at.elapsed());
+        }
+    }
+}
+
+impl Drop for PooledConnection {
+    fn drop(&mut self) {
+        if self.connection.take().is_some() {
+            self.pool.in_use.fetch_sub(1, Ordering::Relaxed);
+            self.pool.give_up_place();
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/read_index.rs
@@ -0,0 +1,77 @@
+//! The primary's position, with proof that it still leads, shared by everyone who waits for it.
+
+use std::{
+    sync::{Arc, Weak},
+    time::{Duration, Instant},
+};
+
+use config::Acknowledge;
+use failover::Evidence;
+use model::LogPoint;
+
+use crate::group_state::GroupState;
+
+/// Requests that may wait for the next round.
+const RING_REQUESTS: usize = 4_096;
+
+/// How long one round may take.
+const ROUND_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Why there is no index.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum NoIndex {
+    /// No primary is known, or it does not answer.
+    NoPrimary,
+    /// Too few servers confirm that it still leads.
+    NotConfirmed,
+}
+
+type IndexReply = flume::Sender<Result<LogPoint, NoIndex>>;
+
+/// The asking end.
+#[derive(Debug)]
+pub(crate) struct ReadIndex {
+    ring: flume::Sender<IndexReply>,
+}
+
+impl ReadIndex {
+    pub(crate) fn new() -> (ReadIndex, flume::Receiver<IndexReply>) {
+        let (ring, requests) = flume::bounded(RING_REQUESTS);
+        (ReadIndex { ring }, requests)
+    }
+
+    /// Returns a point that covers everything acknowledged before the call.
+    pub(crate) async fn get(&self) -> Result<LogPoint, NoIndex> {
+        let (reply, answer) = flume::bounded(1);
+        self.ring.send_async(reply).await.map_err(|_| NoIndex::NoPrimary)?;
+        answer.recv_async().await.map_err(|_| NoIndex::NoPrimary)?
+    }
+}
+
+/// Serves rounds until the group is dropped. Each round begins after its requests were made.
+pub(crate) async fn serve(group: Weak<GroupState>, requests: flume::Receiver<IndexReply>) {
+    while let Ok(first) = requests.recv_async().await {
+        let mut waiting = vec![first];
+        waiting.extend(requests.drain());
+        let Some(group) = group.upgrade() else { return };
+        let index = round(&group).await;
+        for reply in waiting {
+            // Whoever asked may have given up.
+            let _ = reply.send(index);
+        }
+    }
+}
+
+async fn round(group: &Arc<GroupState>) -> Result<LogPoint, NoIndex> {
+    let primary = group.board.read().primary.ok_or(NoIndex::NoPrimary)?;
+    let answer = group.ask(primary).await.map_err(|_| NoIndex::NoPrimary)?;
+    let point = answer.status.held();
+    let deadline = Instant::now() + ROUND_TIMEOUT;
+    let evidence =
+        group.evidence(Acknowledge::Term, point, primary, &answer.status, deadline).await;
+    if evidence != Evidence::Enough {
+        return Err(NoIndex::NotConfirmed);
+    }
+    group.board.write().samples.add(answer.asked_at, point);
+    Ok(point)
+}
--- /dev/null
+++ b/crates/daemon/src/show.rs
@@ -0,0 +1,136 @@
+//! What `wardtiller show` tells of a daemon.
+
+use std::{sync::atomic::Ordering, time::Instant};
+
+use model::ServerId;
+use serde::{Deserialize, Serialize};
+
+use crate::{context::Context, group_state::GroupState};
+
+/// A daemon's state.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct ShowReport {
+    /// The host.
+    pub host: String,
+    /// Its availability zone.
+    pub availability_zone: String,
+    /// For how long the daemon has run.
+    pub up_ms: u64,
+    /// Whether a planned stop has begun.
+    pub stopping: bool,
+    /// The configuration revision in force.
+    pub revision: u64,
+    /// The change that it came with.
+    pub change_id: String,
+    /// Whether the platform's store answered the last call. Without it the configuration is frozen
+    /// but for what other daemons know, and nothing is promoted.
+    pub store_reachable: bool,
+    /// Daemons listed.
+    pub members_listed: usize,
+    /// Daemons listed that may get work.
+    pub members_usable: usize,
+    /// Callers connected.
+    pub callers: u32,
+    /// The groups that this daemon holds.
+    pub groups: Vec<ShowGroup>,
+}
+
+/// A group's state.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct ShowGroup {
+    /// The group.
+    pub group: String,
+    /// Whether this daemon is among its owners.
+    pub owned: bool,
+    /// The newest term known.
+    pub term: u64,
+    /// The primary's name, if there is one.
+    pub primary: Option<String>,
+    /// Whether a planned switch holds new transactions back.
+    pub held: bool,
+    /// Requests that wait for connections.
+    pub waiting: u32,
+    /// The servers.
+    pub servers: Vec<ShowServer>,
+}
+
+/// A server's state.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct ShowServer {
+    /// Its name.
+    pub server: String,
+    /// Its address.
+    pub address: String,
+    /// Whether it answered when it was last asked.
+    pub answers: bool,
+    /// Whether it may get new work.
+    pub gets_work: bool,
+    /// The position that its reads see.
+    pub applied_position: u64,
+    /// The position that it holds.
+    pub held_position: u64,
+    /// How old its data can be; unknown without a sample.
+    pub staleness_ms: Option<u64>,
+    /// Connections open from here.
+    pub connections: u32,
+    /// Connections that may be open from here.
+    pub connection_share: u32,
+    /// The average answering time.
+    pub latency_us: u32,
+}
+
+pub(crate) fn show_report(context: &Context) -> ShowReport {
+    let in_force = context.in_force.load();
+    let mut groups: Vec<ShowGroup> =
+        context.held_groups().iter().map(|group| show_group(context, group)).collect();
+    groups.sort_by(|left, right| left.group.cmp(&right.group));
+    ShowReport {
+        host: context.host().to_string(),
+        availability_zone: context.settings.daemon.availability_zone.to_string(),
+        up_ms: context.started_at.elapsed().as_millis() as u64,
+        stopping: context.is_stopping(),
+        revision: in_force.revision,
+        change_id: context.configuration_store.head().change_id,
+        store_reachable: context.store_reachable.load(Ordering::Relaxed),
+        members_listed: context.members.read().all().len(),
+        members_usable: context.usable_members().len(),
+        callers: context.callers.load(Ordering::Relaxed),
+        groups,
+    }
+}
+
+fn show_group(context: &Context, group: &GroupState) -> ShowGroup {
+    let in_force = group.in_force.load();
+    let owned = context.owns(&in_force.group);
+    let board = group.board.read();
+    let now = Instant::now();
+    let servers = in_force.group.servers.iter().enumerate().map(|(index, server)| {
+        let id = ServerId::from_index(index);
+        let status = board.servers[index].status.as_ref();
+        let age = status.and_then(|status| board.samples.age_of(status.applied(), now));
+        let (connections, connection_share) = group.pools[index].open_and_share();
+        ShowServer {
+            server: server.name.to_string(),
+            address: server.address.to_string(),
+            answers: board.answers(id),
+            gets_work: context.may_get_new_work(&server.address, &in_force.configuration),
+            applied_position: status.map_or(0, |status| status.applied_position.0),
+            held_position: status.map_or(0, |status| status.held_position.0),
+            staleness_ms: age.map(|age| age.as_millis() as u64),
+            connections,
+            connection_share,
+            latency_us: group.pools[index].latency().get_us(),
+        }
+    });
+    let primary =
+        board.primary.map(|primary| in_force.group.servers[primary.index()].name.to_string());
+    ShowGroup {
+        group: group.id.to_string(),
+        owned,
+        term: board.term.0,
+        primary,
+        held: board.held_until.is_some_and(|until| until > now),
+        waiting: group.pools.iter().map(|pool| pool.waiting()).sum(),
+        servers: servers.collect(),
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/watch_duty.rs
@@ -0,0 +1,258 @@
+//! Watches the servers of the groups that this daemon owns or uses.
+
+use std::{
+    collections::HashSet,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use failover::{Health, OtherView, PrimaryHealth, SuspicionRules, judge_health};
+use model::{GroupId, ServerId, ServerRole, ServerStatus};
+use peer::{Body, ViewRequest};
+use platform::KeyValueStore;
+
+use crate::{
+    context::Context,
+    dialect::{Dialect, ServerDialect},
+    failover_duty::{DriveReason, FailoverDuty},
+    gossip::ask,
+    group_state::GroupState,
+    peers::Peers,
+    switch_duty::switch_primary,
+};
+
+/// How often the groups to be watched are looked up.
+const LOOK_INTERVAL: Duration = Duration::from_millis(200);
+
+/// A group that is neither owned nor used for this long is given up.
+const UNUSED_KEPT: Duration = Duration::from_secs(60);
+
+/// Starts and ends the watch of each group.
+pub(crate) async fn watch_groups<P: KeyValueStore + 'static>(context: Arc<Context>, store: Arc<P>) {
+    let timeout = Duration::from_millis(context.settings.control.peer_timeout_ms);
+    let peers = Arc::new(Peers::new(timeout));
+    let mut watched: HashSet<GroupId> = HashSet::new();
+    loop {
+        take_up_owned(&context);
+        give_up_unused(&context);
+        let held = context.held_groups();
+        watched.retain(|id| held.iter().any(|group| group.id == *id));
+        for group in held {
+            if watched.insert(group.id.clone()) {
+                context.share_connections(&group);
+                let duty = FailoverDuty::new(context.clone(), store.clone(), group.clone());
+                tokio::spawn(watch_group(context.clone(), peers.clone(), group, duty));
+            }
+        }
+        tokio::time::sleep(LOOK_INTERVAL).await;
+    }
+}
+
+fn take_up_owned(context: &Context) {
+    let in_force = context.in_force.load_full();
+    for (id, group) in &in_force.configuration.groups {
+        if context.owns(group) {
+            // Only the state matters here; the group is watched from the next look on.
+            let _ = context.group(id);
+        }
+    }
+}
+
+fn give_up_unused(context: &Context) {
+    let unused: Vec<Arc<GroupState>> = context
+        .held_groups()
+        .into_iter()
+        .filter(|group| {
+            group.unused_for() > UNUSED_KEPT && !context.owns(&group.in_force.load().group)
+        })
+        .collect();
+    for group in unused {
+        context.groups.write().remove(&group.id);
+        group.close();
+    }
+}
+
+/// Watches one group until it is given up or made anew.
+async fn watch_group<P: KeyValueStore + 'static>(
+    context: Arc<Context>,
+    peers: Arc<Peers>,
+    group: Arc<GroupState>,
+    mut duty: FailoverDuty<P>,
+) {
+    loop {
+        let still_held =
+            context.groups.read().get(&group.id).is_some_and(|held| Arc::ptr_eq(held, &group));
+        if !still_held {
+            return;
+        }
+        let in_force = group.in_force.load_full();
+        let rules = &in_force.configuration.failover;
+        let heartbeat = Duration::from_millis(rules.heartbeat_ms);
+        let began = Instant::now();
+        ask_servers(&context, &group, heartbeat).await;
+        let suspicion =
+            SuspicionRules { suspect_after: Duration::from_millis(rules.suspect_after_ms) };
+        let owned = context.owns(&in_force.group) && !context.is_stopping();
+        if owned {
+            look_after(&context, &peers, &group, &mut duty, suspicion).await;
+        }
+        let limits = &in_force.configuration.limits;
+        for pool in &group.pools {
+            pool.close_idle(Duration::from_millis(limits.idle_connection_ms), 1);
+        }
+        tokio::time::sleep(heartbeat.saturating_sub(began.elapsed())).await;
+    }
+}
+
+/// Asks every server whose last answer is older than a heartbeat, the primary with proof.
+async fn ask_servers(context: &Context, group: &Arc<GroupState>, heartbeat: Duration) {
+    if group.board.read().primary.is_some() {
+        // The answer is noted as a sample; a failure shows in the servers' silence.
+        let _ = group.read_index.get().await;
+    }
+    let due: Vec<ServerId> = {
+        let board = group.board.read();
+        (0..group.links.len())
+            .map(ServerId::from_index)
+            .filter(|server| {
+                let known = &board.servers[server.index()];
+                known.silent_since.is_some()
+                    || known.asked_at.is_none_or(|at| at.elapsed() > heartbeat / 2)
+            })
+            .collect()
+    };
+    let asking = due.into_iter().map(|server| async move { (server, group.ask(server).await) });
+    for (server, answer) in futures::future::join_all(asking).await {
+        if answer.is_err_and(|error| error.is_shutting_down()) {
+            // A server that shuts down says so before the platform's list does.
+            let address = group.in_force.load().group.servers[server.index()].address;
+            context.leaving.write().note(address, Instant::now());
+        }
+    }
+}
+
+/// Judges the primary and repairs what is wrong.
+async fn look_after<P: KeyValueStore + 'static>(
+    context: &Arc<Context>,
+    peers: &Arc<Peers>,
+    group: &Arc<GroupState>,
+    duty: &mut FailoverDuty<P>,
+    rules: SuspicionRules,
+) {
+    let health = primary_health(group, rules);
+    let mut judged = judge_health(rules, &health, None);
+    if judged == Health::AskOthers {
+        let others = other_views(context, peers, group).await;
+        judged = judge_health(rules, &health, Some(&others));
+    }
+    match judged {
+        Health::Failed => {
+            let silent_ms = health.silent_for.map_or(0, |silent| silent.as_millis() as u64);
+            log::warn!(
+                group = group.id.to_string().as_str(), silent_ms,
+                leaderless = !health.has_leader;
+                "the primary is taken to have failed"
+            );
+            duty.drive(DriveReason::Failure).await;
+        }
+        Health::NoMajority => duty.note_no_majority(),
+        Health::Fine | Health::AskOthers => {
+            restore_followers(group, rules).await;
+            if primary_is_leaving(context, group) {
+                switch_primary(context, peers, group, duty).await;
+            }
+        }
+    }
+}
+
+fn primary_health(group: &GroupState, rules: SuspicionRules) -> PrimaryHealth {
+    let board = group.board.read();
+    let now = Instant::now();
+    let primary = board.primary;
+    let others = || {
+        board.statuses().filter(|(server, _)| Some(*server) != primary && board.answers(*server))
+    };
+    let silent_leader = |status: &ServerStatus| {
+        status.role == ServerRole::Replica
+            && status
+                .leader_silence_ms
+                .is_some_and(|silence| Duration::from_millis(silence) >= rules.suspect_after)
+    };
+    let silent_for = primary.map(|primary| board.silent_for(primary, now).unwrap_or_default());
+    PrimaryHealth {
+        silent_for,
+        watched_for: now.saturating_duration_since(board.watched_since),
+        replicas_answering: others().count().min(group.links.len() - 1),
+        replicas_without_leader: others().filter(|(_, status)| silent_leader(status)).count(),
+        replicas: group.links.len() - 1,
+        has_leader: primary.is_some(),
+    }
+}
+
+async fn other_views(
+    context: &Arc<Context>,
+    peers: &Arc<Peers>,
+    group: &GroupState,
+) -> Vec<OtherView> {
+    let owners = context.owners_of(&group.in_force.load().group);
+    let request =
+        ViewRequest { service: group.id.service.to_string(), group: group.id.group.to_string() };
+    let asking = owners.iter().filter(|owner| owner.key != context.key).map(|owner| {
+        let request = request.clone();
+        async move {
+            match ask(context, peers, owner.peer_address, Body::ViewRequest(request)).await {
+                Some(Body::ViewAnswer(view)) if view.reachable => OtherView::Reachable,
+                Some(Body::ViewAnswer(_)) => OtherView::Unreachable,
+                _ => OtherView::Silent,
+            }
+        }
+    });
+    futures::future::join_all(asking).await
+}
+
+/// Makes servers follow the primary that don't: an old primary, or one that missed the change.
+async fn restore_followers(group: &GroupState, rules: SuspicionRules) {
+    let (primary, term, lost) = {
+        let board = group.board.read();
+        let Some(primary) = board.primary else { return };
+        if !board.answers(primary) {
+            return;
+        }
+        let lost: Vec<ServerId> = board
+            .statuses()
+            .filter(|(server, status)| {
+                *server != primary
+                    && board.answers(*server)
+                    && status.promised_term <= board.term
+                    && needs_leader(status, board.term, rules)
+            })
+            .map(|(server, _)| server)
+            .collect();
+        (primary, board.term, lost)
+    };
+    let address = group.in_force.load().group.servers[primary.index()].address;
+    for server in lost {
+        let told = group.tell(server, Dialect::follow(term, address)).await;
+        log::info!(
+            group = group.id.to_string().as_str(), server = server.0, done = told.is_ok();
+            "a server was told to follow the primary"
+        );
+    }
+}
+
+fn needs_leader(status: &ServerStatus, term: model::Term, rules: SuspicionRules) -> bool {
+    let silent = status
+        .leader_silence_ms
+        .is_some_and(|silence| Duration::from_millis(silence) >= rules.suspect_after);
+    status.role == ServerRole::Primary || (status.log_term < term && silent)
+}
+
+fn primary_is_leaving(context: &Context, group: &GroupState) -> bool {
+    let in_force = group.in_force.load();
+    if !in_force.configuration.leaving.switch_primary {
+        return false;
+    }
+    let Some(primary) = group.board.read().primary else { return false };
+    let address = in_force.group.servers[primary.index()].address;
+    context.leaving.read().is_leaving(&address)
+}
--- /dev/null
+++ b/crates/failover/src/lib.rs
@@ -0,0 +1,14 @@
+//! Who leads a group, and how that changes when nobody orders it.
+//!
+//! Everything here is a decision without input, output or clock. The daemon's failover duty carries
+//! it out. `docs/FAILOVER.md` explains the design and what was weighed.
+
+mod driver;
+mod evidence;
+mod record;
+mod suspicion;
+
+pub use driver::{Driver, DriverEvent, DriverGroup, DriverStep, Ending, Stage};
+pub use evidence::{Evidence, SecondStatus, judge_evidence};
+pub use record::{LeadershipRecord, RecordStage};
+pub use suspicion::{Health, OtherView, PrimaryHealth, SuspicionRules, judge_health};
--- /dev/null
+++ b/crates/peer/src/client.rs
@@ -0,0 +1,201 @@
+//! The calling side of a connection between daemons.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use bytes::{Bytes, BytesMut};
+use futures::StreamExt;
+use parking_lot::Mutex;
+use prost::Message;
+use tokio::{io::AsyncWriteExt, net::TcpStream};
+use tokio_util::codec::{FramedRead, LengthDelimitedCodec};
+
+use crate::{ANSWER_WINDOW, Body, Credit, Envelope, LONGEST_FRAME_BYTES};
+
+/// Frames that may wait for the socket before callers wait for room.
+const OUTGOING_FRAMES: usize = 1_024;
+
+/// The connection to the other daemon is lost; what was asked of it may have been done.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PeerGone;
+
+impl std::fmt::Display for PeerGone {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("the connection to the other daemon is lost")
+    }
+}
+
+impl std::error::Error for PeerGone {}
+
+type Pending = Arc<Mutex<HashMap<u64, flume::Sender<Body>>>>;
+
+/// A connection on which this daemon asks and another answers.
+#[derive(Debug)]
+pub struct PeerClient {
+    outgoing: flume::Sender<Envelope>,
+    pending: Pending,
+    next_id: AtomicU64,
+    alive: Arc<AtomicBool>,
+}
+
+impl PeerClient {
+    /// Connects. The tasks that serve the connection run on the current runtime.
+    pub async fn connect(
+        address: SocketAddr,
+        timeout: Duration,
+    ) -> std::io::Result<Arc<PeerClient>> {
+        let connect = TcpStream::connect(address);
+        let stream = tokio::time::timeout(timeout, connect)
+            .await
+            .map_err(|_| std::io::Error::from(std::io::ErrorKind::TimedOut))??;
+        stream.set_nodelay(true)?;
+        let (reader, writer) = stream.into_split();
+        let (outgoing, queue) = flume::bounded(OUTGOING_FRAMES);
+        let client = Arc::new(PeerClient {
+            outgoing,
+            pending: Pending::default(),
+            next_id: AtomicU64::new(1),
+            alive: Arc::new(AtomicBool::new(true)),
+        });
+        tokio::spawn(write_frames(writer, queue));
+        let frames = FramedRead::new(reader, frame_codec());
+        let pending = client.pending.clone();
+        let alive = client.alive.clone();
+        tokio::spawn(async move {
+            read_answers(frames, &pending).await;
+            alive.store(false, Ordering::Release);
+            // Dropping the senders tells every waiting request that its answer won't come.
+            pending.lock().clear();
+        });
+        Ok(client)
+    }
+
+    /// Whether the connection still stands, as far as is known.
+    pub fn is_alive(&self) -> bool {
+        self.alive.load(Ordering::Acquire) && !self.outgoing.is_disconnected()
+    }
+
+    /// Sends a request. Returns an error only when nothing was sent.
+    pub async fn call(self: &Arc<PeerClient>, body: Body) -> Result<Answers, PeerGone> {
+        let request_id = self.next_id.fetch_add(1, Ordering::Relaxed);
+        let (sender, receiver) = flume::bounded(ANSWER_WINDOW + 1);
+        self.pending.lock().insert(request_id, sender);
+        let answers = Answers { client: self.clone(), request_id, receiver, taken: 0 };
+        if !self.is_alive() {
+            return Err(PeerGone);
+        }
+        let envelope = Envelope { request_id, body: Some(body) };
+        self.outgoing.send_async(envelope).await.map_err(|_| PeerGone)?;
+        Ok(answers)
+    }
+
+    /// Sends a message that has no answer.
+    pub async fn tell(&self, body: Body) -> Result<(), PeerGone> {
+        let request_id = self.next_id.fetch_add(1, Ordering::Relaxed);
+        let envelope = Envelope { request_id, body: Some(body) };
+        self.outgoing.send_async(envelope).await.map_err(|_| PeerGone)
+    }
+}
+
+/// The answers to one request. Dropping it makes later answers go nowhere.
+#[derive(Debug)]
+pub struct Answers {
+    client: Arc<PeerClient>,
+    request_id: u64,
+    receiver: flume::Receiver<Body>,
+    taken: u32,
+}
+
+/// Credit is given back in steps, to save frames.
+const CREDIT_STEP: u32 = (ANSWER_WINDOW / 2) as u32;
+
+impl Answers {
+    /// Waits for the next part of the answer.
+    pub async fn next(&mut self) -> Result<Body, PeerGone> {
+        let body = self.receiver.recv_async().await.map_err(|_| PeerGone)?;
+        if matches!(body, Body::Chunk(_)) {
+            self.taken += 1;
+            if self.taken == CREDIT_STEP {
+                self.taken = 0;
+                let body = Some(Body::Credit(Credit { chunks: CREDIT_STEP }));
+                let envelope = Envelope { request_id: self.request_id, body };
+                self.client.outgoing.send_async(envelope).await.map_err(|_| PeerGone)?;
+            }
+        }
+        Ok(body)
+    }
+}
+
+impl Drop for Answers {
+    fn drop(&mut self) {
+        self.client.pending.lock().remove(&self.request_id);
+    }
+}
+
+pub(crate) fn frame_codec() -> LengthDelimitedCodec {
+    LengthDelimitedCodec::builder().max_frame_length(LONGEST_FRAME_BYTES).new_codec()
+}
+
+async fn read_answers<R>(mut frames: FramedRead<R, LengthDelimitedCodec>, pending: &Pending)
+where
+    R: tokio::io::AsyncRead + Unpin,
+{
+    while let Some(Ok(frame)) = frames.next().await {
+        let Some((request_id, body)) = decode(frame.freeze()) else { return };
+        let sender = pending.lock().get(&request_id).cloned();
+        // An answer to a request that was given up is dropped here.
+        let Some(sender) = sender else { continue };
+        // The window keeps an answer from outgrowing its ring, so a full one is a broken peer.
+        if sender.try_send(body).is_err() {
+            pending.lock().remove(&request_id);
+        }
+    }
+}
+
+pub(crate) fn decode(frame: Bytes) -> Option<(u64, Body)> {
+    match Envelope::decode(frame) {
+        Ok(Envelope { request_id, body: Some(body) }) => Some((request_id, body)),
+        Ok(_) => None,
+        Err(error) => {
+            log::warn!(error = error.to_string().as_str(); "malformed frame from another daemon");
+            None
+        }
+    }
+}
+
+/// Once this many bytes wait to be written, they are written before more are encoded.
+const WRITE_BATCH_BYTES: usize = 256 * 1024;
+
+/// Writes frames until the queue or the socket closes, several at a time under load.
+pub(crate) async fn write_frames<W>(mut writer: W, queue: flume::Receiver<Envelope>)
+where
+    W: tokio::io::AsyncWrite + Unpin,
+{
+    let mut buffer = BytesMut::new();
+    while let Ok(envelope) = queue.recv_async().await {
+        encode(&envelope, &mut buffer);
+        while buffer.len() < WRITE_BATCH_BYTES {
+            let Ok(envelope) = queue.try_recv() else { break };
+            encode(&envelope, &mut buffer);
+        }
+        if writer.write_all(&buffer).await.is_err() {
+            return;
+        }
+        buffer.clear();
+    }
+}
+
+fn encode(envelope: &Envelope, buffer: &mut BytesMut) {
+    let length = envelope.encoded_len();
+    buffer.reserve(length + size_of::<u32>());
+    buffer.extend_from_slice(&(length as u32).to_be_bytes());
+    // Encoding into a growing buffer can't run out of room.
+    let _ = envelope.encode(buffer);
+}
--- /dev/null
+++ b/crates/standin/src/server_session.rs
@@ -0,0 +1,575 @@
+//! One connection to a stand-in server.
+
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use model::{ServerStatus, Term};
+use pgwire::messages::{
+    PgWireBackendMessage, PgWireFrontendMessage,
+    data::{FieldDescription, NoData, ParameterDescription, RowDescription},
+    extendedquery::{Bind, BindComplete, CloseComplete, Execute, Parse, ParseComplete},
+    response::{
+        CommandComplete, EmptyQueryResponse, ErrorResponse, ReadyForQuery, TransactionStatus,
+    },
+};
+use sqlparser::{
+    dialect::PostgreSqlDialect,
+    tokenizer::{Token, Tokenizer},
+};
+use tokio::sync::OwnedMutexGuard;
+use wire::{CallerStream, StreamEnd};
+
+use crate::{
+    database::{Outcome, Parameter, first_word},
+    endpoint::Shared,
+    server_core::ServerError,
+};
+
+const INT8_OID: u32 = 20;
+const TEXT_OID: u32 = 25;
+const FLOAT8_OID: u32 = 701;
+
+/// How long a transaction waits for the one that writes.
+const WRITER_WAIT: Duration = Duration::from_secs(10);
+
+struct PreparedStatement {
+    sql: String,
+    types: Vec<u32>,
+}
+
+struct Portal {
+    statement: Arc<PreparedStatement>,
+    parameters: Vec<Parameter>,
+    formats: Vec<i16>,
+}
+
+/// What the connection's transaction has done.
+struct Transaction {
+    explicit: bool,
+    failed: bool,
+    read_only: bool,
+    /// Held once it has written, with what it wrote.
+    writing: Option<OwnedMutexGuard<()>>,
+    statements: Vec<(String, Vec<Parameter>)>,
+}
+
+pub(crate) struct ServerSession {
+    shared: Arc<Shared>,
+    stream: CallerStream,
+    caller: String,
+    prepared: HashMap<String, Arc<PreparedStatement>>,
+    portals: HashMap<String, Portal>,
+    transaction: Option<Transaction>,
+    /// After an error, extended messages are skipped until the next `Sync`.
+    skipping: bool,
+    cancelled: Arc<tokio::sync::Notify>,
+}
+
+impl ServerSession {
+    pub(crate) fn new(
+        shared: Arc<Shared>,
+        stream: CallerStream,
+        caller: String,
+        cancelled: Arc<tokio::sync::Notify>,
+    ) -> ServerSession {
+        ServerSession {
+            shared,
+            stream,
+            caller,
+            prepared: HashMap::new(),
+            portals: HashMap::new(),
+            transaction: None,
+            skipping: false,
+            cancelled,
+        }
+    }
+
+    pub(crate) async fn run(mut self) {
+        loop {
+            let message = match self.stream.next().await {
+                Ok(PgWireFrontendMessage::Terminate(_)) | Err(_) => break,
+                Ok(message) => message,
+            };
+            self.shared.until_reachable(&self.caller).await;
+            if self.handle(message).await.is_err() {
+                break;
+            }
+        }
+        self.abort();
+    }
+
+    async fn handle(&mut self, message: PgWireFrontendMessage) -> Result<(), StreamEnd> {
+        if self.skipping && !matches!(message, PgWireFrontendMessage::Sync(_)) {
+            return Ok(());
+        }
+        match message {
+            PgWireFrontendMessage::Query(query) => {
+                self.simple_query(&query.query).await;
+                self.ready().await
+            }
+            PgWireFrontendMessage::Sync(_) => {
+                self.skipping = false;
+                self.end_implicit();
+                self.ready().await
+            }
+            PgWireFrontendMessage::Flush(_) => self.send().await,
+            other => {
+                if let Err(error) = self.extended(other).await {
+                    self.fail(&error);
+                    self.skipping = true;
+                }
+                Ok(())
+            }
+        }
+    }
+
+    async fn extended(&mut self, message: PgWireFrontendMessage) -> Result<(), ServerError> {
+        match message {
+            PgWireFrontendMessage::Parse(parse) => self.parse(parse),
+            PgWireFrontendMessage::Bind(bind) => self.bind(bind),
+            PgWireFrontendMessage::Describe(describe) => {
+                let name = describe.name.unwrap_or_default();
+                self.describe(describe.target_type, &name)
+            }
+            PgWireFrontendMessage::Execute(execute) => self.execute(execute).await,
+            PgWireFrontendMessage::Close(close) => {
+                let name = close.name.unwrap_or_default();
+                if close.target_type == b'S' {
+                    self.prepared.remove(&name);
+                } else {
+                    self.portals.remove(&name);
+                }
+                self.stream.add(&PgWireBackendMessage::CloseComplete(CloseComplete::new()));
+                Ok(())
+            }
+            _ => Err(ServerError::new("0A000", "the stand-in does not know this message")),
+        }
+    }
+
+    fn parse(&mut self, parse: Parse) -> Result<(), ServerError> {
+        let (sql, casts) = strip_casts(&parse.query);
+        let mut types = parse.type_oids;
+        for (place, oid) in casts {
+            if types.len() < place {
+                types.resize(place, 0);
+            }
+            types[place - 1] = oid;
+        }
+        if is_plain(&sql) {
+            let state = self.shared.core.state.lock();
+            let described = state.live.describe(&sql);
+            let (count, _) = described.map_err(|error| ServerError::new("42601", error))?;
+            types.resize(count.max(types.len()), 0);
+        }
+        for oid in &mut types {
+            if *oid == 0 {
+                *oid = TEXT_OID;
+            }
+        }
+        let statement = Arc::new(PreparedStatement { sql, types });
+        self.prepared.insert(parse.name.unwrap_or_default(), statement);
+        self.stream.add(&PgWireBackendMessage::ParseComplete(ParseComplete::new()));
+        Ok(())
+    }
+
+    fn bind(&mut self, bind: Bind) -> Result<(), ServerError> {
+        let name = bind.statement_name.unwrap_or_default();
+        let statement = self.prepared.get(&name).cloned();
+        let statement = statement
+            .ok_or_else(|| ServerError::new("26000", format!("no prepared statement `{name}`")))?;
+        let format_of = |index: usize| match bind.parameter_format_codes.as_slice() {
+            [] => 0,
+            [all] => *all,
+            each => each.get(index).copied().unwrap_or(0),
+        };
+        let mut parameters = Vec::new();
+        for (index, value) in bind.parameters.iter().enumerate() {
+            let oid = statement.types.get(index).copied().unwrap_or(TEXT_OID);
+            parameters.push(read_parameter(value.as_ref(), oid, format_of(index))?);
+        }
+        let formats = bind.result_column_format_codes;
+        let portal = Portal { statement, parameters, formats };
+        self.portals.insert(bind.portal_name.unwrap_or_default(), portal);
+        self.stream.add(&PgWireBackendMessage::BindComplete(BindComplete::new()));
+        Ok(())
+    }
+
+    fn describe(&mut self, target: u8, name: &str) -> Result<(), ServerError> {
+        let missing = || ServerError::new("26000", format!("nothing is called `{name}`"));
+        let (sql, formats) = if target == b'S' {
+            let statement = self.prepared.get(name).ok_or_else(missing)?;
+            let types = ParameterDescription::new(statement.types.clone());
+            self.stream.add(&PgWireBackendMessage::ParameterDescription(types));
+            (statement.sql.clone(), Vec::new())
+        } else {
+            let portal = self.portals.get(name).ok_or_else(missing)?;
+            (portal.statement.sql.clone(), portal.formats.clone())
+        };
+        let description = self.describe_sql(&sql, &formats)?;
+        match description {
+            Some(description) => {
+                self.stream.add(&PgWireBackendMessage::RowDescription(description));
+            }
+            None => self.stream.add(&PgWireBackendMessage::NoData(NoData::new())),
+        }
+        Ok(())
+    }
+
+    fn describe_sql(
+        &self,
+        sql: &str,
+        formats: &[i16],
+    ) -> Result<Option<RowDescription>, ServerError> {
+        if !is_plain(sql) {
+            return Ok(is_control(sql).then(|| text_column("wardtiller")));
+        }
+        let state = self.shared.core.state.lock();
+        let described = state.live.describe(sql);
+        let (_, description) = described.map_err(|error| ServerError::new("42601", error))?;
+        Ok(description.map(|mut description| {
+            for (index, field) in description.fields.iter_mut().enumerate() {
+                field.format_code = match formats {
+                    [] => 0,
+                    [all] => *all,
+                    each => each.get(index).copied().unwrap_or(0),
+                };
+            }
+            description
+        }))
+    }
+
+    async fn execute(&mut self, execute: Execute) -> Result<(), ServerError> {
+        let name = execute.name.unwrap_or_default();
+        let portal = self
+            .portals
+            .remove(&name)
+            .ok_or_else(|| ServerError::new("34000", format!("no portal `{name}`")))?;
+        let sql = portal.statement.sql.clone();
+        let outcome = self.statement(&sql, &portal.parameters, &portal.formats).await?;
+        self.answer(outcome, false);
+        Ok(())
+    }
+
+    async fn simple_query(&mut self, text: &str) {
+        let statements = split_statements(text);
+        if statements.is_empty() {
+            let message = PgWireBackendMessage::EmptyQueryResponse(EmptyQueryResponse::new());
+            self.stream.add(&message);
+            return;
+        }
+        for sql in statements {
+            match self.statement(&sql, &[], &[]).await {
+                Ok(outcome) => self.answer(outcome, true),
+                Err(error) => {
+                    self.fail(&error);
+                    return;
+                }
+            }
+        }
+        self.end_implicit();
+    }
+
+    /// Runs one statement within the transaction that it begins, ends or stands in.
+    async fn statement(
+        &mut self,
+        sql: &str,
+        parameters: &[Parameter],
+        formats: &[i16],
+    ) -> Result<Outcome, ServerError> {
+        if let Some(answer) = self.control(sql)? {
+            return Ok(answer);
+        }
+        let word = first_word(sql);
+        let failed = self.transaction.as_ref().is_some_and(|transaction| transaction.failed);
+        if failed && !matches!(word.as_str(), "ROLLBACK" | "COMMIT" | "END") {
+            let message = "current transaction is aborted, commands ignored until end of block";
+            return Err(ServerError::new("25P02", message));
+        }
+        match word.as_str() {
+            "BEGIN" | "START" => {
+                self.end_implicit();
+                let read_only = sql.to_uppercase().contains("READ ONLY");
+                self.transaction = Some(Transaction::new(true, read_only));
+                Ok(tagged("BEGIN"))
+            }
+            "COMMIT" | "END" => self.commit(),
+            "ROLLBACK" if !sql.to_uppercase().contains(" TO ") => {
+                self.abort();
+                Ok(tagged("ROLLBACK"))
+            }
+            "SET" | "RESET" | "DISCARD" => Ok(tagged(&word)),
+            "SHOW" => Ok(text_row("setting", "")),
+            _ => {
+                self.work().await?;
+                self.plain(&word, sql, parameters, formats).await
+            }
+        }
+    }
+
+    async fn plain(
+        &mut self,
+        word: &str,
+        sql: &str,
+        parameters: &[Parameter],
+        formats: &[i16],
+    ) -> Result<Outcome, ServerError> {
+        if let Some(seconds) = sleep_seconds(sql) {
+            return self.sleep(seconds).await;
+        }
+        let reads = matches!(word, "SELECT" | "WITH" | "VALUES" | "EXPLAIN" | "TABLE");
+        let core = self.shared.core.clone();
+        let writing =
+            self.transaction.as_ref().is_some_and(|transaction| transaction.writing.is_some());
+        if reads && !writing {
+            return core.read(sql, parameters, formats);
+        }
+        if !writing {
+            self.begin_write().await?;
+        }
+        let outcome = core.write(sql, parameters, formats)?;
+        if !reads && let Some(transaction) = &mut self.transaction {
+            transaction.statements.push((sql.to_owned(), parameters.to_vec()));
+        }
+        Ok(outcome)
+    }
+
+    async fn begin_write(&mut self) -> Result<(), ServerError> {
+        if self.transaction.as_ref().is_some_and(|transaction| transaction.read_only) {
+            return Err(ServerError::new("25006", "cannot write in a read-only transaction"));
+        }
+        let writer = self.shared.core.writer.clone();
+        let guard = tokio::time::timeout(WRITER_WAIT, writer.lock_owned())
+            .await
+            .map_err(|_| ServerError::new("55P03", "another transaction holds the lock"))?;
+        self.shared.core.begin_write()?;
+        let transaction = self.transaction.get_or_insert_with(|| Transaction::new(false, false));
+        transaction.writing = Some(guard);
+        Ok(())
+    }
+
+    /// Waits for one of the server's slots and works for as long as a statement takes.
+    async fn work(&self) -> Result<(), ServerError> {
+        let service = self.shared.service_time();
+        if service.is_zero() {
+            return Ok(());
+        }
+        let _slot = self
+            .shared
+            .slots
+            .acquire()
+            .await
+            .map_err(|_| ServerError::new("57P01", "the server is shutting down"))?;
+        tokio::time::sleep(service).await;
+        Ok(())
+    }
+
+    async fn sleep(&self, seconds: f64) -> Result<Outcome, ServerError> {
+        tokio::select! {
+            () = tokio::time::sleep(Duration::from_secs_f64(seconds)) => {
+                Ok(text_row("pg_sleep", ""))
+            }
+            () = self.cancelled.notified() => {
+                Err(ServerError::new("57014", "canceling statement due to user request"))
+            }
+        }
+    }
+
+    fn commit(&mut self) -> Result<Outcome, ServerError> {
+        let Some(transaction) = self.transaction.take() else { return Ok(tagged("COMMIT")) };
+        if transaction.failed {
+            self.shared.roll_back(transaction.writing.is_some());
+            return Ok(tagged("ROLLBACK"));
+        }
+        if transaction.writing.is_some() {
+            self.shared.core.commit_write(transaction.statements)?;
+        }
+        Ok(tagged("COMMIT"))
+    }
+
+    /// Ends the transaction that a request without `BEGIN` is.
+    fn end_implicit(&mut self) {
+        if self.transaction.as_ref().is_none_or(|transaction| transaction.explicit) {
+            return;
+        }
+        if let Err(error) = self.commit() {
+            self.fail(&error);
+        }
+    }
+
+    fn abort(&mut self) {
+        if let Some(transaction) = self.transaction.take() {
+            self.shared.roll_back(transaction.writing.is_some());
+        }
+    }
+
+    fn fail(&mut self, error: &ServerError) {
+        match &mut self.transaction {
+            Some(transaction) if transaction.explicit => transaction.failed = true,
+            _ => self.abort(),
+        }
+        let fields = vec![
+            (b'S', "ERROR".to_owned()),
+            (b'V', "ERROR".to_owned()),
+            (b'C', error.code.to_owned()),
+            (b'M', error.message.clone()),
+        ];
+        self.stream.add(&PgWireBackendMessage::ErrorResponse(ErrorResponse::new(fields)));
+    }
+
+    /// Answers the calls by which daemons ask for and change a server's standing.
+    fn control(&mut self, sql: &str) -> Result<Option<Outcome>, ServerError> {
+        let Some(call) = sql.trim().strip_prefix("SELECT wardtiller_") else { return Ok(None) };
+        let (name, arguments) = call.split_once('(').unwrap_or((call, ""));
+        let arguments: Vec<&str> = arguments
+            .trim_end_matches(&[')', ';', ' '][..])
+            .split(',')
+            .map(|argument| argument.trim().trim_matches('\''))
+            .collect();
+        let term = || {
+            let number = arguments.first().and_then(|argument| argument.parse().ok());
+            number.map(Term).ok_or_else(|| ServerError::new("22023", "expected a term"))
+        };
+        let core = &self.shared.core;
+        let status = match name {
+            "status" => core.status(),
+            "seal" => core.seal(term()?)?,
+            "promote" => core.promote(term()?)?,
+            "follow" => {
+                let leader = arguments.get(1).and_then(|argument| argument.parse().ok());
+                let leader =
+                    leader.ok_or_else(|| ServerError::new("22023", "expected an address"))?;
+                core.follow(term()?, leader)?
+            }
+            _ => return Err(ServerError::new("42883", format!("no function wardtiller_{name}"))),
+        };
+        Ok(Some(text_row("wardtiller", &status_json(&status))))
+    }
+
+    fn answer(&mut self, outcome: Outcome, describe: bool) {
+        if describe && let Some(description) = outcome.description {
+            self.stream.add(&PgWireBackendMessage::RowDescription(description));
+        }
+        for row in outcome.rows {
+            self.stream.add(&PgWireBackendMessage::DataRow(row));
+        }
+        let message = CommandComplete::new(outcome.tag);
+        self.stream.add(&PgWireBackendMessage::CommandComplete(message));
+    }
+
+    async fn ready(&mut self) -> Result<(), StreamEnd> {
+        let status = match &self.transaction {
+            Some(transaction) if transaction.failed => TransactionStatus::Error,
+            Some(_) => TransactionStatus::Transaction,
+            None => TransactionStatus::Idle,
+        };
+        self.stream.add(&PgWireBackendMessage::ReadyForQuery(ReadyForQuery::new(status)));
+        self.send().await
+    }
+
+    async fn send(&mut self) -> Result<(), StreamEnd> {
+        let delay = self.shared.core.faults.read().answer_delay;
+        if !delay.is_zero() {
+            tokio::time::sleep(delay).await;
+        }
+        self.shared.until_reachable(&self.caller).await;
+        self.stream.flush().await
+    }
+}
+
+impl Transaction {
+    fn new(explicit: bool, read_only: bool) -> Transaction {
+        Transaction { explicit, failed: false, read_only, writing: None, statements: Vec::new() }
+    }
+}
+
+fn status_json(status: &ServerStatus) -> String {
+    serde_json::to_string(status).expect("a status is plain data")
+}
+
+fn tagged(tag: &str) -> Outcome {
+    Outcome { tag: tag.to_owned(), ..Outcome::default() }
+}
+
+fn text_column(name: &str) -> RowDescription {
+    let field = FieldDescription::new(name.to_owned(), 0, 0, TEXT_OID, -1, -1, 0);
+    RowDescription::new(vec![field])
+}
+
+fn text_row(name: &str, value: &str) -> Outcome {
+    let mut data = bytes::BytesMut::new();
+    bytes::BufMut::put_i32(&mut data, value.len() as i32);
+    data.extend_from_slice(value.as_bytes());
+    let row = pgwire::messages::data::DataRow::new(data, 1);
+    Outcome { description: Some(text_column(name)), rows: vec![row], tag: "SELECT 1".to_owned() }
+}
+
+fn is_control(sql: &str) -> bool {
+    sql.trim().starts_with("SELECT wardtiller_")
+}
+
+/// Whether SQLite is to see the statement, rather than the stand-in itself.
+fn is_plain(sql: &str) -> bool {
+    let own =
+        ["BEGIN", "START", "COMMIT", "END", "ROLLBACK", "SET", "RESET", "DISCARD", "SHOW", ""];
+    !is_control(sql) && sleep_seconds(sql).is_none() && !own.contains(&first_word(sql).as_str())
+}
+
+fn sleep_seconds(sql: &str) -> Option<f64> {
+    let argument = sql.trim().to_lowercase();
+    let argument = argument.strip_prefix("select pg_sleep(")?.split(')').next()?.to_owned();
+    argument.trim().parse().ok()
+}
+
+fn split_statements(text: &str) -> Vec<String> {
+    let Ok(tokens) = Tokenizer::new(&PostgreSqlDialect {}, text).tokenize() else {
+        return vec![text.to_owned()];
+    };
+    tokens
+        .split(|token| *token == Token::SemiColon)
+        .map(|tokens| tokens.iter().map(Token::to_string).collect::<String>())
+        .filter(|statement| !statement.trim().is_empty())
+        .collect()
+}
+
+/// Takes PostgreSQL's casts off parameters, returning the types that they name.
+fn strip_casts(sql: &str) -> (String, Vec<(usize, u32)>) {
+    let mut plain = String::new();
+    let mut casts = Vec::new();
+    let mut rest = sql;
+    while let Some(at) = rest.find("::") {
+        let (before, after) = (&rest[..at], &rest[at + 2..]);
+        let end = after.find(|c: char| !c.is_ascii_alphanumeric()).unwrap_or(after.len());
+        let digits = before.rfind('$').and_then(|dollar| before[dollar + 1..].parse().ok());
+        if let Some(place) = digits {
+            let oid = match &after[..end] {
+                "int8" | "bigint" | "int" | "int4" | "integer" => INT8_OID,
+                "float8" => FLOAT8_OID,
+                _ => TEXT_OID,
+            };
+            casts.push((place, oid));
+        }
+        plain.push_str(before);
+        rest = &after[end..];
+    }
+    plain.push_str(rest);
+    (plain, casts)
+}
+
+fn read_parameter(value: Option<&Bytes>, oid: u32, format: i16) -> Result<Parameter, ServerError> {
+    let Some(value) = value else { return Ok(Parameter::Null) };
+    let invalid = || ServerError::new("22P02", "a parameter can't be read as its type");
+    if format == 1 && oid == INT8_OID {
+        let bytes = value.as_ref().try_into().map_err(|_| invalid())?;
+        return Ok(Parameter::Integer(i64::from_be_bytes(bytes)));
+    }
+    if format == 1 && oid == FLOAT8_OID {
+        let bytes = value.as_ref().try_into().map_err(|_| invalid())?;
+        return Ok(Parameter::Float(f64::from_be_bytes(bytes)));
+    }
+    let text = std::str::from_utf8(value).map_err(|_| invalid())?;
+    match oid {
+        INT8_OID => text.parse().map(Parameter::Integer).map_err(|_| invalid()),
+        FLOAT8_OID => text.parse().map(Parameter::Float).map_err(|_| invalid()),
+        _ => Ok(Parameter::Text(text.to_owned())),
+    }
+}
--- /dev/null
+++ b/crates/telemetry/src/exporter.rs
@@ -0,0 +1,141 @@
+//! Sends finished spans to a collector, or to the log.
+
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use serde_json::{Value, json};
+
+use crate::Span;
+
+/// Spans that may wait for the exporter.
+const RING_SPANS: usize = 4_096;
+
+/// Spans sent together.
+const BATCH_SPANS: usize = 256;
+
+/// How long a span waits for others to be sent with it.
+const BATCH_WAIT: Duration = Duration::from_millis(500);
+
+/// How long the collector may take.
+const EXPORT_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// The request path's end of the ring to the exporter.
+#[derive(Clone, Debug)]
+pub struct SpanSink {
+    ring: flume::Sender<Span>,
+}
+
+impl SpanSink {
+    /// Hands a span over, or drops it when the ring is full: requests never wait for traces.
+    pub fn offer(&self, span: Span) {
+        let _ = self.ring.try_send(span);
+    }
+}
+
+/// The duty that exports spans; runs on its own thread.
+#[derive(Debug)]
+pub struct SpanExporter {
+    ring: flume::Receiver<Span>,
+    collector: Option<SocketAddr>,
+    host: String,
+}
+
+impl SpanExporter {
+    /// Makes the exporter and the sink that feeds it.
+    pub fn new(collector: Option<SocketAddr>, host: impl Into<String>) -> (SpanExporter, SpanSink) {
+        let (sender, ring) = flume::bounded(RING_SPANS);
+        (SpanExporter { ring, collector, host: host.into() }, SpanSink { ring: sender })
+    }
+
+    /// Exports until every sink is gone.
+    pub fn run(self) {
+        let agent =
+            ureq::Agent::config_builder().timeout_global(Some(EXPORT_TIMEOUT)).build().new_agent();
+        while let Ok(first) = self.ring.recv() {
+            let batch = self.collect(first);
+            match self.collector {
+                Some(collector) => self.send(&agent, collector, &batch),
+                None => write_to_log(&batch),
+            }
+        }
+    }
+
+    fn collect(&self, first: Span) -> Vec<Span> {
+        let mut batch = vec![first];
+        let until = Instant::now() + BATCH_WAIT;
+        while batch.len() < BATCH_SPANS {
+            match self.ring.recv_deadline(until) {
+                Ok(span) => batch.push(span),
+                Err(_) => break,
+            }
+        }
+        batch
+    }
+
+    fn send(&self, agent: &ureq::Agent, collector: SocketAddr, batch: &[Span]) {
+        let body = otlp_request(&self.host, batch);
+        let sent = agent.post(format!("http://{collector}/v1/traces")).send_json(&body);
+        if let Err(error) = sent {
+            let lost = batch.len();
+            log::warn!(lost, error = error.to_string().as_str(); "spans could not be exported");
+        }
+    }
+}
+
+/// Builds the body of an OTLP/HTTP export request in its JSON form.
+fn otlp_request(host: &str, batch: &[Span]) -> Value {
+    let spans: Vec<Value> = batch.iter().map(otlp_span).collect();
+    json!({"resourceSpans": [{
+        "resource": {"attributes": [
+            {"key": "service.name", "value": {"stringValue": "wardtiller"}},
+            {"key": "host.name", "value": {"stringValue": host}},
+        ]},
+        "scopeSpans": [{"scope": {"name": "wardtiller"}, "spans": spans}],
+    }]})
+}
+
+/// The OTLP number for a span that serves a request.
+const SPAN_KIND_SERVER: u8 = 2;
+
+fn otlp_span(span: &Span) -> Value {
+    let attributes: Vec<Value> = span
+        .attributes
+        .iter()
+        .map(|(key, value)| json!({"key": key, "value": {"stringValue": value}}))
+        .collect();
+    json!({
+        "traceId": format!("{:032x}", span.context.trace_id),
+        "spanId": format!("{:016x}", span.context.span_id),
+        "parentSpanId": parent_id(span),
+        "name": span.name,
+        "kind": SPAN_KIND_SERVER,
+        "startTimeUnixNano": span.start_unix_ns.to_string(),
+        "endTimeUnixNano": span.start_unix_ns.saturating_add(span.duration_ns).to_string(),
+        "attributes": attributes,
+    })
+}
+
+fn parent_id(span: &Span) -> String {
+    match span.parent_span_id {
+        0 => String::new(),
+        parent => format!("{parent:016x}"),
+    }
+}
+
+fn write_to_log(batch: &[Span]) {
+    for span in batch {
+        let attributes: serde_json::Map<String, Value> =
+            span.attributes.iter().map(|(key, value)| ((*key).to_owned(), json!(value))).collect();
+        log::info!(
+            target: "wardtiller::span",
+            trace_id = format!("{:032x}", span.context.trace_id).as_str(),
+            span_id = format!("{:016x}", span.context.span_id).as_str(),
+            parent_span_id = parent_id(span).as_str(),
+            duration_us = span.duration_ns / 1_000,
+            attributes = Value::Object(attributes).to_string().as_str();
+            "{}", span.name
+        );
+    }
+}
--- /dev/null
+++ b/crates/telemetry/src/lib.rs
@@ -0,0 +1,14 @@
+//! What can be seen of a daemon from outside: logs, metrics and traces.
+//!
+//! Logs are JSON lines, metrics are Prometheus's, and each hop of a traced request is a span joined
+//! by the W3C trace context. `docs/OPERATIONS.md` lists the metrics and what to watch.
+
+mod exporter;
+mod logging;
+mod metrics;
+mod trace;
+
+pub use exporter::{SpanExporter, SpanSink};
+pub use logging::init_logging;
+pub use metrics::Metrics;
+pub use trace::{Span, SpanContext, Tracer};
--- /dev/null
+++ b/crates/wardtiller/src/commands/demo.rs
@@ -0,0 +1,59 @@
+//! `wardtiller demo`: a whole system on this machine.
+
+use std::time::Duration;
+
+use log::LevelFilter;
+use serde_json::json;
+
+use super::{EXIT_DONE, EXIT_FAILED, read_file, signals::wait_for_stop, write_error, write_out};
+use crate::{
+    cli::Demo,
+    local_system::{LocalSystem, LocalSystemOptions},
+};
+
+/// The configuration that is used when none is named.
+pub(crate) const SAMPLE: &str = include_str!("../../../../examples/skyndibiti.ini");
+
+const DAEMONS: usize = 2;
+const LAG_MS: u64 = 500;
+
+/// Runs the system until it is told to stop, then stops it as planned.
+pub(crate) fn run(flags: &Demo) -> eyre::Result<u8> {
+    telemetry::init_logging(LevelFilter::Warn);
+    let text = match &flags.config {
+        Some(file) => read_file(file)?,
+        None => SAMPLE.to_owned(),
+    };
+    let options = LocalSystemOptions::default()
+        .daemons(flags.daemons.unwrap_or(DAEMONS))
+        .first_listen(flags.listen)
+        .apply_lag(Duration::from_millis(flags.lag_ms.unwrap_or(LAG_MS)));
+    let system = LocalSystem::start(&text, &options)?;
+    for daemon in system.daemons.iter().flatten() {
+        let line = json!({
+            "host": daemon.show().host,
+            "callers": daemon.caller_address().to_string(),
+            "operators": daemon.operator_address().to_string(),
+        });
+        write_out(&line.to_string());
+    }
+    write_out(&paste_line(&system));
+    wait_for_stop()?;
+    write_error("stopping");
+    Ok(if system.stop() { EXIT_DONE } else { EXIT_FAILED })
+}
+
+/// Returns the line to paste into a shell that has a PostgreSQL client.
+fn paste_line(system: &LocalSystem) -> String {
+    let address = system.caller_addresses().first().copied();
+    let service = system.configuration.services.keys().next();
+    let user = system.configuration.users.keys().next();
+    match (address, service, user) {
+        (Some(address), Some(service), Some(user)) => format!(
+            "psql 'host={} port={} dbname={service} user={user}'",
+            address.ip(),
+            address.port()
+        ),
+        _ => "the configuration names no service and user to connect with".to_owned(),
+    }
+}
--- /dev/null
+++ b/crates/wardtiller/src/commands/run.rs
@@ -0,0 +1,48 @@
+//! `wardtiller run`: the daemon of a host.
+
+use std::{sync::Arc, time::Duration};
+
+use config::{HostSettings, LogLevel};
+use daemon::Daemon;
+use eyre::OptionExt;
+use log::LevelFilter;
+use platform::ConsulClient;
+
+use super::{EXIT_DONE, EXIT_FAILED, read_file, signals::wait_for_stop, write_error};
+use crate::cli::Run;
+
+/// Runs the daemon until it is told to stop, then stops it as planned.
+pub(crate) fn run(flags: &Run) -> eyre::Result<u8> {
+    let text = read_file(&flags.settings)?;
+    let settings = match HostSettings::read(&flags.settings.display().to_string(), &text) {
+        Ok(settings) => settings,
+        Err(problems) => {
+            write_error(&problems.to_string());
+            return Ok(EXIT_FAILED);
+        }
+    };
+    telemetry::init_logging(level_filter(settings.log.level));
+    let address = settings.platform.address.ok_or_eyre("[platform] address must be set")?;
+    let timeout = Duration::from_millis(settings.platform.call_timeout_ms);
+    let store = Arc::new(ConsulClient::new(address, timeout));
+    let daemon = Daemon::start(settings, store)?;
+    log::info!(
+        callers = daemon.caller_address().to_string().as_str(),
+        peers = daemon.peer_address().to_string().as_str(),
+        operators = daemon.operator_address().to_string().as_str();
+        "the daemon runs"
+    );
+    wait_for_stop()?;
+    log::info!("a planned stop begins");
+    Ok(if daemon.stop() { EXIT_DONE } else { EXIT_FAILED })
+}
+
+fn level_filter(level: LogLevel) -> LevelFilter {
+    match level {
+        LogLevel::Error => LevelFilter::Error,
+        LogLevel::Warn => LevelFilter::Warn,
+        LogLevel::Info => LevelFilter::Info,
+        LogLevel::Debug => LevelFilter::Debug,
+        LogLevel::Trace => LevelFilter::Trace,
+    }
+}
--- /dev/null
+++ b/crates/wardtiller/src/main.rs
@@ -0,0 +1,7 @@
+//! The `wardtiller` program.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    wardtiller::commands::run_from_arguments()
+}
