--- /dev/null
+++ b/crates/wardtiller/tests/whole_path.rs
@@ -0,0 +1,71 @@
+//! One request through every part: caller, daemon, owner, endpoint, and back.
+
+mod common;
+
+use common::{block_on, column, connect, small_system, value};
+
+#[test]
+fn a_session_reads_its_own_writes_on_another_daemon() {
+    let system = small_system(2);
+    let addresses = system.caller_addresses();
+    block_on(async {
+        let first = connect(addresses[0], "").await;
+        column(&first, "CREATE TABLE orders (id INTEGER PRIMARY KEY, what TEXT)").await.unwrap();
+        column(&first, "INSERT INTO orders VALUES (1, 'soup')").await.unwrap();
+        let token = value(&first, "SHOW wardtiller.session").await;
+        assert!(token.starts_with("w1;one@1:"), "{token}");
+
+        let options = format!("options='-c wardtiller.session={token}'");
+        let with_token = connect(addresses[1], &options).await;
+        assert_eq!(value(&with_token, "SELECT what FROM orders WHERE id = 1").await, "soup");
+
+        let without_token = connect(addresses[1], "").await;
+        assert_eq!(value(&without_token, "SELECT what FROM orders WHERE id = 1").await, "soup");
+    });
+}
+
+#[test]
+fn prepared_statements_and_transactions_work_with_a_driver() {
+    let system = small_system(2);
+    let addresses = system.caller_addresses();
+    block_on(async {
+        let mut client = connect(addresses[0], "").await;
+        client.batch_execute("CREATE TABLE t (id INTEGER PRIMARY KEY, v TEXT)").await.unwrap();
+        let insert = client.prepare("INSERT INTO t VALUES ($1::int8, $2)").await.unwrap();
+        for id in 0..5_i64 {
+            assert_eq!(client.execute(&insert, &[&id, &format!("v{id}")]).await.unwrap(), 1);
+        }
+        let transaction = client.transaction().await.unwrap();
+        transaction.execute(&insert, &[&5_i64, &"v5"]).await.unwrap();
+        transaction.rollback().await.unwrap();
+        let transaction = client.transaction().await.unwrap();
+        transaction.execute(&insert, &[&6_i64, &"v6"]).await.unwrap();
+        transaction.commit().await.unwrap();
+        let rows = client.query("SELECT id, v FROM t ORDER BY id", &[]).await.unwrap();
+        let ids: Vec<i64> = rows.iter().map(|row| row.get(0)).collect();
+        assert_eq!(ids, [0, 1, 2, 3, 4, 6]);
+    });
+}
+
+#[test]
+fn what_pooled_connections_cannot_carry_is_refused() {
+    let system = small_system(1);
+    let addresses = system.caller_addresses();
+    block_on(async {
+        let client = connect(addresses[0], "").await;
+        let refused = [
+            "LISTEN news",
+            "CREATE TEMP TABLE t (id INTEGER)",
+            "SELECT pg_advisory_lock(1)",
+            "COPY t FROM STDIN",
+            "SET work_mem = '1MB'",
+            "PREPARE p AS SELECT 1",
+        ];
+        for sql in refused {
+            let error = column(&client, sql).await.expect_err(sql);
+            let code = error.code().map(|code| code.code().to_owned());
+            assert_eq!(code.as_deref(), Some("0A000"), "{sql}");
+        }
+        assert_eq!(value(&client, "SELECT 1").await, "1");
+    });
+}
--- /dev/null
+++ b/crates/wire/src/answers.rs
@@ -0,0 +1,85 @@
+//! Answers that the daemon gives itself.
+
+use bytes::{BufMut, Bytes, BytesMut};
+use model::{Refusal, Verdict};
+use pgwire::messages::{
+    PgWireBackendMessage,
+    data::{DataRow, FieldDescription, RowDescription},
+    response::{CommandComplete, ErrorResponse},
+};
+
+/// The type of text columns.
+const TEXT_OID: u32 = 25;
+
+/// An answer made of whole backend messages.
+#[derive(Debug, Default)]
+pub struct Answer {
+    buffer: BytesMut,
+}
+
+impl Answer {
+    /// Adds a message.
+    pub fn with(mut self, message: &PgWireBackendMessage) -> Answer {
+        // What the daemon says itself is short, so no limit of the encoding is near.
+        let _ = message.encode(&mut self.buffer);
+        self
+    }
+
+    /// Adds the tag that ends a statement's answer.
+    pub fn complete(self, tag: &str) -> Answer {
+        let message = CommandComplete::new(tag.to_owned());
+        self.with(&PgWireBackendMessage::CommandComplete(message))
+    }
+
+    /// Returns the encoded messages.
+    pub fn finish(self) -> Bytes {
+        self.buffer.freeze()
+    }
+}
+
+/// Describes one text column.
+fn one_column(name: &str) -> RowDescription {
+    let field = FieldDescription::new(name.to_owned(), 0, 0, TEXT_OID, -1, -1, 0);
+    RowDescription::new(vec![field])
+}
+
+/// Builds a description and a single row with one text column.
+pub fn row_answer(name: &str, value: &str) -> (Bytes, Bytes) {
+    let description = PgWireBackendMessage::RowDescription(one_column(name));
+    let mut data = BytesMut::new();
+    data.put_i32(value.len() as i32);
+    data.put_slice(value.as_bytes());
+    let row = PgWireBackendMessage::DataRow(DataRow::new(data, 1));
+    (Answer::default().with(&description).finish(), Answer::default().with(&row).finish())
+}
+
+/// Builds the error that tells a caller of a refusal, with its verdict as the first detail.
+pub fn refusal_response(refusal: &Refusal) -> ErrorResponse {
+    let mut fields = vec![
+        (b'S', "ERROR".to_owned()),
+        (b'V', "ERROR".to_owned()),
+        (b'C', refusal.sqlstate().to_owned()),
+        (b'M', format!("wardtiller: {}", refusal.detail)),
+        (b'D', format!("verdict={} reason={}", refusal.verdict.as_str(), refusal.reason.as_str())),
+    ];
+    fields.push((b'H', hint(refusal)));
+    ErrorResponse::new(fields)
+}
+
+fn hint(refusal: &Refusal) -> String {
+    match (refusal.verdict, refusal.retry_after_ms) {
+        (Verdict::NotRun, Some(after)) => {
+            format!("The request did not run. Send it again after {after} ms.")
+        }
+        (Verdict::NotRun, None) => "The request did not run.".to_owned(),
+        (Verdict::Ran, _) => "The request ran.".to_owned(),
+        (Verdict::MayHaveRun, _) => {
+            "The request may have run. Look for its effect before you send it again.".to_owned()
+        }
+    }
+}
+
+/// Encodes the error that tells a caller of a refusal.
+pub fn encode_refusal(refusal: &Refusal) -> Bytes {
+    Answer::default().with(&PgWireBackendMessage::ErrorResponse(refusal_response(refusal))).finish()
+}
