feat(load): a load tool that checks the promises while it drives

Cause: nothing measured the system or looked for broken promises under load.

Change: wardtiller load drives callers that roam with and without their token, keeps a ledger of what each was told, settles it against what the groups hold, brings faults about by name and time, and compares a daemon with a direct connection in turns.

Polls that begin before the table has reached a replica count as errors; the preparation must wait for that.

--- a/crates/wardtiller/src/cli.rs
+++ b/crates/wardtiller/src/cli.rs
@@ -67,6 +67,12 @@
             optional --lag-ms lag_ms: u64
             /// A fault in the local system, as WHAT@START_MS+FOR_MS; may be given several times.
             repeated --fault fault: String
+            /// The time between the requests of one caller (default: 0).
+            optional --pace-ms pace_ms: u64
+            /// Instead of the mix, compare one daemon with a direct connection, in turns.
+            optional --compare
+            /// Write the daemons' log to standard error.
+            optional --verbose
             /// Print JSON.
             optional --json
         }
--- a/crates/wardtiller/src/commands/load.rs
+++ b/crates/wardtiller/src/commands/load.rs
@@ -1,10 +1,123 @@
 //! `wardtiller load`: drives a system and checks its promises.
 
-use eyre::bail;
+use std::time::Duration;
 
-use crate::cli::Load;
+use config::{Configuration, check_configuration};
+use log::LevelFilter;
 
-/// Runs the load.
-pub(crate) fn run(_flags: &Load) -> eyre::Result<u8> {
-    bail!("the load tool is not part of this build")
+use super::{EXIT_DONE, EXIT_FAILED, demo::SAMPLE, read_file, write_out};
+use crate::{
+    cli::Load,
+    load::{
+        LoadOptions,
+        compare::{Way, WayReport, compare_ways},
+        faults::Fault,
+        mix::Mix,
+        report::LoadReport,
+        run::{Target, run_load},
+    },
+    local_system::{LocalSystem, LocalSystemOptions},
+};
+
+const DAEMONS: usize = 8;
+const LAG_MS: u64 = 500;
+const SECONDS: u64 = 10;
+const SEED: u64 = 1;
+const CALLERS: usize = 48;
+
+/// Runs the load that the flags describe.
+pub(crate) fn run(flags: &Load) -> eyre::Result<u8> {
+    telemetry::init_logging(if flags.verbose { LevelFilter::Info } else { LevelFilter::Error });
+    let text = match &flags.config {
+        Some(file) => read_file(file)?,
+        None => SAMPLE.to_owned(),
+    };
+    let options = options(flags)?;
+    if !flags.target.is_empty() {
+        let configuration = check_configuration("the configuration", &text)?;
+        let targets = Target::Running(flags.target.clone());
+        return print(flags, &run_load(&configuration, targets, &options)?);
+    }
+    let system_options = LocalSystemOptions::default()
+        .daemons(flags.daemons.unwrap_or(DAEMONS))
+        .apply_lag(Duration::from_millis(flags.lag_ms.unwrap_or(LAG_MS)));
+    let mut system = LocalSystem::start(&text, &system_options)?;
+    if flags.compare {
+        return compare(flags, &system, &options);
+    }
+    let configuration: Configuration = system.configuration.clone();
+    let report = run_load(&configuration, Target::Local(&mut system), &options)?;
+    print(flags, &report)
+}
+
+fn options(flags: &Load) -> eyre::Result<LoadOptions> {
+    let mix: Option<Mix> = flags.mix.as_deref().map(str::parse).transpose()?;
+    let faults: Result<Vec<Fault>, _> = flags.fault.iter().map(|text| text.parse()).collect();
+    Ok(LoadOptions::default()
+        .mix(mix)
+        .seconds(flags.seconds.unwrap_or(SECONDS))
+        .seed(flags.seed.unwrap_or(SEED))
+        .callers(flags.callers.unwrap_or(CALLERS))
+        .pace(Duration::from_millis(flags.pace_ms.unwrap_or(0)))
+        .faults(faults?))
+}
+
+fn print(flags: &Load, report: &LoadReport) -> eyre::Result<u8> {
+    if flags.json {
+        write_out(&serde_json::to_string_pretty(report)?);
+    } else {
+        write_out(&report.render());
+    }
+    Ok(if report.violations.is_empty() { EXIT_DONE } else { EXIT_FAILED })
+}
+
+/// The length of a slice of an interleaved comparison.
+const SLICE: Duration = Duration::from_millis(500);
+
+/// Drives a daemon and an endpoint in turn with the same statement.
+fn compare(flags: &Load, system: &LocalSystem, _options: &LoadOptions) -> eyre::Result<u8> {
+    let reports =
+        compare_direct(system, flags.callers.unwrap_or(CALLERS), flags.seconds.unwrap_or(SECONDS))?;
+    if flags.json {
+        write_out(&serde_json::to_string_pretty(&reports)?);
+        return Ok(EXIT_DONE);
+    }
+    for report in &reports {
+        write_out(&format!(
+            "{:<16} {:>9.0} statements/s, p50 {} us, p99 {} us",
+            report.name, report.per_second, report.p50_us, report.p99_us
+        ));
+    }
+    Ok(EXIT_DONE)
+}
+
+fn compare_direct(
+    system: &LocalSystem,
+    callers: usize,
+    seconds: u64,
+) -> eyre::Result<Vec<WayReport>> {
+    let Some((id, group)) = system.groups.iter().next() else {
+        eyre::bail!("the configuration names no group");
+    };
+    let Some(user) = system.configuration.users.keys().next() else {
+        eyre::bail!("the configuration names no user");
+    };
+    let through = format!(
+        "user={user} dbname={} options='-c wardtiller.group={} -c wardtiller.session='",
+        id.service, id.group
+    );
+    let ways = [
+        Way {
+            name: "direct",
+            address: group.servers[0].address(),
+            parameters: "user=load dbname=load".to_owned(),
+        },
+        Way {
+            name: "through a daemon",
+            address: system.daemon(0)?.caller_address(),
+            parameters: through,
+        },
+    ];
+    let slices = (seconds as usize * 1_000 / (SLICE.as_millis() as usize * ways.len())).max(1);
+    compare_ways(&ways, "SELECT 1", callers, slices, SLICE)
 }
--- a/crates/wardtiller/src/lib.rs
+++ b/crates/wardtiller/src/lib.rs
@@ -2,6 +2,7 @@
 //! and the tests run on.
 
 pub mod commands;
+pub mod load;
 pub mod local_system;
 
 #[allow(missing_docs, reason = "the items are made by xflags, whose help texts say it all")]
--- /dev/null
+++ b/crates/wardtiller/src/load/ledger.rs
@@ -0,0 +1,154 @@
+//! What callers were told, to be held against what the groups contain.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    time::{Duration, Instant},
+};
+
+use model::Verdict;
+use parking_lot::Mutex;
+use serde::Serialize;
+
+/// Something that a caller wrote: by group, by caller, by its own count.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct WriteId {
+    /// The group.
+    pub group: String,
+    /// The caller.
+    pub caller: usize,
+    /// The caller's count of its writes.
+    pub sequence: u64,
+}
+
+/// What is known of a write.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Told {
+    /// It was acknowledged.
+    Acknowledged,
+    /// It was refused or given up with this verdict.
+    Refused(Verdict),
+}
+
+/// A broken promise, in words.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Violation {
+    /// Which promise.
+    pub promise: &'static str,
+    /// What was seen.
+    pub seen: String,
+}
+
+#[derive(Default)]
+struct Terms {
+    /// When the first and the last write of each term was acknowledged.
+    acknowledged: BTreeMap<u64, (Instant, Instant)>,
+}
+
+/// The ledger of one run.
+#[derive(Default)]
+pub struct Ledger {
+    writes: Mutex<HashMap<WriteId, Told>>,
+    violations: Mutex<Vec<Violation>>,
+    terms: Mutex<BTreeMap<String, Terms>>,
+}
+
+/// Beyond this many violations only their number grows.
+const MOST_VIOLATIONS: usize = 100;
+
+impl Ledger {
+    /// Notes what a caller was told of a write.
+    pub fn note_write(&self, id: WriteId, told: Told) {
+        self.writes.lock().insert(id, told);
+    }
+
+    /// Notes that a write was acknowledged in a term.
+    pub fn note_term(&self, group: &str, term: u64, at: Instant) {
+        let mut groups = self.terms.lock();
+        let terms = groups.entry(group.to_owned()).or_default();
+        let span = terms.acknowledged.entry(term).or_insert((at, at));
+        span.0 = span.0.min(at);
+        span.1 = span.1.max(at);
+    }
+
+    /// Notes a broken promise.
+    pub fn note_violation(&self, promise: &'static str, seen: String) {
+        let mut violations = self.violations.lock();
+        if violations.len() < MOST_VIOLATIONS {
+            violations.push(Violation { promise, seen });
+        }
+    }
+
+    /// Returns the failover gaps: from the last acknowledgement of a term to the first of the next.
+    pub fn gaps(&self) -> Vec<(String, Duration)> {
+        let groups = self.terms.lock();
+        let mut gaps = Vec::new();
+        for (group, terms) in groups.iter() {
+            let spans: Vec<&(Instant, Instant)> = terms.acknowledged.values().collect();
+            for pair in spans.windows(2) {
+                gaps.push((group.clone(), pair[1].0.saturating_duration_since(pair[0].1)));
+            }
+        }
+        gaps
+    }
+
+    /// Returns how many writes have which fate.
+    pub fn counts(&self) -> WriteCounts {
+        let mut counts = WriteCounts::default();
+        for told in self.writes.lock().values() {
+            match told {
+                Told::Acknowledged => counts.acknowledged += 1,
+                Told::Refused(Verdict::NotRun) => counts.not_run += 1,
+                Told::Refused(Verdict::Ran) => counts.ran += 1,
+                Told::Refused(Verdict::MayHaveRun) => counts.may_have_run += 1,
+            }
+        }
+        counts
+    }
+
+    /// Compares a group's contents with what callers were told. `found` gives how often each write
+    /// stands in the two tables that its transaction fills.
+    pub fn settle(&self, group: &str, found: &HashMap<WriteId, (u64, u64)>) {
+        let writes = self.writes.lock().clone();
+        for (id, told) in writes.iter().filter(|(id, _)| id.group == group) {
+            let (orders, holds) = found.get(id).copied().unwrap_or_default();
+            if orders != holds {
+                let seen = format!("{id:?}: {orders} orders but {holds} holds");
+                self.note_violation("transactions never mix", seen);
+            }
+            match told {
+                Told::Acknowledged if orders == 0 => {
+                    self.note_violation("no acknowledged write is lost", format!("{id:?}"));
+                }
+                Told::Refused(Verdict::NotRun) if orders > 0 => {
+                    self.note_violation("\"not run\" is true", format!("{id:?}"));
+                }
+                _ => {}
+            }
+            if orders > 1 {
+                let seen = format!("{id:?}: {orders} times");
+                self.note_violation("what may not be repeated runs at most once", seen);
+            }
+        }
+        for id in found.keys().filter(|id| !writes.contains_key(id)) {
+            self.note_violation("no write without a request", format!("{id:?}"));
+        }
+    }
+
+    /// Returns the broken promises.
+    pub fn violations(&self) -> Vec<Violation> {
+        self.violations.lock().clone()
+    }
+}
+
+/// The fates of all writes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct WriteCounts {
+    /// Acknowledged.
+    pub acknowledged: u64,
+    /// Refused as not run.
+    pub not_run: u64,
+    /// Ran, with an error as the answer.
+    pub ran: u64,
+    /// Of unknown effect.
+    pub may_have_run: u64,
+}
--- /dev/null
+++ b/crates/wardtiller/src/load/report.rs
@@ -0,0 +1,209 @@
+//! What a run has measured.
+
+use std::{collections::BTreeMap, fmt::Write};
+
+use hdrhistogram::Histogram;
+use parking_lot::Mutex;
+use serde::Serialize;
+
+use super::ledger::{Violation, WriteCounts};
+
+/// The longest latency that is told apart, in microseconds.
+const LONGEST_US: u64 = 60_000_000;
+
+/// Digits that a latency is exact to.
+const DIGITS: u8 = 3;
+
+/// A class of requests that is measured by itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum RequestClass {
+    /// A read of a kind that accepts staleness.
+    StaleRead,
+    /// A read of what the session itself wrote.
+    OwnRead,
+    /// Any other read.
+    FreshRead,
+    /// A transaction that writes.
+    Transaction,
+    /// A single write.
+    Write,
+}
+
+impl RequestClass {
+    fn as_str(self) -> &'static str {
+        match self {
+            RequestClass::StaleRead => "stale read",
+            RequestClass::OwnRead => "own read",
+            RequestClass::FreshRead => "fresh read",
+            RequestClass::Transaction => "transaction",
+            RequestClass::Write => "write",
+        }
+    }
+}
+
+#[derive(Default)]
+struct Counts {
+    latencies: BTreeMap<RequestClass, Option<Histogram<u64>>>,
+    refusals: BTreeMap<String, u64>,
+    by_replica: BTreeMap<String, (u64, u64)>,
+}
+
+/// Collects measurements from every caller.
+#[derive(Default)]
+pub struct Measurements {
+    counts: Mutex<Counts>,
+}
+
+impl Measurements {
+    /// Adds a request that was answered.
+    pub fn add_latency(&self, class: RequestClass, latency_us: u64) {
+        let mut counts = self.counts.lock();
+        let histogram = counts.latencies.entry(class).or_default().get_or_insert_with(|| {
+            Histogram::new_with_max(LONGEST_US, DIGITS).expect("the bounds are valid")
+        });
+        histogram.saturating_record(latency_us);
+    }
+
+    /// Adds a request that was refused or given up.
+    pub fn add_refusal(&self, verdict: &str, reason: &str) {
+        *self.counts.lock().refusals.entry(format!("{verdict} {reason}")).or_default() += 1;
+    }
+
+    /// Adds a read, with whether a replica served it.
+    pub fn add_served(&self, kind: &str, by_replica: bool) {
+        let mut counts = self.counts.lock();
+        let (replica, all) = counts.by_replica.entry(kind.to_owned()).or_default();
+        *replica += u64::from(by_replica);
+        *all += 1;
+    }
+
+    /// Sums everything up.
+    pub fn report(&self, seconds: f64) -> Vec<ClassReport> {
+        let counts = self.counts.lock();
+        let measured = counts.latencies.iter().filter_map(|(class, histogram)| {
+            let histogram = histogram.as_ref()?;
+            Some(ClassReport {
+                class: class.as_str(),
+                requests: histogram.len(),
+                per_second: histogram.len() as f64 / seconds,
+                p50_us: histogram.value_at_quantile(0.5),
+                p90_us: histogram.value_at_quantile(0.9),
+                p99_us: histogram.value_at_quantile(0.99),
+                max_us: histogram.max(),
+            })
+        });
+        measured.collect()
+    }
+
+    /// Returns the refusals by verdict and reason.
+    pub fn refusals(&self) -> BTreeMap<String, u64> {
+        self.counts.lock().refusals.clone()
+    }
+
+    /// Returns the share of reads served by replicas, by kind.
+    pub fn replica_share(&self) -> BTreeMap<String, f64> {
+        let counts = self.counts.lock();
+        let shares = counts.by_replica.iter().filter(|(_, (_, all))| *all > 0);
+        shares.map(|(kind, (replica, all))| (kind.clone(), *replica as f64 / *all as f64)).collect()
+    }
+}
+
+/// The latencies of one class.
+#[derive(Clone, Debug, Serialize)]
+pub struct ClassReport {
+    /// The class.
+    pub class: &'static str,
+    /// Requests answered.
+    pub requests: u64,
+    /// Requests answered each second.
+    pub per_second: f64,
+    /// The median.
+    pub p50_us: u64,
+    /// The 90th percentile.
+    pub p90_us: u64,
+    /// The 99th percentile.
+    pub p99_us: u64,
+    /// The longest.
+    pub max_us: u64,
+}
+
+/// The report of a run.
+#[derive(Clone, Debug, Serialize)]
+pub struct LoadReport {
+    /// How long callers were driven.
+    pub seconds: f64,
+    /// The seed of every random choice.
+    pub seed: u64,
+    /// Latencies by class.
+    pub classes: Vec<ClassReport>,
+    /// Refusals by verdict and reason.
+    pub refusals: BTreeMap<String, u64>,
+    /// The share of reads served by replicas, by kind; sampled.
+    pub replica_share: BTreeMap<String, f64>,
+    /// The fates of writes.
+    pub writes: WriteCounts,
+    /// From the last acknowledged write of a term to the first of the next, by group.
+    pub failover_gaps_ms: Vec<(String, u64)>,
+    /// Own reads that were compared with what was written.
+    pub own_reads_checked: u64,
+    /// Sessions that were told that a write of theirs did not survive a failover.
+    pub told_of_lost_writes: u64,
+    /// Broken promises; must be none.
+    pub violations: Vec<Violation>,
+}
+
+impl LoadReport {
+    /// Renders the report for people.
+    pub fn render(&self) -> String {
+        let mut text = String::new();
+        let _ = writeln!(
+            text,
+            "{:<12} {:>10} {:>10} {:>9} {:>9} {:>9} {:>9}",
+            "class", "requests", "per s", "p50 us", "p90 us", "p99 us", "max us"
+        );
+        for class in &self.classes {
+            let _ = writeln!(
+                text,
+                "{:<12} {:>10} {:>10.0} {:>9} {:>9} {:>9} {:>9}",
+                class.class,
+                class.requests,
+                class.per_second,
+                class.p50_us,
+                class.p90_us,
+                class.p99_us,
+                class.max_us
+            );
+        }
+        let _ = writeln!(
+            text,
+            "writes: {} acknowledged, {} not run, {} of unknown effect, {} ran with an error",
+            self.writes.acknowledged,
+            self.writes.not_run,
+            self.writes.may_have_run,
+            self.writes.ran
+        );
+        for (refusal, count) in &self.refusals {
+            let _ = writeln!(text, "refused: {refusal}: {count}");
+        }
+        for (kind, share) in &self.replica_share {
+            let _ = writeln!(text, "reads served by replicas: {kind}: {:.1} %", share * 100.0);
+        }
+        for (group, gap_ms) in &self.failover_gaps_ms {
+            let _ = writeln!(text, "failover gap: {group}: {gap_ms} ms");
+        }
+        let _ = writeln!(
+            text,
+            "checked: {} own reads, {} writes; sessions told of a lost write: {}",
+            self.own_reads_checked,
+            self.writes.acknowledged + self.writes.not_run,
+            self.told_of_lost_writes
+        );
+        if self.violations.is_empty() {
+            let _ = write!(text, "every promise held");
+        }
+        for violation in &self.violations {
+            let _ = writeln!(text, "BROKEN: {}: {}", violation.promise, violation.seen);
+        }
+        text
+    }
+}
--- /dev/null
+++ b/crates/wardtiller/src/load/run.rs
@@ -0,0 +1,248 @@
+//! Runs a load and settles its ledger.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use config::{Configuration, Service};
+use eyre::{OptionExt, WrapErr, ensure};
+use tokio_postgres::{Client, NoTls, SimpleQueryMessage};
+
+use super::{
+    caller::{Caller, MENU_ITEMS, Shared},
+    faults::{Fault, inject},
+    ledger::{Ledger, WriteId},
+    mix::Mix,
+    report::{LoadReport, Measurements},
+};
+use crate::local_system::LocalSystem;
+
+/// How a load is run.
+#[derive(Clone, Debug)]
+pub struct LoadOptions {
+    mix: Option<Mix>,
+    seconds: u64,
+    seed: u64,
+    callers: usize,
+    pace: Duration,
+    faults: Vec<Fault>,
+}
+
+impl Default for LoadOptions {
+    fn default() -> LoadOptions {
+        LoadOptions {
+            mix: None,
+            seconds: 10,
+            seed: 1,
+            callers: 48,
+            pace: Duration::ZERO,
+            faults: Vec::new(),
+        }
+    }
+}
+
+impl LoadOptions {
+    /// Sets what callers do; by default what fits the configuration.
+    pub fn mix(mut self, mix: Option<Mix>) -> LoadOptions {
+        self.mix = mix;
+        self
+    }
+
+    /// Sets for how long callers are driven.
+    pub fn seconds(mut self, seconds: u64) -> LoadOptions {
+        self.seconds = seconds;
+        self
+    }
+
+    /// Sets the seed of every random choice.
+    pub fn seed(mut self, seed: u64) -> LoadOptions {
+        self.seed = seed;
+        self
+    }
+
+    /// Sets how many callers there are.
+    pub fn callers(mut self, callers: usize) -> LoadOptions {
+        self.callers = callers;
+        self
+    }
+
+    /// Sets the time between the requests of one caller.
+    pub fn pace(mut self, pace: Duration) -> LoadOptions {
+        self.pace = pace;
+        self
+    }
+
+    /// Sets the faults that are brought about.
+    pub fn faults(mut self, faults: Vec<Fault>) -> LoadOptions {
+        self.faults = faults;
+        self
+    }
+}
+
+/// The system that is driven.
+pub enum Target<'a> {
+    /// One that runs already.
+    Running(Vec<SocketAddr>),
+    /// A local one, which can be hurt.
+    Local(&'a mut LocalSystem),
+}
+
+/// Runs a load against the first service of a configuration.
+pub fn run_load(
+    configuration: &Configuration,
+    mut target: Target<'_>,
+    options: &LoadOptions,
+) -> eyre::Result<LoadReport> {
+    let service = configuration.services.values().next().ok_or_eyre("there is no service")?;
+    let user = configuration.users.keys().next().ok_or_eyre("there is no user")?.to_string();
+    let targets = match &target {
+        Target::Running(targets) => targets.clone(),
+        Target::Local(system) => system.caller_addresses(),
+    };
+    ensure!(!targets.is_empty(), "there is no daemon to drive");
+    ensure!(
+        options.faults.is_empty() || matches!(target, Target::Local(_)),
+        "faults need a local system; leave --target out"
+    );
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
+    let run = Run { service, user, targets, options };
+    runtime.block_on(run.prepare())?;
+    let began = Instant::now();
+    let shared = run.shared(began);
+    let callers: Vec<_> = (0..options.callers)
+        .map(|number| runtime.spawn(Caller::new(shared.clone(), number, options.seed).run()))
+        .collect();
+    if let Target::Local(system) = &mut target {
+        inject(system, &options.faults, began)?;
+    }
+    runtime.block_on(async {
+        for caller in callers {
+            caller.await.wrap_err("a caller failed")?;
+        }
+        eyre::Ok(())
+    })?;
+    let seconds = began.elapsed().as_secs_f64();
+    if let Target::Local(system) = &target {
+        system.wait_until_ready()?;
+    }
+    runtime.block_on(run.settle(&shared))?;
+    Ok(run.report(&shared, seconds))
+}
+
+struct Run<'a> {
+    service: &'a Service,
+    user: String,
+    targets: Vec<SocketAddr>,
+    options: &'a LoadOptions,
+}
+
+impl Run<'_> {
+    fn mix(&self) -> Mix {
+        let kinds: Vec<&str> = self.service.kinds.keys().map(|kind| &**kind).collect();
+        self.options.mix.unwrap_or_else(|| Mix::fitting(&kinds))
+    }
+
+    fn shared(&self, began: Instant) -> Arc<Shared> {
+        Arc::new(Shared {
+            targets: self.targets.clone(),
+            service: self.service.name.to_string(),
+            groups: self.service.groups.iter().map(|group| group.to_string()).collect(),
+            user: self.user.clone(),
+            mix: self.mix(),
+            until: began + Duration::from_secs(self.options.seconds),
+            pace: self.options.pace,
+            ledger: Ledger::default(),
+            measurements: Measurements::default(),
+            own_reads: AtomicU64::new(0),
+            lost_told: AtomicU64::new(0),
+        })
+    }
+
+    async fn connect(&self, group: &str) -> eyre::Result<Client> {
+        let target = self.targets[0];
+        let parameters = format!(
+            "host={} port={} user={} dbname={} options='-c wardtiller.group={group}'",
+            target.ip(),
+            target.port(),
+            self.user,
+            self.service.name
+        );
+        let connected = tokio_postgres::connect(&parameters, NoTls).await;
+        let (client, connection) = connected.wrap_err_with(|| format!("can't use {target}"))?;
+        tokio::spawn(connection);
+        Ok(client)
+    }
+
+    /// Makes the tables in every group, empty.
+    async fn prepare(&self) -> eyre::Result<()> {
+        for group in &self.service.groups {
+            let client = self.connect(group).await?;
+            for table in ["orders", "holds", "menu"] {
+                client.batch_execute(&format!("DROP TABLE IF EXISTS {table}")).await?;
+            }
+            client.batch_execute("CREATE TABLE orders (caller INTEGER, seq INTEGER)").await?;
+            client.batch_execute("CREATE TABLE holds (caller INTEGER, seq INTEGER)").await?;
+            client.batch_execute("CREATE INDEX orders_caller ON orders (caller, seq)").await?;
+            client.batch_execute("CREATE TABLE menu (id INTEGER PRIMARY KEY, name TEXT)").await?;
+            let items: Vec<String> =
+                (0..MENU_ITEMS).map(|item| format!("({item}, 'dish {item}')")).collect();
+            let sql = format!("INSERT INTO menu VALUES {}", items.join(", "));
+            client.batch_execute(&sql).await?;
+        }
+        Ok(())
+    }
+
+    /// Holds what each group contains against what callers were told.
+    async fn settle(&self, shared: &Shared) -> eyre::Result<()> {
+        for group in &self.service.groups {
+            let client = self.connect(group).await?;
+            let mut found: HashMap<WriteId, (u64, u64)> = HashMap::new();
+            for id in rows(&client, group, "orders").await? {
+                found.entry(id).or_default().0 += 1;
+            }
+            for id in rows(&client, group, "holds").await? {
+                found.entry(id).or_default().1 += 1;
+            }
+            shared.ledger.settle(group, &found);
+        }
+        Ok(())
+    }
+
+    fn report(&self, shared: &Shared, seconds: f64) -> LoadReport {
+        let gaps = shared.ledger.gaps().into_iter();
+        LoadReport {
+            seconds,
+            seed: self.options.seed,
+            classes: shared.measurements.report(seconds),
+            refusals: shared.measurements.refusals(),
+            replica_share: shared.measurements.replica_share(),
+            writes: shared.ledger.counts(),
+            failover_gaps_ms: gaps
+                .map(|(group, gap)| (group, u64::try_from(gap.as_millis()).unwrap_or(u64::MAX)))
+                .collect(),
+            own_reads_checked: shared.own_reads.load(Ordering::Relaxed),
+            told_of_lost_writes: shared.lost_told.load(Ordering::Relaxed),
+            violations: shared.ledger.violations(),
+        }
+    }
+}
+
+async fn rows(client: &Client, group: &str, table: &str) -> eyre::Result<Vec<WriteId>> {
+    let messages = client.simple_query(&format!("SELECT caller, seq FROM {table}")).await?;
+    let mut rows = Vec::new();
+    for message in &messages {
+        let SimpleQueryMessage::Row(row) = message else { continue };
+        rows.push(WriteId {
+            group: group.to_owned(),
+            caller: row.get(0).unwrap_or_default().parse()?,
+            sequence: row.get(1).unwrap_or_default().parse()?,
+        });
+    }
+    Ok(rows)
+}
