fix(failover): pass a failed primary over when it still answers the seal

Cause: with only the replication of a primary cut, the primary answered the seal with the longest log, was chosen again, and the group stood still until the cut healed. Ruled out: suspicion (the replicas' silence was seen after 1 s) and the claim (one driver, no conflict).

Change: the driver leaves the failed primary out while the other sealed servers are a majority by themselves; every acknowledged write is then on one of them. A read that finds no server known to be fresh waits until its deadline instead of using up its attempts.

--- a/crates/daemon/src/executor.rs
+++ b/crates/daemon/src/executor.rs
@@ -131,7 +131,8 @@
     ) -> Result<JobEnd, Refusal> {
         let mut avoid = None;
         let mut last_refusal = None;
-        for attempt in 0..MOST_READ_ATTEMPTS {
+        let mut attempts = 0;
+        while attempts < MOST_READ_ATTEMPTS {
             let requirement = self.read_requirement().await?;
             let route = self.route(requirement, avoid);
             let server = match route {
@@ -145,6 +146,7 @@
                     continue;
                 }
             };
+            attempts += 1;
             let by_replica = matches!(route, ReadRoute::Replica(_));
             match self.try_read(server, by_replica, requirement, pinned, sink).await? {
                 ReadAttempt::Answered(end) => return Ok(end),
@@ -158,7 +160,7 @@
                     last_refusal = Some(refusal);
                 }
             }
-            if attempt + 1 < MOST_READ_ATTEMPTS && !self.group.retries.lock().try_retry() {
+            if !self.group.retries.lock().try_retry() {
                 break;
             }
         }
--- a/crates/daemon/src/failover_duty.rs
+++ b/crates/daemon/src/failover_duty.rs
@@ -133,17 +133,19 @@
             })
             .map(|(index, _)| ServerId::from_index(index))
             .collect();
-        let preferred = match reason {
-            DriveReason::Failure => None,
+        let primary = self.group.board.read().primary;
+        let (preferred, failed) = match reason {
+            DriveReason::Failure => (None, primary),
             DriveReason::Switch { target } => {
-                unwanted.extend(self.group.board.read().primary);
-                Some(target)
+                unwanted.extend(primary);
+                (Some(target), None)
             }
         };
         DriverGroup {
             servers: servers.iter().map(|server| server.name.to_string()).collect(),
             unwanted,
             preferred,
+            failed,
         }
     }
 
--- a/crates/failover/src/driver.rs
+++ b/crates/failover/src/driver.rs
@@ -141,6 +141,9 @@
     pub unwanted: Vec<ServerId>,
     /// A server that should be chosen if it holds as much as any.
     pub preferred: Option<ServerId>,
+    /// The primary that is taken to have failed. It may answer the seal and hold the longest log,
+    /// as when only its replicas can't reach it; it is chosen only if no majority is left without it.
+    pub failed: Option<ServerId>,
 }
 
 /// One daemon's attempt to change a group's primary.
@@ -278,7 +281,11 @@
         if sealed.len() < majority {
             return end(Ending::NoMajority);
         }
-        let best = sealed.iter().max_by_key(|(server, status)| {
+        // Every acknowledged write is held by a majority, so by a server of any other majority.
+        let sound: Vec<_> =
+            sealed.iter().filter(|(server, _)| self.group.failed != Some(*server)).collect();
+        let best = if sound.len() >= majority { sound } else { sealed.iter().collect() };
+        let best = best.into_iter().max_by_key(|(server, status)| {
             let wanted = !self.group.unwanted.contains(server);
             let preferred = self.group.preferred == Some(*server);
             (status.held(), preferred, wanted, std::cmp::Reverse(*server))
--- a/crates/wardtiller/src/load/caller.rs
+++ b/crates/wardtiller/src/load/caller.rs
@@ -112,7 +112,7 @@
                 Role::Updater => self.update().await,
             }
             self.requests += 1;
-            if self.requests % REQUESTS_BEFORE_ROAMING == 0 && self.rng.random_bool(0.5) {
+            if self.requests.is_multiple_of(REQUESTS_BEFORE_ROAMING) && self.rng.random_bool(0.5) {
                 self.client = None;
             }
             if !self.shared.pace.is_zero() {
@@ -354,6 +354,7 @@
         // between requests.
         None => Verdict::NotRun,
     };
-    let reason = word("reason=").unwrap_or_else(|| db.code().code().to_owned());
+    let reason =
+        word("reason=").unwrap_or_else(|| format!("{} {}", db.code().code(), db.message()));
     Failure { verdict, reason }
 }
--- a/crates/wardtiller/src/load/run.rs
+++ b/crates/wardtiller/src/load/run.rs
@@ -85,6 +85,12 @@
     }
 }
 
+/// Polls in a row that must find the tables; each may be served by another replica.
+const POLLS_IN_A_ROW: usize = 16;
+
+/// How long the replicas may take to have the tables.
+const PREPARE_TIMEOUT: Duration = Duration::from_secs(60);
+
 /// The system that is driven.
 pub enum Target<'a> {
     /// One that runs already.
@@ -194,6 +200,24 @@
                 (0..MENU_ITEMS).map(|item| format!("({item}, 'dish {item}')")).collect();
             let sql = format!("INSERT INTO menu VALUES {}", items.join(", "));
             client.batch_execute(&sql).await?;
+            self.wait_for_replicas(&client).await?;
+        }
+        Ok(())
+    }
+
+    /// Waits until polls find what was just written, which accept data from before it.
+    async fn wait_for_replicas(&self, client: &Client) -> eyre::Result<()> {
+        let kind = self.mix().kind();
+        let poll = format!("SELECT count(*) FROM menu /* wardtiller.read_kind='{kind}' */");
+        let until = Instant::now() + PREPARE_TIMEOUT;
+        let mut found_in_a_row = 0;
+        while found_in_a_row < POLLS_IN_A_ROW {
+            ensure!(Instant::now() < until, "the replicas did not catch up in time");
+            let found = client.simple_query(&poll).await.is_ok() && served_by_replica(client).await;
+            found_in_a_row = if found { found_in_a_row + 1 } else { 0 };
+            if !found {
+                tokio::time::sleep(Duration::from_millis(10)).await;
+            }
         }
         Ok(())
     }
@@ -233,6 +257,15 @@
     }
 }
 
+/// Whether a replica answered the client's last statement.
+async fn served_by_replica(client: &Client) -> bool {
+    let Ok(messages) = client.simple_query("SHOW wardtiller.served_by").await else { return false };
+    messages.iter().any(|message| {
+        let SimpleQueryMessage::Row(row) = message else { return false };
+        row.get(0).is_some_and(|served| served.ends_with("replica"))
+    })
+}
+
 async fn rows(client: &Client, group: &str, table: &str) -> eyre::Result<Vec<WriteId>> {
     let messages = client.simple_query(&format!("SELECT caller, seq FROM {table}")).await?;
     let mut rows = Vec::new();
