fix(routing): give a silent or replaced server up while waiting for its connection

Cause: after a primary froze, requests went on waiting for connections to it, up to 2 s each, and a server that granted no more connections made requests fail as overloaded.

Change: waiting for a connection ends when the server is replaced or silent; each server has its own heartbeat loop; the driver tells the other owners of the new term at once; a refused connection shrinks the daemon's share and the request queues; all owners count the same headroom.

--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -285,10 +285,8 @@
                     wanted: wanted_by(noted.and_then(|noted| noted.get(key)), index),
                 })
                 .collect();
-            let own = routing::Demand { owner: self.key, wanted: pool.wanted().max(1) };
-            // Demand that is not there yet may come at any moment, so what nobody wants is kept
-            // available to whoever asks first.
-            let own = routing::Demand { wanted: own.wanted + HEADROOM, ..own };
+            let wanted = pool.wanted() + HEADROOM;
+            let own = routing::Demand { owner: self.key, wanted };
             pool.set_share(routing::connection_share(limit, own, &other_demands));
         }
     }
@@ -299,7 +297,8 @@
     }
 }
 
-/// Connections that an owner counts as wanted beyond those that it can use at the moment.
+/// Connections that an owner is taken to want beyond those that it can use at the moment. All owners
+/// count alike, so that their shares add up to no more than there is.
 const HEADROOM: u32 = 4;
 
 /// A demand that was told longer ago is taken for none.
@@ -308,8 +307,7 @@
 fn wanted_by(noted: Option<&NotedDemand>, server: usize) -> u32 {
     let fresh = noted.filter(|noted| noted.told_at.elapsed() < DEMAND_LASTS);
     let wanted = fresh.and_then(|noted| noted.wanted.get(server)).copied().unwrap_or(0);
-    // An owner that says nothing still needs its first connection at once when work comes.
-    wanted.max(1)
+    wanted + HEADROOM
 }
 
 fn group_options(configuration: &Arc<Configuration>, id: &GroupId) -> Option<GroupOptionsInForce> {
--- a/crates/daemon/src/control_messages.rs
+++ b/crates/daemon/src/control_messages.rs
@@ -4,10 +4,10 @@
 
 use bytes::Bytes;
 use config::ChunkHash;
-use model::GroupId;
+use model::{GroupId, ServerId};
 use peer::{
     Body, ChunkAnswer, GossipNote, HeadAnswer, HoldAnswer, HoldRequest, HostListAnswer, HostNote,
-    ViewAnswer, ViewRequest,
+    TermNotice, ViewAnswer, ViewRequest,
 };
 
 use crate::{
@@ -26,6 +26,10 @@
         }
         Body::HostListRequest(_) => Some(Body::HostListAnswer(host_list_answer(context))),
         Body::ViewRequest(request) => Some(Body::ViewAnswer(view_answer(context, &request))),
+        Body::TermNotice(notice) => {
+            look_at_servers(context, &notice).await;
+            None
+        }
         Body::HoldRequest(request) => Some(Body::HoldAnswer(hold(context, &request))),
         _ => None,
     }
@@ -73,6 +77,18 @@
     ViewAnswer { reachable, term: board.term.0 }
 }
 
+/// Asks a group's servers at once, since another owner says that one of them leads a new term.
+async fn look_at_servers(context: &Context, notice: &TermNotice) {
+    let id = GroupId::new(notice.service.as_str(), notice.group.as_str());
+    let group = context.groups.read().get(&id).cloned();
+    let Some(group) = group else { return };
+    if group.board.read().term.0 >= notice.term {
+        return;
+    }
+    let asking = (0..group.links.len()).map(|index| group.ask(ServerId::from_index(index)));
+    futures::future::join_all(asking).await;
+}
+
 /// Holds new transactions of a group back, or lets them go on.
 pub(crate) fn hold(context: &Context, request: &HoldRequest) -> HoldAnswer {
     let id = GroupId::new(request.service.as_str(), request.group.as_str());
--- a/crates/daemon/src/executor.rs
+++ b/crates/daemon/src/executor.rs
@@ -18,6 +18,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
+    board::GroupBoard,
     context::Context,
     endpoint_connection::{AnswerSink, CancelKey, JobAnswer, Probe, Proof, RunError, RunOptions},
     group_state::{GroupOptionsInForce, GroupState, WritingGuard},
@@ -260,7 +261,8 @@
         sink: &mut S,
     ) -> Result<ReadAttempt, Refusal> {
         let pool = &self.group.pools[server.index()];
-        let mut connection = match pool.acquire(self.request(self.priority_of_read())).await {
+        let acquired = self.acquire(server, by_replica, self.priority_of_read()).await;
+        let mut connection = match acquired {
             Ok(connection) => connection,
             Err(refusal) if refusal.reason == RefusalReason::Unreachable => {
                 self.group.note_failure(server);
@@ -280,7 +282,7 @@
         let options =
             RunOptions { probe: Probe::Before, hold_bytes: confirm.then_some(self.hold_bytes()) };
         let started = Instant::now();
-        let answer = self.run(&mut connection, server, options, prove, sink).await;
+        let answer = self.run(&mut connection, server, by_replica, options, prove, sink).await;
         let answer = match answer {
             Ok(answer) => answer,
             Err(refusal) if sink.has_begun() => return Err(refusal),
@@ -365,8 +367,8 @@
             if self.needs_index() {
                 self.read_index().await?;
             }
-            let pool = &self.group.pools[server.index()];
-            let mut connection = match pool.acquire(self.request(Priority::Urgent)).await {
+            let acquired = self.acquire(server, false, Priority::Urgent).await;
+            let mut connection = match acquired {
                 Ok(connection) => connection,
                 Err(refusal) if refusal.reason == RefusalReason::Unreachable => {
                     self.group.note_failure(server);
@@ -377,7 +379,8 @@
             };
             let options = RunOptions { probe: Probe::After, hold_bytes: Some(self.hold_bytes()) };
             let accept = |_: &ServerStatus| Proof::Accept;
-            let answer = match self.run(&mut connection, server, options, accept, sink).await {
+            let answer = match self.run(&mut connection, server, false, options, accept, sink).await
+            {
                 Ok(answer) => answer,
                 Err(refusal) if refusal.verdict == Verdict::NotRun => {
                     self.wait_or_refuse(refusal).await?;
@@ -530,7 +533,7 @@
         };
         let accept = |_: &ServerStatus| Proof::Accept;
         let answer = self
-            .run(&mut pin.connection, server, options, accept, sink)
+            .run(&mut pin.connection, server, pin.by_replica, options, accept, sink)
             .await
             .map_err(|refusal| self.transaction_verdict(refusal, commits))?;
         pin.wrote |= self.job.writes;
@@ -560,6 +563,24 @@
 
     // ---- common ----
 
+    /// Gets a connection to a server, giving up when the server is silent or replaced: nothing was
+    /// sent yet, so the request may go elsewhere.
+    async fn acquire(
+        &self,
+        server: ServerId,
+        by_replica: bool,
+        priority: Priority,
+    ) -> Result<PooledConnection, Refusal> {
+        let pool = &self.group.pools[server.index()];
+        let unreachable =
+            || Refusal::not_run(RefusalReason::Unreachable, "the server does not answer");
+        tokio::select! {
+            acquired = pool.acquire(self.request(priority)) => acquired,
+            () = self.replaced(server), if !by_replica => Err(unreachable()),
+            () = self.silent(server) => Err(unreachable()),
+        }
+    }
+
     fn hold_bytes(&self) -> usize {
         usize::try_from(self.in_force.configuration.limits.held_answer_bytes).unwrap_or(usize::MAX)
     }
@@ -569,6 +590,7 @@
         &self,
         connection: &mut PooledConnection,
         server: ServerId,
+        by_replica: bool,
         options: RunOptions,
         prove: impl FnMut(&ServerStatus) -> Proof + Send,
         sink: &mut S,
@@ -577,7 +599,7 @@
         let run = connection.get().run(self.job, options, prove, sink);
         let outcome = tokio::select! {
             outcome = run => outcome,
-            refusal = self.given_up(server) => {
+            refusal = self.given_up(server, by_replica) => {
                 *self.running.lock() = None;
                 return Err(refusal);
             }
@@ -603,34 +625,52 @@
     }
 
     /// Ends when there is no more use in waiting for the server's answer.
-    async fn given_up(&self, server: ServerId) -> Refusal {
-        let term = self.group.board.read().term;
-        let limit = self.options().run_timeout_ms;
-        let until = (limit > 0).then(|| Instant::now() + Duration::from_millis(limit));
+    async fn given_up(&self, server: ServerId, by_replica: bool) -> Refusal {
+        let limit = match self.options().run_timeout_ms {
+            0 => Duration::MAX,
+            limit => Duration::from_millis(limit),
+        };
+        tokio::select! {
+            () = self.silent(server), if by_replica => Refusal::may_have_run(
+                RefusalReason::AnswerLost,
+                "the server stopped answering while it ran the request",
+            ),
+            () = self.replaced(server), if !by_replica => Refusal::may_have_run(
+                RefusalReason::Deposed,
+                "the primary was replaced before it answered",
+            ),
+            () = tokio::time::sleep(limit) => Refusal::may_have_run(
+                RefusalReason::DeadlinePassed,
+                format!("the server did not answer within {} ms", limit.as_millis()),
+            ),
+        }
+    }
+
+    /// Ends when another server leads in a newer term.
+    async fn replaced(&self, server: ServerId) {
+        self.until(|board| board.primary.is_some_and(|primary| primary != server)).await;
+    }
+
+    /// Ends when a server has been silent for as long as it takes to be suspected.
+    async fn silent(&self, server: ServerId) {
+        let suspect_after =
+            Duration::from_millis(self.in_force.configuration.failover.suspect_after_ms);
+        self.until(|board| {
+            let silent = board.silent_for(server, Instant::now());
+            silent.is_some_and(|silent| silent >= suspect_after)
+        })
+        .await;
+    }
+
+    /// Waits until the board fulfils a condition. It is looked at now and then, too, since a silence
+    /// grows without being told of.
+    async fn until(&self, condition: impl Fn(&GroupBoard) -> bool) {
         loop {
             let changed = self.group.changed.notified();
-            let replaced = {
-                let board = self.group.board.read();
-                board.term > term && !self.job.read_only && board.primary != Some(server)
-            };
-            if replaced {
-                return Refusal::may_have_run(
-                    RefusalReason::Deposed,
-                    "the primary was replaced before it answered",
-                );
-            }
-            match until {
-                Some(until) => {
-                    let until = tokio::time::Instant::from_std(until);
-                    if tokio::time::timeout_at(until, changed).await.is_err() {
-                        return Refusal::may_have_run(
-                            RefusalReason::DeadlinePassed,
-                            format!("the server did not answer within {limit} ms"),
-                        );
-                    }
-                }
-                None => changed.await,
+            if condition(&self.group.board.read()) {
+                return;
             }
+            let _ = tokio::time::timeout(CONDITION_LOOK, changed).await;
         }
     }
 
@@ -654,6 +694,9 @@
 /// PostgreSQL's code for a write that a server refused because it does not take writes.
 const READ_ONLY_SERVER: &str = "25006";
 
+/// How often a condition is looked at that nothing is told of.
+const CONDITION_LOOK: Duration = Duration::from_millis(100);
+
 /// When a read that found no fresh server may try again.
 const NO_FRESH_RETRY_MS: u64 = 200;
 
--- a/crates/daemon/src/failover_duty.rs
+++ b/crates/daemon/src/failover_duty.rs
@@ -10,12 +10,14 @@
 };
 use futures::{StreamExt, stream::FuturesUnordered};
 use model::{ServerId, ServerStatus, Term};
+use peer::{Body, TermNotice};
 use platform::{CasOutcome, KeyValueStore, StoreError};
 
 use crate::{
     context::Context,
     dialect::{Dialect, ServerDialect},
     group_state::GroupState,
+    peers::Peers,
 };
 
 /// Why the primary is changed.
@@ -41,6 +43,7 @@
     context: Arc<Context>,
     store: Arc<P>,
     group: Arc<GroupState>,
+    peers: Arc<Peers>,
     /// The record last read and when it was first seen, to tell whether its driver has stalled.
     seen: Option<(LeadershipRecord, Instant)>,
     complained_at: Option<Instant>,
@@ -54,8 +57,9 @@
         context: Arc<Context>,
         store: Arc<P>,
         group: Arc<GroupState>,
+        peers: Arc<Peers>,
     ) -> FailoverDuty<P> {
-        FailoverDuty { context, store, group, seen: None, complained_at: None }
+        FailoverDuty { context, store, group, peers, seen: None, complained_at: None }
     }
 
     /// Writes to the log that nothing can be promoted, now and then.
@@ -164,7 +168,10 @@
             DriverStep::Seal { term } => DriverEvent::Sealed { statuses: self.seal(term).await },
             DriverStep::Promote { server, term } => {
                 match self.group.tell(server, Dialect::promote(term)).await {
-                    Ok(answer) if answer.status.leads() => DriverEvent::Promoted,
+                    Ok(answer) if answer.status.leads() => {
+                        self.tell_owners(term);
+                        DriverEvent::Promoted
+                    }
                     _ => DriverEvent::PromotionFailed,
                 }
             }
@@ -266,6 +273,26 @@
         sealed
     }
 
+    /// Tells the other owners that there is a new primary, so that none waits for its heartbeat.
+    fn tell_owners(&self, term: Term) {
+        let notice = TermNotice {
+            service: self.group.id.service.to_string(),
+            group: self.group.id.group.to_string(),
+            term: term.0,
+        };
+        let owners = self.context.owners_of(&self.group.in_force.load().group);
+        for owner in owners.iter().filter(|owner| owner.key != self.context.key) {
+            let (peers, address) = (self.peers.clone(), owner.peer_address);
+            let notice = Body::TermNotice(notice.clone());
+            tokio::spawn(async move {
+                // An owner that can't be told finds out by its heartbeat.
+                if let Ok(client) = peers.get(address).await {
+                    let _ = client.tell(notice).await;
+                }
+            });
+        }
+    }
+
     /// Tells the others to follow; those that can't be told now are told by the watch later.
     async fn follow(&self, primary: ServerId, term: Term) {
         let address = self.group.in_force.load().group.servers[primary.index()].address;
--- a/crates/daemon/src/pool.rs
+++ b/crates/daemon/src/pool.rs
@@ -16,6 +16,12 @@
 
 use crate::endpoint_connection::EndpointConnection;
 
+/// PostgreSQL's code for a server that grants no more connections.
+const TOO_MANY_CONNECTIONS: &str = "53300";
+
+/// How long a request waits after its server granted no connection.
+const FULL_RETRY: Duration = Duration::from_millis(5);
+
 /// How long a connection may take to be made.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -159,22 +165,51 @@
         self: &Arc<ServerPool>,
         request: Request,
     ) -> Result<PooledConnection, Refusal> {
-        let (ticket, answer) = match self.claim(request)? {
-            Claim::Connection(connection) => return Ok(self.lend(*connection)),
-            Claim::MayOpen => return self.open().await,
-            Claim::Waits(ticket, answer) => (ticket, answer),
-        };
-        let mut place = Place { pool: self, request, ticket, answer, ended: false };
-        self.waiting.fetch_add(1, Ordering::Relaxed);
-        let grant = place.wait().await;
-        drop(place);
-        match grant {
-            Grant::Connection(connection) => Ok(self.lend(*connection)),
-            Grant::MayOpen => self.open().await,
-            Grant::Refused(refusal) => Err(refusal),
+        loop {
+            let opened = match self.claim(request)? {
+                Claim::Connection(connection) => return Ok(self.lend(*connection)),
+                Claim::MayOpen => self.open().await,
+                Claim::Waits(ticket, answer) => match self.wait(request, ticket, answer).await {
+                    Grant::Connection(connection) => return Ok(self.lend(*connection)),
+                    Grant::MayOpen => self.open().await,
+                    Grant::Refused(refusal) => return Err(refusal),
+                },
+            };
+            match opened {
+                Err(EndpointError::Refused { code, .. }) if code == TOO_MANY_CONNECTIONS => {
+                    self.shrink();
+                    if Instant::now() >= request.deadline {
+                        return Err(deadline_refusal());
+                    }
+                    tokio::time::sleep(FULL_RETRY).await;
+                }
+                Err(error) => {
+                    let detail = format!("no connection to the endpoint: {error}");
+                    return Err(Refusal::not_run(RefusalReason::Unreachable, detail));
+                }
+                Ok(connection) => return Ok(connection),
+            }
         }
     }
 
+    async fn wait(
+        self: &Arc<ServerPool>,
+        request: Request,
+        ticket: Ticket,
+        answer: flume::Receiver<Grant>,
+    ) -> Grant {
+        self.waiting.fetch_add(1, Ordering::Relaxed);
+        let mut place = Place { pool: self, request, ticket, answer, ended: false };
+        place.wait().await
+    }
+
+    /// Takes the server at its word that it has no more connections than those that are open; the
+    /// next division among the owners may give more.
+    fn shrink(&self) {
+        let mut state = self.state.lock();
+        state.share = state.share.min(state.open.max(1));
+    }
+
     /// Takes an idle connection, the right to open one, or a place in the queue.
     fn claim(&self, request: Request) -> Result<Claim, Refusal> {
         let mut state = self.state.lock();
@@ -224,18 +259,13 @@
     }
 
     /// Opens a connection whose place was counted already.
-    async fn open(self: &Arc<ServerPool>) -> Result<PooledConnection, Refusal> {
+    async fn open(self: &Arc<ServerPool>) -> Result<PooledConnection, EndpointError> {
         let prepared = self.state.lock().prepared_statements;
         // The count is given back if the request is dropped while it connects.
         let place = OpenPlace { pool: self, counted: true };
-        let opened = EndpointConnection::open(&self.target, CONNECT_TIMEOUT, prepared).await;
-        match opened {
-            Ok(connection) => {
-                place.keep();
-                Ok(self.lend(connection))
-            }
-            Err(error) => Err(connect_refusal(&error)),
-        }
+        let connection = EndpointConnection::open(&self.target, CONNECT_TIMEOUT, prepared).await?;
+        place.keep();
+        Ok(self.lend(connection))
     }
 
     fn lend(self: &Arc<ServerPool>, connection: EndpointConnection) -> PooledConnection {
@@ -327,14 +357,6 @@
     .retry_after(DISPLACED_RETRY_MS)
 }
 
-fn connect_refusal(error: &EndpointError) -> Refusal {
-    let reason = match error {
-        EndpointError::Refused { code, .. } if code == "53300" => RefusalReason::Overloaded,
-        _ => RefusalReason::Unreachable,
-    };
-    Refusal::not_run(reason, format!("no connection to the endpoint: {error}"))
-}
-
 /// A request's place in the queue; dropping it leaves the queue and returns what came too late.
 struct Place<'a> {
     pool: &'a Arc<ServerPool>,
--- a/crates/daemon/src/watch_duty.rs
+++ b/crates/daemon/src/watch_duty.rs
@@ -40,7 +40,8 @@
         for group in held {
             if watched.insert(group.id.clone()) {
                 context.share_connections(&group);
-                let duty = FailoverDuty::new(context.clone(), store.clone(), group.clone());
+                let duty =
+                    FailoverDuty::new(context.clone(), store.clone(), group.clone(), peers.clone());
                 tokio::spawn(watch_group(context.clone(), peers.clone(), group, duty));
             }
         }
@@ -72,6 +73,15 @@
     }
 }
 
+/// Whether a group is still the one that the daemon holds under its name.
+fn is_held(context: &Context, group: &Arc<GroupState>) -> bool {
+    context.groups.read().get(&group.id).is_some_and(|held| Arc::ptr_eq(held, group))
+}
+
+fn heartbeat_of(group: &GroupState) -> Duration {
+    Duration::from_millis(group.in_force.load().configuration.failover.heartbeat_ms)
+}
+
 /// Watches one group until it is given up or made anew.
 async fn watch_group<P: KeyValueStore + 'static>(
     context: Arc<Context>,
@@ -79,55 +89,54 @@
     group: Arc<GroupState>,
     mut duty: FailoverDuty<P>,
 ) {
-    loop {
-        let still_held =
-            context.groups.read().get(&group.id).is_some_and(|held| Arc::ptr_eq(held, &group));
-        if !still_held {
-            return;
-        }
+    tokio::spawn(sample_primary(context.clone(), group.clone()));
+    for server in (0..group.links.len()).map(ServerId::from_index) {
+        tokio::spawn(watch_server(context.clone(), group.clone(), server));
+    }
+    while is_held(&context, &group) {
         let in_force = group.in_force.load_full();
         let rules = &in_force.configuration.failover;
-        let heartbeat = Duration::from_millis(rules.heartbeat_ms);
-        let began = Instant::now();
-        ask_servers(&context, &group, heartbeat).await;
         let suspicion =
             SuspicionRules { suspect_after: Duration::from_millis(rules.suspect_after_ms) };
-        let owned = context.owns(&in_force.group) && !context.is_stopping();
-        if owned {
+        if context.owns(&in_force.group) && !context.is_stopping() {
             look_after(&context, &peers, &group, &mut duty, suspicion).await;
         }
         let limits = &in_force.configuration.limits;
         for pool in &group.pools {
             pool.close_idle(Duration::from_millis(limits.idle_connection_ms), 1);
         }
-        tokio::time::sleep(heartbeat.saturating_sub(began.elapsed())).await;
+        tokio::time::sleep(heartbeat_of(&group)).await;
     }
 }
 
-/// Asks every server whose last answer is older than a heartbeat, the primary with proof.
-async fn ask_servers(context: &Context, group: &Arc<GroupState>, heartbeat: Duration) {
-    if group.board.read().primary.is_some() {
-        // The answer is noted as a sample; a failure shows in the servers' silence.
-        let _ = group.read_index.get().await;
+/// Takes a sample of the primary's position at each heartbeat, with proof that it still leads.
+async fn sample_primary(context: Arc<Context>, group: Arc<GroupState>) {
+    while is_held(&context, &group) {
+        if group.board.read().primary.is_some() {
+            // The answer is noted as a sample; a failure shows in the servers' silence.
+            let _ = group.read_index.get().await;
+        }
+        tokio::time::sleep(heartbeat_of(&group)).await;
     }
-    let due: Vec<ServerId> = {
-        let board = group.board.read();
-        (0..group.links.len())
-            .map(ServerId::from_index)
-            .filter(|server| {
-                let known = &board.servers[server.index()];
-                known.silent_since.is_some()
-                    || known.asked_at.is_none_or(|at| at.elapsed() > heartbeat / 2)
-            })
-            .collect()
-    };
-    let asking = due.into_iter().map(|server| async move { (server, group.ask(server).await) });
-    for (server, answer) in futures::future::join_all(asking).await {
-        if answer.is_err_and(|error| error.is_shutting_down()) {
+}
+
+/// Asks one server whenever its last answer is older than a heartbeat. Each server has a loop of its
+/// own, so that a silent one does not keep the others waiting.
+async fn watch_server(context: Arc<Context>, group: Arc<GroupState>, server: ServerId) {
+    while is_held(&context, &group) {
+        let heartbeat = heartbeat_of(&group);
+        let due = {
+            let board = group.board.read();
+            let known = &board.servers[server.index()];
+            known.silent_since.is_some()
+                || known.asked_at.is_none_or(|at| at.elapsed() > heartbeat / 2)
+        };
+        if due && group.ask(server).await.is_err_and(|error| error.is_shutting_down()) {
             // A server that shuts down says so before the platform's list does.
             let address = group.in_force.load().group.servers[server.index()].address;
             context.leaving.write().note(address, Instant::now());
         }
+        tokio::time::sleep(heartbeat).await;
     }
 }
 
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -13,7 +13,7 @@
     Body, ChunkAnswer, ChunkRequest, Credit, Envelope, GossipNote, GroupDemand, HeadAnswer,
     HeadRequest, HoldAnswer, HoldRequest, HostListAnswer, HostListRequest, HostNote, Job, Point,
     RelayAbandon, RelayCancel, RelayChunk, RelayEnd, Setting, Statement, Step, StepShape,
-    ViewAnswer, ViewRequest,
+    TermNotice, ViewAnswer, ViewRequest,
 };
 pub use server::{PeerHandler, Reply, ReplyGone, serve_connection};
 
--- a/crates/peer/src/messages.rs
+++ b/crates/peer/src/messages.rs
@@ -10,7 +10,10 @@
     #[prost(uint64, tag = "1")]
     pub request_id: u64,
     /// The message.
-    #[prost(oneof = "Body", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18")]
+    #[prost(
+        oneof = "Body",
+        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19"
+    )]
     pub body: Option<Body>,
 }
 
@@ -68,6 +71,9 @@
     /// The host list.
     #[prost(message, tag = "18")]
     HostListAnswer(HostListAnswer),
+    /// A new primary leads a group; ask its servers now rather than at the next heartbeat.
+    #[prost(message, tag = "19")]
+    TermNotice(TermNotice),
 }
 
 /// A term and a position.
@@ -265,6 +271,20 @@
     pub group: String,
 }
 
+/// A new primary leads a group.
+#[derive(Clone, PartialEq, Message)]
+pub struct TermNotice {
+    /// The service.
+    #[prost(string, tag = "1")]
+    pub service: String,
+    /// The group.
+    #[prost(string, tag = "2")]
+    pub group: String,
+    /// Its term.
+    #[prost(uint64, tag = "3")]
+    pub term: u64,
+}
+
 /// A view of a group's primary.
 #[derive(Clone, PartialEq, Message)]
 pub struct ViewAnswer {
--- a/crates/standin/src/server_session.rs
+++ b/crates/standin/src/server_session.rs
@@ -95,7 +95,6 @@
                 break;
             }
         }
-        self.abort();
     }
 
     async fn handle(&mut self, message: PgWireFrontendMessage) -> Result<(), StreamEnd> {
@@ -476,6 +475,13 @@
     }
 }
 
+impl Drop for ServerSession {
+    /// A crash drops the session wherever it stands, and what it wrote must not stay behind.
+    fn drop(&mut self) {
+        self.abort();
+    }
+}
+
 impl Transaction {
     fn new(explicit: bool, read_only: bool) -> Transaction {
         Transaction { explicit, failed: false, read_only, writing: None, statements: Vec::new() }
