--- a/crates/daemon/src/configuration_duty.rs
+++ b/crates/daemon/src/configuration_duty.rs
@@ -81,7 +81,7 @@
 ) {
     let interval = Duration::from_millis(context.settings.platform.host_list_ms);
     while !context.is_stopping() {
-        let first = context.members.read().all().is_empty();
+        let first = context.members.load().all().is_empty();
         if first || watches(context) {
             context.metrics.store_calls.with_label_values(&["hosts"]).inc();
             match store.hosts() {
@@ -101,7 +101,7 @@
 
 fn watches(context: &Context) -> bool {
     let count = usize::from(context.settings.platform.watchers);
-    is_watcher(context.key, context.members.read().all(), count)
+    is_watcher(context.key, context.members.load().all(), count)
 }
 
 /// How long a pause goes on before the stop is looked at.
@@ -262,7 +262,11 @@
 }
 
 fn replace_hosts(context: &Context, version: u64, members: Vec<Member>, leaving: Vec<SocketAddr>) {
-    if context.members.write().replace(version, members) {
+    let known = context.members.load();
+    if version > known.version() || known.all().is_empty() {
+        context.change_members(|list| {
+            list.replace(version, members.clone());
+        });
         *context.listed_leaving.write() = leaving;
         note_leaving(context);
     }
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -44,7 +44,8 @@
     pub(crate) classifier: Classifier,
     pub(crate) in_force: ArcSwap<InForce>,
     pub(crate) configuration_store: ConfigurationStore,
-    pub(crate) members: RwLock<MemberList>,
+    /// Replaced as a whole, so that no reader holds anything up.
+    pub(crate) members: ArcSwap<MemberList>,
     /// Endpoints that the platform's list names as leaving.
     pub(crate) listed_leaving: RwLock<Vec<SocketAddr>>,
     pub(crate) leaving: RwLock<LeavingEndpoints>,
@@ -115,7 +116,7 @@
             classifier: Classifier::default(),
             in_force: ArcSwap::from_pointee(InForce::default()),
             configuration_store: ConfigurationStore::default(),
-            members: RwLock::default(),
+            members: ArcSwap::default(),
             listed_leaving: RwLock::default(),
             leaving: RwLock::default(),
             groups: RwLock::default(),
@@ -185,7 +186,7 @@
 
     fn refresh_owners(&self, cache: &mut OwnerCache) {
         let now = Instant::now();
-        let members = self.members.read();
+        let members = self.members.load();
         let fresh = cache.worked_out_at.is_some_and(|at| now.duration_since(at) < OWNERS_LAST)
             && cache.list_version == members.version();
         if fresh {
@@ -291,6 +292,15 @@
         }
     }
 
+    /// Changes what is noted of the members. The change may be tried again, so it must only change.
+    pub(crate) fn change_members(&self, change: impl Fn(&mut MemberList)) {
+        self.members.rcu(|members| {
+            let mut changed = MemberList::clone(members);
+            change(&mut changed);
+            changed
+        });
+    }
+
     /// Returns the name of this daemon's host.
     pub(crate) fn host(&self) -> &Name {
         &self.settings.daemon.host
--- a/crates/daemon/src/control_messages.rs
+++ b/crates/daemon/src/control_messages.rs
@@ -50,7 +50,7 @@
 }
 
 fn host_list_answer(context: &Context) -> HostListAnswer {
-    let members = context.members.read();
+    let members = context.members.load();
     let daemons = members.all().iter().map(|member| HostNote {
         host: member.host.to_string(),
         availability_zone: member.availability_zone.to_string(),
@@ -72,8 +72,15 @@
     let id = GroupId::new(request.service.as_str(), request.group.as_str());
     let group = context.groups.read().get(&id).cloned();
     let Some(group) = group else { return ViewAnswer { reachable: false, term: 0 } };
+    let in_force = group.in_force.load();
+    let rules = &in_force.configuration.failover;
+    // An answer from before the primary fell silent says nothing of it now.
+    let lately = Duration::from_millis((rules.suspect_after_ms / 2).max(2 * rules.heartbeat_ms));
     let board = group.board.read();
-    let reachable = board.primary.is_some_and(|primary| board.answers(primary));
+    let reachable = board.primary.is_some_and(|primary| {
+        let asked_at = board.servers[primary.index()].asked_at;
+        board.answers(primary) && asked_at.is_some_and(|at| at.elapsed() < lately)
+    });
     ViewAnswer { reachable, term: board.term.0 }
 }
 
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -172,7 +172,7 @@
         let Some(control) = &self.control else { return };
         let context = self.context.clone();
         let timeout = Duration::from_millis(self.context.settings.control.peer_timeout_ms);
-        let count = self.context.members.read().all().len().min(MOST_TOLD);
+        let count = self.context.members.load().all().len().min(MOST_TOLD);
         control.block_on(async move {
             spread(&context, &Arc::new(Peers::new(timeout)), count).await;
         });
--- a/crates/daemon/src/gossip.rs
+++ b/crates/daemon/src/gossip.rs
@@ -21,7 +21,7 @@
     GossipNote {
         host: context.host().to_string(),
         revision: context.in_force.load().revision,
-        host_list_version: context.members.read().version(),
+        host_list_version: context.members.load().version(),
         stopping: context.is_stopping(),
         demands: demands_for(context, to_host),
     }
@@ -47,18 +47,19 @@
 /// Takes in another daemon's note.
 pub(crate) fn take_note(context: &Context, note: &GossipNote) {
     let sender = {
-        let members = context.members.read();
+        let members = context.members.load();
         members.all().iter().find(|member| *member.host == *note.host).cloned()
     };
     let Some(sender) = sender else { return };
-    {
-        let mut members = context.members.write();
-        members.clear(sender.key);
-        if note.stopping {
-            members.note_stopping(sender.key, Instant::now());
-        } else {
-            members.note_running(sender.key);
-        }
+    if context.members.load().is_news(sender.key, note.stopping) {
+        context.change_members(|members| {
+            members.clear(sender.key);
+            if note.stopping {
+                members.note_stopping(sender.key, Instant::now());
+            } else {
+                members.note_running(sender.key);
+            }
+        });
     }
     note_demands(context, sender.key, note);
     note_news(context, note, sender.peer_address);
@@ -69,7 +70,7 @@
     if note.revision > context.in_force.load().revision {
         let _ = context.news.try_send(News::Configuration(address));
     }
-    if note.host_list_version > context.members.read().version() {
+    if note.host_list_version > context.members.load().version() {
         let _ = context.news.try_send(News::HostList(address));
     }
 }
@@ -98,7 +99,7 @@
 
 /// Whom to compare notes with: listed daemons, or the seeds while none is listed.
 fn targets(context: &Context, count: usize) -> Vec<Target> {
-    let members = context.members.read();
+    let members = context.members.load();
     let others: Vec<&Member> =
         members.all().iter().filter(|member| member.key != context.key).collect();
     if others.is_empty() {
@@ -145,7 +146,7 @@
         }
         _ => {
             if let Some(key) = target.key {
-                context.members.write().suspect(key, Instant::now());
+                context.change_members(|members| members.suspect(key, Instant::now()));
             }
         }
     }
--- a/crates/daemon/src/relay.rs
+++ b/crates/daemon/src/relay.rs
@@ -71,7 +71,7 @@
         let client = match context.relay_peers.get(owner.peer_address).await {
             Ok(client) => client,
             Err(_) => {
-                context.members.write().suspect(owner.key, Instant::now());
+                context.change_members(|members| members.suspect(owner.key, Instant::now()));
                 last = Some(owner_gone(Verdict::NotRun));
                 continue;
             }
@@ -85,7 +85,7 @@
                 return Ok(end);
             }
             Err(failure) if failure.try_next && !sink.has_begun() => {
-                context.members.write().suspect(owner.key, Instant::now());
+                context.change_members(|members| members.suspect(owner.key, Instant::now()));
                 last = Some(failure.refusal);
             }
             Err(failure) => return Err(failure.refusal),
@@ -194,7 +194,7 @@
 pub(crate) async fn relay_cancel(context: &Context, owner: u64, session_id: u64) {
     let address = context
         .members
-        .read()
+        .load()
         .all()
         .iter()
         .find(|member| member.key == owner)
--- a/crates/daemon/src/show.rs
+++ b/crates/daemon/src/show.rs
@@ -92,7 +92,7 @@
         revision: in_force.revision,
         change_id: context.configuration_store.head().change_id,
         store_reachable: context.store_reachable.load(Ordering::Relaxed),
-        members_listed: context.members.read().all().len(),
+        members_listed: context.members.load().all().len(),
         members_usable: context.usable_members().len(),
         callers: context.callers.load(Ordering::Relaxed),
         groups,
--- a/crates/membership/src/members.rs
+++ b/crates/membership/src/members.rs
@@ -3,6 +3,7 @@
 use std::{
     collections::BTreeMap,
     net::SocketAddr,
+    sync::Arc,
     time::{Duration, Instant},
 };
 
@@ -52,7 +53,7 @@
 /// The host list joined with what this daemon has seen itself, since the list lags.
 #[derive(Clone, Debug, Default)]
 pub struct MemberList {
-    members: Vec<Member>,
+    members: Arc<Vec<Member>>,
     /// Daemons that did not answer, by key, with the time of the last failure.
     suspected: BTreeMap<u64, Instant>,
     /// Daemons that said themselves that they stop, by key.
@@ -68,7 +69,7 @@
         }
         members.sort_by_key(|member| member.key);
         self.version = version;
-        self.members = members;
+        self.members = Arc::new(members);
         true
     }
 
@@ -82,6 +83,11 @@
         self.suspected.insert(key, now);
     }
 
+    /// Whether a daemon's own word would change anything that is noted of it.
+    pub fn is_news(&self, key: u64, stopping: bool) -> bool {
+        self.suspected.contains_key(&key) || self.stopping.contains_key(&key) != stopping
+    }
+
     /// Notes that a daemon answered.
     pub fn clear(&mut self, key: u64) {
         self.suspected.remove(&key);
