fix(failover): a planned switch shows no error

Cause: when a switch ended its hold, some owners had not heard of the new primary yet, and began transactions at the old one; these then failed as deposed. Ruled out: work that the drain did not count (the log showed drained, held 18 to 48 ms).

Change: the end of a hold asks the servers before it lets new transactions go on; a transaction that began at a server that does not lead is begun again elsewhere, since nothing ran in it.

--- a/crates/daemon/src/control_messages.rs
+++ b/crates/daemon/src/control_messages.rs
@@ -13,6 +13,7 @@
 use crate::{
     context::{Context, NotedDemand},
     gossip::{own_note, take_note},
+    group_state::GroupState,
 };
 
 /// Answers a request; `None` for messages that have no answer.
@@ -30,7 +31,7 @@
             look_at_servers(context, &notice).await;
             None
         }
-        Body::HoldRequest(request) => Some(Body::HoldAnswer(hold(context, &request))),
+        Body::HoldRequest(request) => Some(Body::HoldAnswer(hold(context, &request).await)),
         _ => None,
     }
 }
@@ -92,24 +93,34 @@
     if group.board.read().term.0 >= notice.term {
         return;
     }
-    let asking = (0..group.links.len()).map(|index| group.ask(ServerId::from_index(index)));
-    futures::future::join_all(asking).await;
+    ask_all(&group).await;
 }
 
 /// Holds new transactions of a group back, or lets them go on.
-pub(crate) fn hold(context: &Context, request: &HoldRequest) -> HoldAnswer {
+///
+/// Before they go on, the servers are asked: a transaction that began at the old primary, because
+/// the news had not come yet, would fail.
+pub(crate) async fn hold(context: &Context, request: &HoldRequest) -> HoldAnswer {
     let id = GroupId::new(request.service.as_str(), request.group.as_str());
     let group = context.groups.read().get(&id).cloned();
     let Some(group) = group else { return HoldAnswer { running: 0 } };
-    let until = Instant::now() + Duration::from_millis(request.hold_ms);
-    group.board.write().held_until = (request.hold_ms > 0).then_some(until);
     if request.hold_ms == 0 {
+        ask_all(&group).await;
+        group.board.write().held_until = None;
         group.changed.notify_waiters();
+    } else {
+        let until = Instant::now() + Duration::from_millis(request.hold_ms);
+        group.board.write().held_until = Some(until);
     }
     let running = group.writing.load(std::sync::atomic::Ordering::Acquire);
     HoldAnswer { running }
 }
 
+async fn ask_all(group: &GroupState) {
+    let asking = (0..group.links.len()).map(|index| group.ask(ServerId::from_index(index)));
+    futures::future::join_all(asking).await;
+}
+
 /// Notes what another owner wants of the groups that it shares with this daemon.
 pub(crate) fn note_demands(context: &Context, owner: u64, note: &GossipNote) {
     let mut demands = context.demands.lock();
--- a/crates/daemon/src/executor.rs
+++ b/crates/daemon/src/executor.rs
@@ -391,6 +391,13 @@
             if let Some(status) = &answer.status {
                 self.group.note_proof(server, status);
             }
+            let began_at_old =
+                !self.job.writes && answer.status.as_ref().is_some_and(|status| !status.leads());
+            if began_at_old && !sink.has_begun() {
+                // Nothing but a transaction was begun there, and it ends with the connection.
+                self.wait_or_refuse(self.group.no_primary()).await?;
+                continue;
+            }
             if self.was_refused_as_sealed(&answer) && !sink.has_begun() {
                 // The server refused the statement with proof, so it may run on the next primary.
                 let _ = self.group.ask(server).await;
--- a/crates/daemon/src/switch_duty.rs
+++ b/crates/daemon/src/switch_duty.rs
@@ -118,9 +118,8 @@
             }
         }
     });
-    let own = hold(context, &request).running;
-    let others = futures::future::join_all(asking).await;
-    others.into_iter().try_fold(own, |running, other| Some(running + other?))
+    let (own, others) = futures::join!(hold(context, &request), futures::future::join_all(asking));
+    others.into_iter().try_fold(own.running, |running, other| Some(running + other?))
 }
 
 /// Whether the target holds everything that the primary has.
