--- a/crates/daemon/src/show.rs
+++ b/crates/daemon/src/show.rs
@@ -31,6 +31,8 @@
     pub members_usable: usize,
     /// Callers connected.
     pub callers: u32,
+    /// Configured groups that this daemon is to own.
+    pub groups_to_own: usize,
     /// The groups that this daemon holds.
     pub groups: Vec<ShowGroup>,
 }
@@ -95,6 +97,12 @@
         members_listed: context.members.load().all().len(),
         members_usable: context.usable_members().len(),
         callers: context.callers.load(Ordering::Relaxed),
+        groups_to_own: in_force
+            .configuration
+            .groups
+            .values()
+            .filter(|group| context.owns(group))
+            .count(),
         groups,
     }
 }
--- a/crates/daemon/src/watch_duty.rs
+++ b/crates/daemon/src/watch_duty.rs
@@ -115,8 +115,10 @@
         if group.board.read().primary.is_some() {
             // The answer is noted as a sample; a failure shows in the servers' silence.
             let _ = group.read_index.get().await;
+            tokio::time::sleep(heartbeat_of(&group)).await;
+        } else {
+            group.wait_for_change(Instant::now() + heartbeat_of(&group)).await;
         }
-        tokio::time::sleep(heartbeat_of(&group)).await;
     }
 }
 
--- a/crates/routing/src/connection_share.rs
+++ b/crates/routing/src/connection_share.rs
@@ -39,6 +39,11 @@
             left -= 1;
         }
     }
+    // What nobody wants now is spread evenly, to be at hand when somebody does.
+    let spare = Floors::new(left, demands.len());
+    for (place, share) in shares.iter_mut().enumerate() {
+        *share += spare.of(place);
+    }
     let place = demands.iter().position(|demand| demand.owner == own.owner);
     place.map_or(0, |place| shares[place])
 }
--- a/crates/wardtiller/src/local_system.rs
+++ b/crates/wardtiller/src/local_system.rs
@@ -286,11 +286,16 @@
 
 fn is_ready(daemon: &Daemon, members: usize) -> bool {
     let report = daemon.show();
-    let all_led =
-        report.groups.iter().filter(|group| group.owned).all(|group| {
-            group.primary.is_some() && group.servers.iter().all(|server| server.answers)
-        });
-    report.revision > 0 && report.members_usable == members && all_led
+    let all_led = report.groups.iter().filter(|group| group.owned).all(|group| {
+        // Until the age of a server's data is known, reads that accept staleness go to the primary.
+        group.primary.is_some()
+            && group.servers.iter().all(|server| server.answers && server.staleness_ms.is_some())
+    });
+    let owned = report.groups.iter().filter(|group| group.owned).count();
+    report.revision > 0
+        && report.members_usable == members
+        && owned == report.groups_to_own
+        && all_led
 }
 
 /// The servers of a group with the first primary in front, the order in which stand-ins start.
