--- a/crates/wardtiller/src/lib.rs
+++ b/crates/wardtiller/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod commands;
 pub mod load;
 pub mod local_system;
+pub mod sizing;
 
 #[allow(missing_docs, reason = "the items are made by xflags, whose help texts say it all")]
 mod cli;
