feat(config): a change of configuration costs in proportion to itself

Change: a chunk is read by itself and kept; a change reads the chunk that changed and joins the rest by shared pointers. Owner sets survive changes of other groups and are limited to the service's region. A daemon that misses many chunks gets them from another daemon. Groups to own are only looked for after a change.

--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -1,12 +1,13 @@
 //! Reads and checks the shared configuration, reporting every mistake at once.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, sync::Arc};
 
 use model::{GroupId, Name, ServerId};
 
 use crate::{
-    Configuration, FailoverOptions, Group, GroupOptions, KindOptions, LeavingOptions, LimitOptions,
-    Problems, RuleOptions, Section, Server, ServerOptions, Service, ServiceOptions, UserOptions,
+    Configuration, ConfigurationPart, FailoverOptions, Group, GroupOptions, KindOptions,
+    LeavingOptions, LimitOptions, Problems, RuleOptions, Section, Server, ServerOptions, Service,
+    ServiceOptions, UserOptions,
     document::{RawSection, read_document},
     problem::{ProblemList, suggest},
     section::read_section,
@@ -22,10 +23,25 @@
     for section in read_document(text, &mut problems) {
         reader.read(&section, &mut problems);
     }
-    let configuration = reader.assemble(&mut problems);
+    let part = reader.assemble(&mut problems);
+    check_users(&part, &reader, &mut problems);
+    let configuration = Configuration::join([&part]);
     problems.finish(configuration)
 }
 
+/// Reads one chunk of a configuration that was accepted as a whole.
+///
+/// What one chunk says of another, as a user of a service, was checked before it was accepted.
+pub fn read_part(text: &str) -> Result<ConfigurationPart, Problems> {
+    let mut problems = ProblemList::new("an accepted chunk");
+    let mut reader = Reader::default();
+    for section in read_document(text, &mut problems) {
+        reader.read(&section, &mut problems);
+    }
+    let part = reader.assemble(&mut problems);
+    problems.finish(part)
+}
+
 const KINDS: [&str; 9] = [
     ServiceOptions::KIND,
     GroupOptions::KIND,
@@ -55,9 +71,9 @@
     kinds: BTreeMap<(Name, Name), Placed<KindOptions>>,
     rules: Vec<(Name, Placed<RuleOptions>)>,
     users: BTreeMap<Name, UserOptions>,
-    leaving: LeavingOptions,
-    limits: LimitOptions,
-    failover: FailoverOptions,
+    leaving: Option<LeavingOptions>,
+    limits: Option<LimitOptions>,
+    failover: Option<FailoverOptions>,
 }
 
 impl Reader {
@@ -101,9 +117,9 @@
                     self.users.insert(user, placed.options);
                 }
             }
-            LeavingOptions::KIND => self.leaving = read_section(section, problems),
-            LimitOptions::KIND => self.limits = read_section(section, problems),
-            FailoverOptions::KIND => self.failover = read_section(section, problems),
+            LeavingOptions::KIND => self.leaving = Some(read_section(section, problems)),
+            LimitOptions::KIND => self.limits = Some(read_section(section, problems)),
+            FailoverOptions::KIND => self.failover = Some(read_section(section, problems)),
             other => problems.add_with(
                 section.line,
                 other,
@@ -113,19 +129,18 @@
         }
     }
 
-    fn assemble(mut self, problems: &mut ProblemList<'_>) -> Configuration {
+    fn assemble(&mut self, problems: &mut ProblemList<'_>) -> ConfigurationPart {
         self.check_parents(problems);
         let groups = self.assemble_groups(problems);
         let services = self.assemble_services(&groups, problems);
-        self.check_users(&services, problems);
         self.check_failover(problems);
-        Configuration {
+        ConfigurationPart {
             services,
             groups,
-            users: self.users,
-            leaving: self.leaving,
-            limits: self.limits,
-            failover: self.failover,
+            users: std::mem::take(&mut self.users),
+            leaving: self.leaving.take(),
+            limits: self.limits.take(),
+            failover: self.failover.take(),
         }
     }
 
@@ -158,7 +173,7 @@
         }
     }
 
-    fn assemble_groups(&mut self, problems: &mut ProblemList<'_>) -> BTreeMap<GroupId, Group> {
+    fn assemble_groups(&mut self, problems: &mut ProblemList<'_>) -> BTreeMap<GroupId, Arc<Group>> {
         let mut servers: BTreeMap<GroupId, Vec<Server>> = BTreeMap::new();
         let mut addresses = BTreeMap::new();
         for ((group, name), placed) in std::mem::take(&mut self.servers) {
@@ -181,7 +196,7 @@
         for (id, placed) in std::mem::take(&mut self.groups) {
             let servers = servers.remove(&id).unwrap_or_default();
             if let Some(group) = assemble_group(id, placed, servers, problems) {
-                groups.insert(group.id.clone(), group);
+                groups.insert(group.id.clone(), Arc::new(group));
             }
         }
         groups
@@ -189,10 +204,14 @@
 
     fn assemble_services(
         &mut self,
-        groups: &BTreeMap<GroupId, Group>,
+        groups: &BTreeMap<GroupId, Arc<Group>>,
         problems: &mut ProblemList<'_>,
-    ) -> BTreeMap<Name, Service> {
+    ) -> BTreeMap<Name, Arc<Service>> {
         let mut services = BTreeMap::new();
+        let mut names_of: BTreeMap<&Name, Vec<Name>> = BTreeMap::new();
+        for id in groups.keys() {
+            names_of.entry(&id.service).or_default().push(id.group.clone());
+        }
         for (name, placed) in std::mem::take(&mut self.services) {
             let names: Vec<Name> =
                 groups.keys().filter(|id| id.service == name).map(|id| id.group.clone()).collect();
@@ -227,28 +246,16 @@
             check_group_name(placed.options.group.as_ref(), &placed, &service.groups, problems);
             service.rules.push(placed.options);
         }
-        services
-    }
-
-    fn check_users(&self, services: &BTreeMap<Name, Service>, problems: &mut ProblemList<'_>) {
-        for (user, options) in &self.users {
-            for service in &options.services {
-                if !services.contains_key(service) {
-                    let line = self.line_of(UserOptions::KIND, user);
-                    let known = services.keys().map(|name| &**name);
-                    let message = format!("there is no [service {service}]");
-                    problems.add_with(line, "services", message, suggest(service, known));
-                }
-            }
-        }
+        services.into_iter().map(|(name, service)| (name, Arc::new(service))).collect()
     }
 
     fn check_failover(&self, problems: &mut ProblemList<'_>) {
         let line = self.line_of(FailoverOptions::KIND, "");
-        if self.failover.heartbeat_ms == 0 {
+        let Some(failover) = &self.failover else { return };
+        if failover.heartbeat_ms == 0 {
             problems.add(line, "heartbeat_ms", "must be above 0");
         }
-        if self.failover.suspect_after_ms < self.failover.heartbeat_ms {
+        if failover.suspect_after_ms < failover.heartbeat_ms {
             let message = "must not be below heartbeat_ms, or every pause looks like a failure";
             problems.add(line, "suspect_after_ms", message);
         }
@@ -259,6 +266,20 @@
     }
 }
 
+/// Notes users that are given services which don't exist.
+fn check_users(part: &ConfigurationPart, reader: &Reader, problems: &mut ProblemList<'_>) {
+    for (user, options) in &part.users {
+        for service in &options.services {
+            if !part.services.contains_key(service) {
+                let line = reader.line_of(UserOptions::KIND, user);
+                let known = part.services.keys().map(|name| &**name);
+                let message = format!("there is no [service {service}]");
+                problems.add_with(line, "services", message, suggest(service, known));
+            }
+        }
+    }
+}
+
 /// Reads a section whose name has `N` parts joined by slashes.
 fn read_named<T: Section, const N: usize>(
     section: &RawSection,
--- a/crates/config/src/configuration.rs
+++ b/crates/config/src/configuration.rs
@@ -1,6 +1,6 @@
 //! The shared configuration as the daemons use it.
 
-use std::{collections::BTreeMap, net::SocketAddr};
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
 
 use model::{GroupId, Name, ServerId};
 
@@ -111,9 +111,9 @@
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Configuration {
     /// The services by name.
-    pub services: BTreeMap<Name, Service>,
+    pub services: BTreeMap<Name, Arc<Service>>,
     /// The groups by name.
-    pub groups: BTreeMap<GroupId, Group>,
+    pub groups: BTreeMap<GroupId, Arc<Group>>,
     /// The users by name.
     pub users: BTreeMap<Name, UserOptions>,
     /// Rules for leaving endpoints.
@@ -123,3 +123,41 @@
     /// How failures are found and repaired.
     pub failover: FailoverOptions,
 }
+
+/// What one chunk of a configuration says.
+///
+/// A service stands in one chunk with everything beneath it, so chunks can be read one by one, and
+/// a change costs in proportion to itself.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct ConfigurationPart {
+    pub(crate) services: BTreeMap<Name, Arc<Service>>,
+    pub(crate) groups: BTreeMap<GroupId, Arc<Group>>,
+    pub(crate) users: BTreeMap<Name, UserOptions>,
+    pub(crate) leaving: Option<LeavingOptions>,
+    pub(crate) limits: Option<LimitOptions>,
+    pub(crate) failover: Option<FailoverOptions>,
+}
+
+impl Configuration {
+    /// Joins the parts of an accepted configuration, sharing what they hold.
+    pub fn join<'a>(parts: impl IntoIterator<Item = &'a ConfigurationPart>) -> Configuration {
+        let mut whole = Configuration::default();
+        for part in parts {
+            let shared = |(name, found): (&Name, &Arc<Service>)| (name.clone(), found.clone());
+            whole.services.extend(part.services.iter().map(shared));
+            let shared = |(id, found): (&GroupId, &Arc<Group>)| (id.clone(), found.clone());
+            whole.groups.extend(part.groups.iter().map(shared));
+            whole.users.extend(part.users.clone());
+            if let Some(leaving) = &part.leaving {
+                whole.leaving = leaving.clone();
+            }
+            if let Some(limits) = &part.limits {
+                whole.limits = limits.clone();
+            }
+            if let Some(failover) = &part.failover {
+                whole.failover = failover.clone();
+            }
+        }
+        whole
+    }
+}
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -16,9 +16,9 @@
 mod section;
 mod sections;
 
-pub use check::check_configuration;
+pub use check::{check_configuration, read_part};
 pub use chunks::{Chunk, ChunkHash, Head, assemble, split};
-pub use configuration::{Configuration, Group, Placement, Server, Service};
+pub use configuration::{Configuration, ConfigurationPart, Group, Placement, Server, Service};
 pub use host_settings::{
     ControlSettings, DaemonSettings, EndpointSettings, HostSettings, LogSettings, PlatformSettings,
     TlsSettings, TraceSettings,
--- a/crates/config/src/sections.rs
+++ b/crates/config/src/sections.rs
@@ -28,6 +28,8 @@
         replica_wait_ms: u64 = 0,
         /// Functions that change nothing, beside the built-in list, so that a `SELECT` of them may run on a replica.
         read_functions: Vec<Name> = Vec::new(),
+        /// The region whose daemons own the service's groups; unset means all daemons.
+        region: Option<Name> = None,
         /// The group of callers that name none and that no rule places.
         default_group: Option<Name> = None,
     }
--- a/crates/daemon/src/configuration_duty.rs
+++ b/crates/daemon/src/configuration_duty.rs
@@ -7,14 +7,16 @@
     time::Duration,
 };
 
-use config::{ChunkHash, Head, assemble, check_configuration};
+use config::{ChunkHash, Configuration, Head, read_part};
 use membership::{Member, MemberState, is_watcher};
 use model::Name;
-use peer::{Body, ChunkRequest, HeadRequest, HostListRequest};
+use peer::{Body, ChunkAnswer, ChunkRequest, HeadRequest, HostListRequest};
 use platform::{Entry, HostEntry, HostList, HostRole, HostState, KeyValueStore};
+use rand::seq::IndexedRandom;
 
 use crate::{
     apply::{chunk_key, head_key},
+    configuration_store::ReadChunk,
     context::{Context, News},
     gossip::{ask, spread},
     peers::Peers,
@@ -144,7 +146,10 @@
     }
 }
 
-/// Takes a head that the store gave, reading the chunks that are missing from the store.
+type Chunks = HashMap<ChunkHash, Arc<ReadChunk>>;
+
+/// Takes a head that the store gave. The chunks that are missing come from other daemons where one
+/// has them, so that a zone that starts at once does not fall upon the store.
 async fn take_head<P: KeyValueStore + 'static>(
     context: &Arc<Context>,
     peers: &Arc<Peers>,
@@ -159,10 +164,12 @@
         return;
     }
     let mut chunks = known_chunks(context, &head);
-    for hash in head.chunks.clone() {
-        if chunks.contains_key(&hash) {
-            continue;
-        }
+    if missing(&head, &chunks).len() > MOST_FROM_STORE
+        && let Some(address) = any_other(context)
+    {
+        take_from_peer(context, peers, address, &head, &mut chunks).await;
+    }
+    for hash in missing(&head, &chunks) {
         let (store, key) = (store.clone(), chunk_key(&context.settings.platform.prefix, &hash));
         let found = tokio::task::spawn_blocking(move || store.get(&key)).await;
         context.metrics.store_calls.with_label_values(&["chunk"]).inc();
@@ -170,18 +177,20 @@
             Ok(Ok(Some(entry))) => String::from_utf8(entry.value).ok(),
             _ => None,
         };
-        let Some(text) = text else {
+        if !text.is_some_and(|text| add_chunk(&mut chunks, &hash, text)) {
             log::warn!(revision = head.revision; "a chunk of the configuration can't be read yet");
             // The head was seen, but not taken; other daemons may have the rest.
             spread(context, peers, 1).await;
             return;
-        };
-        chunks.insert(hash, Arc::from(text));
+        }
     }
     install(context, head, chunks);
 }
 
-fn known_chunks(context: &Context, head: &Head) -> HashMap<ChunkHash, Arc<str>> {
+/// More missing chunks than this are asked for at another daemon first.
+const MOST_FROM_STORE: usize = 2;
+
+fn known_chunks(context: &Context, head: &Head) -> Chunks {
     let known = head
         .chunks
         .iter()
@@ -189,6 +198,57 @@
     known.collect()
 }
 
+fn missing(head: &Head, chunks: &Chunks) -> Vec<ChunkHash> {
+    head.chunks.iter().filter(|hash| !chunks.contains_key(hash)).cloned().collect()
+}
+
+/// Reads a chunk and keeps it; `false` if it does not match its name or can't be read.
+fn add_chunk(chunks: &mut Chunks, hash: &ChunkHash, text: String) -> bool {
+    if ChunkHash::of(&text) != *hash {
+        log::error!(chunk = hash.to_string().as_str(); "a chunk does not match its name");
+        return false;
+    }
+    match read_part(&text) {
+        Ok(part) => {
+            chunks.insert(hash.clone(), Arc::new(ReadChunk { text, part }));
+            true
+        }
+        Err(problems) => {
+            let problems = problems.to_string();
+            log::error!(
+                problems = problems.as_str();
+                "an accepted chunk can't be read by this version; the configuration in force stays"
+            );
+            false
+        }
+    }
+}
+
+fn any_other(context: &Context) -> Option<SocketAddr> {
+    let members = context.members.load();
+    let others: Vec<&Member> =
+        members.all().iter().filter(|member| member.key != context.key).collect();
+    others.choose(&mut rand::rng()).map(|member| member.peer_address)
+}
+
+/// Asks another daemon for the chunks that are missing, until it does not have one.
+async fn take_from_peer(
+    context: &Context,
+    peers: &Peers,
+    address: SocketAddr,
+    head: &Head,
+    chunks: &mut Chunks,
+) {
+    for hash in missing(head, chunks) {
+        let request = Body::ChunkRequest(ChunkRequest { hash: hash.0.clone() });
+        let answer = ask(context, peers, address, request).await;
+        let Some(Body::ChunkAnswer(ChunkAnswer { text: Some(text) })) = answer else { return };
+        if !add_chunk(chunks, &hash, text) {
+            return;
+        }
+    }
+}
+
 /// Gets the configuration from another daemon, moving only what is missing here.
 async fn fetch(context: &Arc<Context>, peers: &Arc<Peers>, address: SocketAddr) {
     let Some(Body::HeadAnswer(answer)) =
@@ -201,36 +261,15 @@
         return;
     }
     let mut chunks = known_chunks(context, &head);
-    for hash in &head.chunks {
-        if chunks.contains_key(hash) {
-            continue;
-        }
-        let request = Body::ChunkRequest(ChunkRequest { hash: hash.0.clone() });
-        let answer = ask(context, peers, address, request).await;
-        let Some(Body::ChunkAnswer(chunk)) = answer else { return };
-        let Some(text) = chunk.text else { return };
-        chunks.insert(hash.clone(), Arc::from(text));
+    take_from_peer(context, peers, address, &head, &mut chunks).await;
+    if missing(&head, &chunks).is_empty() {
+        install(context, head, chunks);
     }
-    install(context, head, chunks);
 }
 
-fn install(context: &Context, head: Head, chunks: HashMap<ChunkHash, Arc<str>>) {
-    let text = assemble(&head, |hash| chunks.get(hash).map(|text| &**text));
-    let Ok(text) = text else {
-        log::error!(revision = head.revision; "a chunk does not match its name; not installed");
-        return;
-    };
-    let configuration = match check_configuration("the accepted configuration", &text) {
-        Ok(configuration) => configuration,
-        Err(problems) => {
-            let problems = problems.to_string();
-            log::error!(
-                revision = head.revision, problems = problems.as_str();
-                "the accepted configuration can't be read by this version; the one in force stays"
-            );
-            return;
-        }
-    };
+fn install(context: &Context, head: Head, chunks: Chunks) {
+    let parts = head.chunks.iter().filter_map(|hash| chunks.get(hash));
+    let configuration = Configuration::join(parts.map(|chunk| &chunk.part));
     let revision = head.revision;
     if context.install(revision, configuration) {
         context.configuration_store.replace(head, chunks);
@@ -251,6 +290,7 @@
                 HostState::Leaving => MemberState::Leaving,
             };
             Member::new(host.host.clone(), host.availability_zone.clone(), host.address, state)
+                .in_region(host.region.clone())
         })
         .collect();
     let leaving = hosts
@@ -287,7 +327,8 @@
         }
         let state = if host.leaving { MemberState::Leaving } else { MemberState::Live };
         let zone = Name::from(host.availability_zone.as_str());
-        members.push(Member::new(Name::from(host.host.as_str()), zone, address, state));
+        let member = Member::new(Name::from(host.host.as_str()), zone, address, state);
+        members.push(member.in_region(Name::from(host.region.as_str())));
     }
     replace_hosts(context, answer.version, members, leaving);
 }
--- a/crates/daemon/src/configuration_store.rs
+++ b/crates/daemon/src/configuration_store.rs
@@ -2,13 +2,22 @@
 
 use std::{collections::HashMap, sync::Arc};
 
-use config::{ChunkHash, Head};
+use config::{ChunkHash, ConfigurationPart, Head};
 use parking_lot::RwLock;
 
 #[derive(Default)]
 struct Contents {
     head: Head,
-    chunks: HashMap<ChunkHash, Arc<str>>,
+    chunks: HashMap<ChunkHash, Arc<ReadChunk>>,
+}
+
+/// A chunk with what it says, so that it is read once and not with every change of another.
+#[derive(Debug)]
+pub(crate) struct ReadChunk {
+    /// Its text.
+    pub(crate) text: String,
+    /// What it says.
+    pub(crate) part: ConfigurationPart,
 }
 
 /// The head in force and its chunks.
@@ -24,12 +33,12 @@
     }
 
     /// Finds a chunk of the head in force.
-    pub(crate) fn chunk(&self, hash: &ChunkHash) -> Option<Arc<str>> {
+    pub(crate) fn chunk(&self, hash: &ChunkHash) -> Option<Arc<ReadChunk>> {
         self.contents.read().chunks.get(hash).cloned()
     }
 
     /// Takes over a newer head; chunks that it does not name are forgotten.
-    pub(crate) fn replace(&self, head: Head, mut chunks: HashMap<ChunkHash, Arc<str>>) {
+    pub(crate) fn replace(&self, head: Head, mut chunks: HashMap<ChunkHash, Arc<ReadChunk>>) {
         let mut contents = self.contents.write();
         if head.revision <= contents.head.revision {
             return;
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -90,6 +90,8 @@
     worked_out_at: Option<Instant>,
     list_version: u64,
     sets: HashMap<GroupId, Arc<Vec<Member>>>,
+    /// How often the members have changed.
+    changes: u64,
 }
 
 /// Suspicions come and go without a new list, so the members are looked at again this often.
@@ -176,7 +178,7 @@
         if let Some(known) = cache.sets.get(&group.id) {
             return known.clone();
         }
-        let members = cache.members.clone();
+        let members = self.members_for(group, &cache.members);
         let count = owner_count(group.options.owners, group.options.connections, members.len());
         let set: Vec<Member> = owners(&group.id, &members, count).into_iter().cloned().collect();
         let set = Arc::new(set);
@@ -184,6 +186,17 @@
         set
     }
 
+    /// Leaves out the daemons of other regions, where the service names its own.
+    fn members_for(&self, group: &Group, members: &Arc<Vec<Member>>) -> Arc<Vec<Member>> {
+        let in_force = self.in_force.load();
+        let service = in_force.configuration.services.get(&group.id.service);
+        let Some(region) = service.and_then(|service| service.options.region.as_ref()) else {
+            return members.clone();
+        };
+        let inside = members.iter().filter(|member| member.region == *region);
+        Arc::new(inside.cloned().collect())
+    }
+
     fn refresh_owners(&self, cache: &mut OwnerCache) {
         let now = Instant::now();
         let members = self.members.load();
@@ -201,12 +214,31 @@
         if *cache.members != usable {
             cache.members = Arc::new(usable);
             cache.sets.clear();
+            cache.changes += 1;
         }
     }
 
-    /// Forgets owner sets, as when a configuration changes the number of owners.
-    pub(crate) fn forget_owners(&self) {
-        *self.owner_cache.lock() = OwnerCache::default();
+    /// Returns a number that changes whenever this daemon may own other groups than before.
+    pub(crate) fn ownership_version(&self) -> (u64, u64) {
+        let mut cache = self.owner_cache.lock();
+        self.refresh_owners(&mut cache);
+        (self.in_force.load().revision, cache.changes)
+    }
+
+    /// Makes the next look at the members a fresh one, as when this daemon stops.
+    pub(crate) fn forget_members(&self) {
+        self.owner_cache.lock().worked_out_at = None;
+    }
+
+    /// Forgets the owners of groups that a configuration has changed.
+    fn forget_changed_owners(&self, before: &Configuration, after: &Configuration) {
+        let same = |id: &GroupId| {
+            let group = before.groups.get(id).zip(after.groups.get(id));
+            let service = before.services.get(&id.service).zip(after.services.get(&id.service));
+            group.is_some_and(|(old, new)| Arc::ptr_eq(old, new))
+                && service.is_some_and(|(old, new)| Arc::ptr_eq(old, new))
+        };
+        self.owner_cache.lock().sets.retain(|id, _| same(id));
     }
 
     /// Whether this daemon owns a group; a daemon that knows no others owns every group.
@@ -245,6 +277,7 @@
             return false;
         }
         let configuration = Arc::new(configuration);
+        let before = self.in_force.load_full();
         self.in_force.store(Arc::new(InForce { revision, configuration: configuration.clone() }));
         groups.retain(|id, group| match group_options(&configuration, id) {
             Some(options) if options.group.servers_match(&group.in_force.load().group) => {
@@ -263,7 +296,7 @@
         });
         drop(groups);
         self.metrics.revision.set(i64::try_from(revision).unwrap_or(i64::MAX));
-        self.forget_owners();
+        self.forget_changed_owners(&before.configuration, &configuration);
         true
     }
 
--- a/crates/daemon/src/control_messages.rs
+++ b/crates/daemon/src/control_messages.rs
@@ -23,7 +23,7 @@
         Body::HeadRequest(_) => Some(Body::HeadAnswer(head_answer(context))),
         Body::ChunkRequest(request) => {
             let chunk = context.configuration_store.chunk(&ChunkHash(request.hash));
-            Some(Body::ChunkAnswer(ChunkAnswer { text: chunk.map(|text| text.to_string()) }))
+            Some(Body::ChunkAnswer(ChunkAnswer { text: chunk.map(|chunk| chunk.text.clone()) }))
         }
         Body::HostListRequest(_) => Some(Body::HostListAnswer(host_list_answer(context))),
         Body::ViewRequest(request) => Some(Body::ViewAnswer(view_answer(context, &request))),
@@ -55,6 +55,7 @@
     let daemons = members.all().iter().map(|member| HostNote {
         host: member.host.to_string(),
         availability_zone: member.availability_zone.to_string(),
+        region: member.region.to_string(),
         address: member.peer_address.to_string(),
         endpoint: false,
         leaving: member.state == membership::MemberState::Leaving,
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -159,7 +159,7 @@
         let limit = self.context.in_force.load().configuration.limits.stop_ms;
         let until = Instant::now() + Duration::from_millis(limit);
         self.context.stopping.send_replace(true);
-        self.context.forget_owners();
+        self.context.forget_members();
         self.tell_others();
         let finished = self.wait_for_work(until);
         log::info!(finished; "the daemon has stopped");
--- a/crates/daemon/src/group_state.rs
+++ b/crates/daemon/src/group_state.rs
@@ -29,8 +29,8 @@
 /// The parts of the configuration that a group's work depends on.
 #[derive(Clone, Debug)]
 pub(crate) struct GroupOptionsInForce {
-    pub(crate) group: Group,
-    pub(crate) service: Service,
+    pub(crate) group: Arc<Group>,
+    pub(crate) service: Arc<Service>,
     pub(crate) configuration: Arc<Configuration>,
 }
 
--- a/crates/daemon/src/watch_duty.rs
+++ b/crates/daemon/src/watch_duty.rs
@@ -32,8 +32,13 @@
     let timeout = Duration::from_millis(context.settings.control.peer_timeout_ms);
     let peers = Arc::new(Peers::new(timeout));
     let mut watched: HashSet<GroupId> = HashSet::new();
+    let mut taken_up = None;
     loop {
-        take_up_owned(&context);
+        // With many groups configured, looking at all of them is only worth it after a change.
+        let version = context.ownership_version();
+        if taken_up.replace(version) != Some(version) {
+            take_up_owned(&context);
+        }
         give_up_unused(&context);
         let held = context.held_groups();
         watched.retain(|id| held.iter().any(|group| group.id == *id));
--- a/crates/membership/src/members.rs
+++ b/crates/membership/src/members.rs
@@ -17,6 +17,8 @@
     pub host: Name,
     /// A hash of the name, made once, for rendezvous hashing and for ordering.
     pub key: u64,
+    /// The region; empty where the host list names none.
+    pub region: Name,
     /// The availability zone.
     pub availability_zone: Name,
     /// Where other daemons connect.
@@ -34,7 +36,14 @@
         state: MemberState,
     ) -> Member {
         let key = xxh3_64(host.as_bytes());
-        Member { host, key, availability_zone, peer_address, state }
+        let region = Name::from("");
+        Member { host, key, region, availability_zone, peer_address, state }
+    }
+
+    /// Sets the region.
+    pub fn in_region(mut self, region: Name) -> Member {
+        self.region = region;
+        self
     }
 }
 
--- a/crates/peer/src/messages.rs
+++ b/crates/peer/src/messages.rs
@@ -413,4 +413,7 @@
     /// Whether it is leaving.
     #[prost(bool, tag = "5")]
     pub leaving: bool,
+    /// Its region.
+    #[prost(string, tag = "6")]
+    pub region: String,
 }
--- a/crates/platform/src/consul_client.rs
+++ b/crates/platform/src/consul_client.rs
@@ -202,10 +202,11 @@
         Some("leaving") => HostState::Leaving,
         _ => HostState::Live,
     };
-    let zone = node.meta.get("availability_zone").map(String::as_str).unwrap_or_default();
+    let named = |key: &str| Name::from(node.meta.get(key).map(String::as_str).unwrap_or_default());
     Some(HostEntry {
         host: Name::from(node.node.as_str()),
-        availability_zone: Name::from(zone),
+        region: named("region"),
+        availability_zone: named("availability_zone"),
         address,
         role,
         state,
--- a/crates/platform/src/consul_messages.rs
+++ b/crates/platform/src/consul_messages.rs
@@ -19,7 +19,7 @@
 /// A node as `GET /v1/catalog/nodes` returns it.
 ///
 /// The node's metadata carries what wardtiller needs: `role` (`daemon` or `endpoint`), `state`
-/// (`live` or `leaving`), `availability_zone` and `port`.
+/// (`live` or `leaving`), `region`, `availability_zone` and `port`.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(rename_all = "PascalCase")]
 pub struct CatalogNode {
--- a/crates/platform/src/host_list.rs
+++ b/crates/platform/src/host_list.rs
@@ -29,6 +29,8 @@
 pub struct HostEntry {
     /// Its name.
     pub host: Name,
+    /// Its region; empty where the list names none.
+    pub region: Name,
     /// Its availability zone.
     pub availability_zone: Name,
     /// The address that matters for its role: a daemon's peer address, an endpoint's own.
--- a/crates/wardtiller/src/sizing.rs
+++ b/crates/wardtiller/src/sizing.rs
@@ -82,8 +82,8 @@
     pub owned_group_bytes: f64,
     /// Bytes of a group in the configuration's text.
     pub group_text_bytes: f64,
-    /// Processor time to check the configuration, in microseconds for each group.
-    pub check_cpu_us_per_group: f64,
+    /// Processor time to take a change over, in microseconds for each configured group.
+    pub change_cpu_us_per_group: f64,
     /// Processor time to choose the owners of a group, in nanoseconds for each member.
     pub owners_cpu_ns_per_member: f64,
 }
@@ -160,7 +160,7 @@
             role: "configuration",
             messages_per_s: 4.0 * changes_per_s,
             bytes_per_s: changes_per_s * (change_bytes + head_bytes),
-            core_share: changes_per_s * size.groups * slopes.check_cpu_us_per_group / 1e6,
+            core_share: changes_per_s * size.groups * slopes.change_cpu_us_per_group / 1e6,
             memory_bytes: size.groups * (slopes.configured_group_bytes + slopes.group_text_bytes),
         },
     ]
@@ -200,14 +200,16 @@
 }
 
 /// Works out the store's load. A watcher renews its watch every 30 s; a daemon that does not watch
-/// looks once a minute; a daemon that starts reads the head, the host list and every chunk.
-pub fn store_load(size: &PlannedSize, plan: &ControlPlan, slopes: &Slopes) -> StoreLoad {
+/// looks once a minute; a daemon that starts reads the head and the host list, and gets the chunks
+/// from another daemon.
+pub fn store_load(size: &PlannedSize, plan: &ControlPlan) -> StoreLoad {
     let watchers = size.zones * plan.watchers_per_zone;
     let others = size.daemons - watchers;
     let calm = watchers / 30.0 + watchers / plan.host_list_s + others / 60.0;
+    // The head and the one chunk that changed.
     let reads_per_change = watchers * 2.0;
     let changes_per_s = size.changes_per_day / SECONDS_PER_DAY;
-    let per_start = 2.0 + chunks(size, slopes);
+    let per_start = 2.0;
     let starts_per_s = size.restarts_per_day / SECONDS_PER_DAY;
     StoreLoad {
         waiting_watches: watchers,
