--- a/crates/daemon/src/group_state.rs
+++ b/crates/daemon/src/group_state.rs
@@ -51,6 +51,29 @@
     used_at: Mutex<Instant>,
 }
 
+/// What the other servers are to confirm.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct EvidenceQuestion<'a> {
+    /// What an acknowledgement waits for.
+    pub(crate) rule: Acknowledge,
+    /// Where the write, or the position asked about, stands.
+    pub(crate) point: LogPoint,
+    /// The primary.
+    pub(crate) primary: ServerId,
+    /// What the primary said behind its answer.
+    pub(crate) primary_status: &'a ServerStatus,
+    /// Until when to wait.
+    pub(crate) deadline: Instant,
+}
+
+impl EvidenceQuestion<'_> {
+    fn judge(&self, answers: &[Arc<ServerStatus>], servers: usize) -> Evidence {
+        let others: Vec<SecondStatus<'_>> =
+            answers.iter().map(|status| SecondStatus { status }).collect();
+        judge_evidence(self.rule, self.point, self.primary_status, &others, servers)
+    }
+}
+
 /// An interval between two rounds of questions for evidence that was not there yet.
 const EVIDENCE_INTERVAL: Duration = Duration::from_millis(1);
 
@@ -205,18 +228,10 @@
     }
 
     /// Waits until enough other servers confirm a write or a position of the primary.
-    pub(crate) async fn evidence(
-        &self,
-        rule: Acknowledge,
-        write: LogPoint,
-        primary: ServerId,
-        primary_status: &ServerStatus,
-        deadline: Instant,
-    ) -> Evidence {
-        let servers = self.links.len();
+    pub(crate) async fn evidence(&self, question: EvidenceQuestion<'_>) -> Evidence {
         loop {
-            match self.evidence_round(rule, write, primary, primary_status, deadline).await {
-                Evidence::Wait if servers > 1 && Instant::now() < deadline => {
+            match self.evidence_round(&question).await {
+                Evidence::Wait if self.links.len() > 1 && Instant::now() < question.deadline => {
                     tokio::time::sleep(EVIDENCE_INTERVAL).await;
                 }
                 evidence => return evidence,
@@ -225,35 +240,23 @@
     }
 
     /// Asks every other server once, ending as soon as the answers suffice.
-    async fn evidence_round(
-        &self,
-        rule: Acknowledge,
-        write: LogPoint,
-        primary: ServerId,
-        primary_status: &ServerStatus,
-        deadline: Instant,
-    ) -> Evidence {
+    async fn evidence_round(&self, question: &EvidenceQuestion<'_>) -> Evidence {
         let servers = self.links.len();
         let mut answers: Vec<Arc<ServerStatus>> = Vec::with_capacity(servers);
         let mut asking: FuturesUnordered<_> = (0..servers)
             .map(ServerId::from_index)
-            .filter(|server| *server != primary)
+            .filter(|server| *server != question.primary)
             .map(|server| self.ask(server))
             .collect();
-        let judge = |answers: &[Arc<ServerStatus>]| {
-            let others: Vec<SecondStatus<'_>> =
-                answers.iter().map(|status| SecondStatus { status }).collect();
-            judge_evidence(rule, write, primary_status, &others, servers)
-        };
-        let mut evidence = judge(&answers);
-        let until = tokio::time::Instant::from_std(deadline);
+        let until = tokio::time::Instant::from_std(question.deadline);
+        let mut evidence = question.judge(&answers, servers);
         while evidence == Evidence::Wait {
             match tokio::time::timeout_at(until, asking.next()).await {
                 Ok(Some(Ok(answer))) => answers.push(answer.status),
                 Ok(Some(Err(_))) => continue,
                 Ok(None) | Err(_) => return evidence,
             }
-            evidence = judge(&answers);
+            evidence = question.judge(&answers, servers);
         }
         evidence
     }
--- a/crates/daemon/src/read_index.rs
+++ b/crates/daemon/src/read_index.rs
@@ -9,7 +9,7 @@
 use failover::Evidence;
 use model::LogPoint;
 
-use crate::group_state::GroupState;
+use crate::group_state::{EvidenceQuestion, GroupState};
 
 /// Requests that may wait for the next round.
 const RING_REQUESTS: usize = 4_096;
@@ -66,9 +66,14 @@
     let primary = group.board.read().primary.ok_or(NoIndex::NoPrimary)?;
     let answer = group.ask(primary).await.map_err(|_| NoIndex::NoPrimary)?;
     let point = answer.status.held();
-    let deadline = Instant::now() + ROUND_TIMEOUT;
-    let evidence =
-        group.evidence(Acknowledge::Term, point, primary, &answer.status, deadline).await;
+    let question = EvidenceQuestion {
+        rule: Acknowledge::Term,
+        point,
+        primary,
+        primary_status: &answer.status,
+        deadline: Instant::now() + ROUND_TIMEOUT,
+    };
+    let evidence = group.evidence(question).await;
     if evidence != Evidence::Enough {
         return Err(NoIndex::NotConfirmed);
     }
--- a/crates/daemon/src/run_read.rs
+++ b/crates/daemon/src/run_read.rs
@@ -11,6 +11,7 @@
 use crate::{
     endpoint_connection::{AnswerSink, JobAnswer, Probe, Proof, RunOptions},
     executor::{JobEnd, JobRun, NO_FRESH_RETRY_MS, Pinned},
+    group_state::EvidenceQuestion,
     pool::PooledConnection,
     read_index::NoIndex,
 };
@@ -201,10 +202,14 @@
             return self.rejected(server, shown, connection, &answer);
         }
         if confirm && let Some(status) = &answer.status {
-            let point = status.held();
-            let evidence =
-                self.group.evidence(Acknowledge::Term, point, server, status, self.deadline);
-            if evidence.await != Evidence::Enough {
+            let question = EvidenceQuestion {
+                rule: Acknowledge::Term,
+                point: status.held(),
+                primary: server,
+                primary_status: status,
+                deadline: self.deadline,
+            };
+            if self.group.evidence(question).await != Evidence::Enough {
                 let refusal = Refusal::not_run(
                     RefusalReason::NoFreshServer,
                     "no second server confirms that the primary still leads",
--- a/crates/daemon/src/run_write.rs
+++ b/crates/daemon/src/run_write.rs
@@ -11,7 +11,7 @@
 use crate::{
     endpoint_connection::{AnswerSink, JobAnswer, Probe, Proof, RunOptions},
     executor::{JobEnd, JobRun, NO_FRESH_RETRY_MS, Pinned},
-    group_state::WritingGuard,
+    group_state::{EvidenceQuestion, WritingGuard},
 };
 
 /// PostgreSQL's code for a write that a server refused because it does not take writes.
@@ -196,7 +196,14 @@
         let write = status.held();
         let started = Instant::now();
         let wait = Duration::from_millis(self.options().acknowledge_timeout_ms);
-        let evidence = self.group.evidence(rule, write, server, status, started + wait).await;
+        let question = EvidenceQuestion {
+            rule,
+            point: write,
+            primary: server,
+            primary_status: status,
+            deadline: started + wait,
+        };
+        let evidence = self.group.evidence(question).await;
         let service = &*self.group.id.service;
         let seconds = started.elapsed().as_secs_f64();
         self.context.metrics.evidence_seconds.with_label_values(&[service]).observe(seconds);
