fix(session): a sample of what a promotion dropped no longer refuses reads

Ruled out: retries (the refusals came with budget left) and the replicas' lag.

Change: such a point is moved down to where its term ended; what was kept of everything before it is there. A read index is judged as freshness, not as the session's own write, so that it can't be told as lost.

Measured: a table in tests/session.rs fails before and passes after; the failover test reads with stated staleness behind each of its faults.

--- a/crates/daemon/src/run_read.rs
+++ b/crates/daemon/src/run_read.rs
@@ -104,7 +104,7 @@
             return Ok(ReadRequirement { session, freshness: None });
         }
         let point = self.read_index().await?;
-        Ok(ReadRequirement { session: session.max(Some(point)), freshness: None })
+        Ok(ReadRequirement { session, freshness: Some(point) })
     }
 
     /// Asks for the read index until there is one or the deadline passes.
@@ -135,7 +135,9 @@
 
     fn route(&self, requirement: ReadRequirement, avoid: Option<ServerId>) -> ReadRoute {
         let candidates = self.group.candidates(self.context);
-        let point = requirement.session.max(requirement.freshness).unwrap_or_default();
+        let freshness =
+            requirement.freshness.map(|point| self.group.board.read().history.clamp(point));
+        let point = requirement.session.max(freshness).unwrap_or_default();
         let primary_only = self.options().untracked_reads == UntrackedReads::Primary
             && !self.job.tracked
             && self.staleness().is_none();
--- a/crates/session/src/requirement.rs
+++ b/crates/session/src/requirement.rs
@@ -39,9 +39,9 @@
             return Shown::Behind;
         }
     }
-    match requirement.freshness {
-        // A sample can be of a term that ended below it; only its position's survival matters.
-        Some(point) if history.standing(point) == Standing::Lost => Shown::Behind,
+    // A sample may cover writes that nobody was told of and that a promotion dropped; what was kept
+    // of everything before it ends where the later term began.
+    match requirement.freshness.map(|point| history.clamp(point)) {
         Some(point) if !reaches(point, status, &history) => Shown::Behind,
         _ => Shown::Enough,
     }
--- a/crates/session/src/term_history.rs
+++ b/crates/session/src/term_history.rs
@@ -53,6 +53,15 @@
         }
     }
 
+    /// Returns a point moved down to where its own term's history ended, if a later term began below
+    /// it. Whatever was kept of what stood at or before the point stands at or before the result.
+    pub fn clamp(&self, point: LogPoint) -> LogPoint {
+        match self.end_of(point.term) {
+            Some(end) if point.position > end => LogPoint { position: end, ..point },
+            _ => point,
+        }
+    }
+
     /// Returns the lowest position at which a later term began; `None` for the latest term.
     fn end_of(&self, term: Term) -> Option<Position> {
         let later = self.starts.iter().rev().take_while(|start| start.term > term);
--- a/crates/session/tests/session.rs
+++ b/crates/session/tests/session.rs
@@ -137,6 +137,21 @@
     }
 }
 
+#[test]
+fn a_sample_of_what_a_promotion_dropped_asks_for_what_was_kept() {
+    // The old primary was sampled at 150; the new term began at 100.
+    let new = [(1, 0), (2, 100)];
+    let rows = [(99, Shown::Behind), (100, Shown::Enough), (120, Shown::Enough)];
+    for (applied, expected) in rows {
+        let requirement = ReadRequirement { session: None, freshness: Some(LogPoint::new(1, 150)) };
+        let judged = judge(requirement, &server(&new, applied), &history(&new));
+        assert_eq!(judged, expected, "at {applied}");
+    }
+    assert_eq!(history(&new).clamp(LogPoint::new(1, 150)), LogPoint::new(1, 100));
+    assert_eq!(history(&new).clamp(LogPoint::new(1, 70)), LogPoint::new(1, 70));
+    assert_eq!(history(&new).clamp(LogPoint::new(2, 150)), LogPoint::new(2, 150));
+}
+
 #[test]
 fn staleness_is_bounded_by_samples() {
     let began = Instant::now();
--- a/crates/wardtiller/tests/failover.rs
+++ b/crates/wardtiller/tests/failover.rs
@@ -76,6 +76,8 @@
                     acknowledged.push(id.to_string());
                 }
             }
+            let kind = "SELECT count(*) FROM orders /* wardtiller.read_kind='menu' */";
+            value(&client, kind).await;
             let leader = group.primary().expect("a new primary leads");
             assert_ne!(leader.address(), old.address(), "{name}: somebody else leads");
             let other = connect(system.caller_addresses()[1], "").await;
