fix(membership): a daemon takes up no groups before it knows the others

Cause: a daemon whose member list was still empty took every group for its own and kept its control connections for a minute, so that with more daemons than a server has connections the true owners got none. Found by examples/sizing.rs with 32 daemons before servers of 25 connections.

Change: groups are taken up once members are known, and given up after 5 s without use by a daemon that does not own them. A daemon that knows nobody still serves what it is asked for.

The new test with 6 daemons before 4 connections also passed before the change, so it guards the outcome but did not show the cause.

--- a/crates/daemon/src/watch_duty.rs
+++ b/crates/daemon/src/watch_duty.rs
@@ -25,7 +25,7 @@
 const LOOK_INTERVAL: Duration = Duration::from_millis(200);
 
 /// A group that is neither owned nor used for this long is given up.
-const UNUSED_KEPT: Duration = Duration::from_secs(60);
+const UNUSED_KEPT: Duration = Duration::from_secs(5);
 
 /// Starts and ends the watch of each group.
 pub(crate) async fn watch_groups<P: KeyValueStore + 'static>(context: Arc<Context>, store: Arc<P>) {
@@ -54,7 +54,12 @@
     }
 }
 
+/// Takes up the groups that this daemon is to own. Until it knows the other daemons it would take all
+/// of them for its own, and hold connections that the true owners need.
 fn take_up_owned(context: &Context) {
+    if context.members.load().all().is_empty() {
+        return;
+    }
     let in_force = context.in_force.load_full();
     for (id, group) in &in_force.configuration.groups {
         if context.owns(group) {
--- a/crates/wardtiller/tests/whole_path.rs
+++ b/crates/wardtiller/tests/whole_path.rs
@@ -2,7 +2,8 @@
 
 mod common;
 
-use common::{block_on, column, connect, small_system, value};
+use common::{SMALL, block_on, column, connect, small_system, start, value};
+use wardtiller::local_system::LocalSystemOptions;
 
 #[test]
 fn a_session_reads_its_own_writes_on_another_daemon() {
@@ -69,3 +70,18 @@
         assert_eq!(value(&client, "SELECT 1").await, "1");
     });
 }
+
+#[test]
+fn more_daemons_than_connections_share_a_group() {
+    let text = SMALL.replace("connections = 12", "connections = 4");
+    let system = start(&text, LocalSystemOptions::default().daemons(6));
+    block_on(async {
+        for address in system.caller_addresses() {
+            let client = connect(address, "").await;
+            assert_eq!(value(&client, "SELECT 1").await, "1");
+        }
+    });
+    let owning = system.daemons.iter().flatten();
+    let owners = owning.filter(|daemon| daemon.show().groups_to_own == 1).count();
+    assert_eq!(owners, 2);
+}
