fix(failover): a former primary can't vouch for a write or a read index

Cause: the evidence took the write's term from the status behind it. A primary that was paused between the write and that status may wake as a follower of a newer term: its status then shows the new term's history, which the other servers rightly confirm, so a write that was dropped would have been acknowledged. A read index asked of such a server would have been a follower's lagging position. Found by following one write step by step. Ruled out as a guard: the daemon's own news of the new primary, which may come later than the answer.

Change: a write stands in the term that it was admitted in, a transaction's in the one that it began in; a primary whose role or term differs from that gives no evidence, and the verdict is that the request may have run. A transaction that began in another term than admitted is begun again.

Measured: the new rows in tests/evidence.rs judged Enough before, Deposed after, under both rules; the whole suite passes.

A test that pauses a real server between the two is still to be written.

--- a/crates/daemon/src/executor.rs
+++ b/crates/daemon/src/executor.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use membership::WorkAllowed;
-use model::{GroupId, LogPoint, Priority, Refusal, RefusalReason, ServerId, ServerStatus};
+use model::{GroupId, LogPoint, Priority, Refusal, RefusalReason, ServerId, ServerStatus, Term};
 use peer::{Job, Point};
 use routing::Request;
 use xxhash_rust::xxh3::xxh3_64;
@@ -25,6 +25,8 @@
 pub(crate) struct Pinned {
     pub(crate) connection: PooledConnection,
     pub(crate) server: ServerId,
+    /// The term in which the transaction began.
+    pub(crate) term: Term,
     pub(crate) wrote: bool,
     pub(crate) by_replica: bool,
     /// Counts the transaction for as long as it may write.
--- a/crates/daemon/src/run_read.rs
+++ b/crates/daemon/src/run_read.rs
@@ -223,7 +223,9 @@
         if answer.transaction == b'I' {
             connection.give_back();
         } else {
-            *pinned = Some(Pinned { connection, server, wrote: false, by_replica, _writing: None });
+            let term = answer.status.as_ref().map(|status| status.log_term).unwrap_or_default();
+            let wrote = false;
+            *pinned = Some(Pinned { connection, server, term, wrote, by_replica, _writing: None });
         }
         Ok(ReadAttempt::Answered(end))
     }
--- a/crates/daemon/src/run_write.rs
+++ b/crates/daemon/src/run_write.rs
@@ -4,7 +4,7 @@
 
 use config::{Acknowledge, UntrackedReads};
 use failover::Evidence;
-use model::{Priority, Refusal, RefusalReason, ServerId, ServerStatus, Term, Verdict};
+use model::{LogPoint, Priority, Refusal, RefusalReason, ServerId, ServerStatus, Term, Verdict};
 use routing::{WriteRoute, WriteRules, route_write};
 use session::Standing;
 
@@ -73,8 +73,11 @@
             if let Some(status) = &answer.status {
                 self.group.note_proof(server, status);
             }
-            let began_at_old =
-                !self.job.writes && answer.status.as_ref().is_some_and(|status| !status.leads());
+            let began_at_old = !self.job.writes
+                && answer
+                    .status
+                    .as_ref()
+                    .is_some_and(|status| !status.leads() || status.log_term != admitted.term);
             if began_at_old && !sink.has_begun() {
                 // Nothing but a transaction was begun there, and it ends with the connection.
                 self.wait_or_refuse(self.group.no_primary()).await?;
@@ -91,6 +94,7 @@
                 *pinned = Some(Pinned {
                     connection,
                     server,
+                    term: admitted.term,
                     wrote: self.job.writes,
                     by_replica: false,
                     _writing: Some(writing),
@@ -98,7 +102,7 @@
                 return Ok(end);
             }
             connection.give_back();
-            return self.acknowledge(server, admitted.rule, self.job.writes, answer).await;
+            return self.acknowledge(admitted, self.job.writes, answer).await;
         }
     }
 
@@ -184,16 +188,17 @@
     /// Waits for evidence and acknowledges a write that has been committed.
     async fn acknowledge(
         &self,
-        server: ServerId,
-        rule: Acknowledge,
+        admitted: AdmittedWrite,
         wrote: bool,
         answer: JobAnswer,
     ) -> Result<JobEnd, Refusal> {
+        let AdmittedWrite { server, term, rule } = admitted;
         let nothing_committed = !wrote || (answer.error_code.is_some() && !answer.completed);
         let Some(status) = answer.status.as_ref().filter(|_| !nothing_committed) else {
             return Ok(self.end(server, false, None, &answer));
         };
-        let write = status.held();
+        // The write stands in the term that it was admitted in, whatever the server is by now.
+        let write = LogPoint { term, position: status.held_position };
         let started = Instant::now();
         let wait = Duration::from_millis(self.options().acknowledge_timeout_ms);
         let question = EvidenceQuestion {
@@ -252,7 +257,8 @@
         pin.connection.give_back();
         if hold {
             let rule = self.options().acknowledge;
-            return self.acknowledge(server, rule, pin.wrote, answer).await;
+            let admitted = AdmittedWrite { server, term: pin.term, rule };
+            return self.acknowledge(admitted, pin.wrote, answer).await;
         }
         Ok(self.end(server, pin.by_replica, None, &answer))
     }
--- a/crates/failover/src/evidence.rs
+++ b/crates/failover/src/evidence.rs
@@ -1,7 +1,7 @@
 //! Whether a write may be acknowledged, by evidence and without a clock.
 
 use config::Acknowledge;
-use model::{LogPoint, ServerStatus};
+use model::{LogPoint, ServerRole, ServerStatus};
 
 /// The status of a server other than the primary, asked for after the primary had answered.
 #[derive(Clone, Copy, Debug)]
@@ -37,6 +37,10 @@
     others: &[SecondStatus<'_>],
     servers: usize,
 ) -> Evidence {
+    // A server that has changed its term or role since tells of another history than the write's.
+    if primary.role != ServerRole::Primary || primary.log_term != write.term {
+        return Evidence::Deposed;
+    }
     let majority = servers / 2 + 1;
     let same_term = |status: &ServerStatus| status.promised_term == write.term;
     let confirms = |status: &ServerStatus| {
--- a/crates/failover/tests/evidence.rs
+++ b/crates/failover/tests/evidence.rs
@@ -64,6 +64,26 @@
     }
 }
 
+/// A primary that was paused between the write and its status may wake as a follower of a newer term:
+/// its status then tells of another history, which the others rightly confirm, and not of the write.
+#[test]
+fn a_former_primary_can_not_vouch_for_its_write() {
+    let other = status(ServerRole::Replica, 4, 4, 10);
+    let others = [SecondStatus { status: &other }, SecondStatus { status: &other }];
+    let rows = [
+        ("it follows the newer term", status(ServerRole::Replica, 4, 4, 10), 4),
+        ("the same, judged in the write's term", status(ServerRole::Replica, 4, 4, 10), 3),
+        ("it leads again, in a later term", status(ServerRole::Primary, 4, 4, 10), 3),
+    ];
+    for (name, primary, term) in rows {
+        for rule in [Acknowledge::Majority, Acknowledge::Term] {
+            let write = LogPoint::new(term, 10);
+            let judged = judge_evidence(rule, write, &primary, &others, 3);
+            assert_eq!(judged, Evidence::Deposed, "{name} under {rule:?}");
+        }
+    }
+}
+
 #[test]
 fn a_group_of_one_needs_nobody_else() {
     let write = LogPoint::new(1, 5);
