--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -12,6 +12,7 @@
 mod host_settings;
 mod option_value;
 mod problem;
+mod proxy_settings;
 mod reference;
 mod section;
 mod sections;
@@ -27,6 +28,9 @@
     Acknowledge, LogLevel, OptionValue, OwnerCount, ReadPolicy, UntrackedReads, WhenBehind,
 };
 pub use problem::{Problem, Problems};
+pub use proxy_settings::{
+    LeadershipSettings, MetadataSettings, ProxyDaemonSettings, ProxySettings,
+};
 pub use reference::reference_page;
 pub use section::{OptionDoc, Section};
 pub use sections::{
--- /dev/null
+++ b/crates/config/src/proxy_settings.rs
@@ -0,0 +1,149 @@
+//! The settings of one host whose daemon serves a fleet that keeps everything shared in a metadata
+//! store: see `docs/PLATFORM.md`.
+
+use std::net::SocketAddr;
+
+use model::Name;
+
+use crate::{
+    document::read_document,
+    host_settings::LogSettings,
+    problem::{ProblemList, Problems, suggest},
+    section::{Section, read_section, section},
+};
+
+section! {
+    /// The daemon of this host.
+    ProxyDaemonSettings in "daemon" named "" {
+        /// The name of the host, unique among the daemons.
+        host: Name = Name::from(""),
+        /// The availability zone that the host stands in.
+        availability_zone: Name = Name::from(""),
+        /// Where callers connect.
+        listen: Option<SocketAddr> = None,
+        /// Where the load balancer asks whether this daemon takes new connections.
+        ready_listen: Option<SocketAddr> = None,
+        /// Where operators read metrics; unset means nowhere.
+        metrics_listen: Option<SocketAddr> = None,
+        /// The time from the signal to stop until the process is killed.
+        stop_grace_ms: u64 = 6_000,
+        /// The descriptors that the process may open; half of them at most go to callers.
+        descriptors: u64 = 4_096,
+    }
+}
+
+section! {
+    /// The store that holds the configuration, the servers' entries and what daemons agree on.
+    MetadataSettings in "metadata" named "" {
+        /// Its IP number and port.
+        address: Option<SocketAddr> = None,
+        /// The prefix of every key that belongs to the daemons.
+        prefix: Name = Name::from("wardtiller/"),
+        /// How long a read may take; a later answer is of no more use.
+        read_timeout_ms: u64 = 1_000,
+        /// How long a write may take before its outcome is read back.
+        write_timeout_ms: u64 = 1_500,
+        /// How long one watch waits before it is renewed; also how soon a cut is noticed.
+        watch_wait_ms: u64 = 4_000,
+        /// How long a member's lease lasts without a renewal, and so the duty to promote.
+        lease_ms: u64 = 2_500,
+    }
+}
+
+section! {
+    /// Who leads a group, and how that is known.
+    LeadershipSettings in "leadership" named "" {
+        /// Where promotions are ordered.
+        order_address: Option<SocketAddr> = None,
+        /// How long an order may take to be answered.
+        order_timeout_ms: u64 = 700,
+        /// How long a read of the leadership records gives the right to use a primary.
+        right_ms: u64 = 1_200,
+        /// How often the records are read; a fraction of `right_ms`, so that one lost read costs nothing.
+        refresh_ms: u64 = 450,
+        /// How long the statuses of a majority give that right while the store is out of reach.
+        evidence_ms: u64 = 400,
+        /// How long a primary must be out of reach before it is suspected.
+        suspect_after_ms: u64 = 400,
+        /// How long an ordered promotion may take effect before it is given up for another server.
+        order_settles_ms: u64 = 4_000,
+        /// How long a lapsed server entry is still believed if nothing else speaks against the server.
+        lapse_grace_ms: u64 = 2_500,
+    }
+}
+
+/// Every setting of one host.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct ProxySettings {
+    /// The daemon.
+    pub daemon: ProxyDaemonSettings,
+    /// The metadata store.
+    pub metadata: MetadataSettings,
+    /// Who leads.
+    pub leadership: LeadershipSettings,
+    /// Logs.
+    pub log: LogSettings,
+}
+
+const KINDS: [&str; 4] = [
+    ProxyDaemonSettings::KIND,
+    MetadataSettings::KIND,
+    LeadershipSettings::KIND,
+    LogSettings::KIND,
+];
+
+impl ProxySettings {
+    /// Reads a settings file, reporting every mistake in it at once.
+    pub fn read(file: &str, text: &str) -> Result<ProxySettings, Problems> {
+        let mut problems = ProblemList::new(file);
+        let mut settings = ProxySettings::default();
+        let mut seen = Vec::new();
+        for section in read_document(text, &mut problems) {
+            if seen.contains(&section.kind) {
+                problems.add(section.line, &section.kind, "the section stands twice");
+                continue;
+            }
+            match section.kind.as_str() {
+                ProxyDaemonSettings::KIND => {
+                    settings.daemon = read_section(&section, &mut problems);
+                }
+                MetadataSettings::KIND => settings.metadata = read_section(&section, &mut problems),
+                LeadershipSettings::KIND => {
+                    settings.leadership = read_section(&section, &mut problems);
+                }
+                LogSettings::KIND => settings.log = read_section(&section, &mut problems),
+                other => problems.add_with(
+                    section.line,
+                    other,
+                    "unknown section",
+                    suggest(other, KINDS.iter().copied()),
+                ),
+            }
+            seen.push(section.kind);
+        }
+        settings.check(&mut problems);
+        problems.finish(settings)
+    }
+
+    fn check(&self, problems: &mut ProblemList<'_>) {
+        let required = [
+            ("host", "daemon", self.daemon.host.is_empty()),
+            ("availability_zone", "daemon", self.daemon.availability_zone.is_empty()),
+            ("listen", "daemon", self.daemon.listen.is_none()),
+            ("ready_listen", "daemon", self.daemon.ready_listen.is_none()),
+            ("address", "metadata", self.metadata.address.is_none()),
+            ("order_address", "leadership", self.leadership.order_address.is_none()),
+        ];
+        for (key, section, missing) in required {
+            if missing {
+                problems.add(1, key, format!("must be set in [{section}]"));
+            }
+        }
+        if self.leadership.refresh_ms * 2 > self.leadership.right_ms {
+            problems.add(1, "refresh_ms", "must be at most half of right_ms");
+        }
+        if self.leadership.evidence_ms > self.leadership.right_ms {
+            problems.add(1, "evidence_ms", "must be at most right_ms");
+        }
+    }
+}
--- a/crates/config/src/reference.rs
+++ b/crates/config/src/reference.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     ControlSettings, DaemonSettings, EndpointSettings, FailoverOptions, GroupOptions, KindOptions,
-    LeavingOptions, LimitOptions, LogSettings, PlatformSettings, RuleOptions, Section,
+    LeavingOptions, LeadershipSettings, LimitOptions, LogSettings, MetadataSettings, PlatformSettings, ProxyDaemonSettings, RuleOptions, Section,
     ServerOptions, ServiceOptions, TlsSettings, TraceSettings, UserOptions,
 };
 
@@ -28,6 +28,11 @@
     render_section::<LogSettings>(&mut page);
     render_section::<TraceSettings>(&mut page);
     render_section::<TlsSettings>(&mut page);
+    page.push_str("## The settings of one host of a fleet with a metadata store\n\n");
+    render_section::<ProxyDaemonSettings>(&mut page);
+    render_section::<MetadataSettings>(&mut page);
+    render_section::<LeadershipSettings>(&mut page);
+    render_section::<LogSettings>(&mut page);
     page
 }
 
--- a/crates/daemon/src/apply.rs
+++ b/crates/daemon/src/apply.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeSet, fmt};
 
 use config::{ChunkHash, Head, Problems, assemble, check_configuration, split};
-use platform::{CasOutcome, KeyValueStore, StoreError};
+use store::{CasOutcome, KeyValueStore, StoreError};
 
 /// Why a configuration was not applied.
 #[derive(Debug)]
--- a/crates/daemon/src/configuration_duty.rs
+++ b/crates/daemon/src/configuration_duty.rs
@@ -11,7 +11,7 @@
 use membership::{Member, MemberState, is_watcher};
 use model::Name;
 use peer::{Body, ChunkAnswer, ChunkRequest, HeadRequest, HostListRequest};
-use platform::{Entry, HostEntry, HostList, HostRole, HostState, KeyValueStore};
+use store::{Entry, HostEntry, HostList, HostRole, HostState, KeyValueStore};
 use rand::seq::IndexedRandom;
 
 use crate::{
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -13,7 +13,7 @@
 
 use config::HostSettings;
 use eyre::{Context as _, OptionExt};
-use platform::{HostList, KeyValueStore};
+use store::{HostList, KeyValueStore};
 use telemetry::{SpanExporter, Tracer};
 use tokio::{
     net::TcpListener,
--- a/crates/daemon/src/failover_duty.rs
+++ b/crates/daemon/src/failover_duty.rs
@@ -11,7 +11,7 @@
 use futures::{StreamExt, stream::FuturesUnordered};
 use model::{ServerId, ServerStatus, Term};
 use peer::{Body, TermNotice};
-use platform::{CasOutcome, KeyValueStore, StoreError};
+use store::{CasOutcome, KeyValueStore, StoreError};
 
 use crate::{
     context::Context,
--- a/crates/daemon/src/switch_duty.rs
+++ b/crates/daemon/src/switch_duty.rs
@@ -8,7 +8,7 @@
 use failover::Ending;
 use model::{Position, ServerId};
 use peer::{Body, HoldRequest};
-use platform::KeyValueStore;
+use store::KeyValueStore;
 
 use crate::{
     context::Context,
--- a/crates/daemon/src/watch_duty.rs
+++ b/crates/daemon/src/watch_duty.rs
@@ -9,7 +9,7 @@
 use failover::{Health, OtherView, PrimaryHealth, SuspicionRules, judge_health};
 use model::{GroupId, ServerId, ServerRole, ServerStatus};
 use peer::{Body, ViewRequest};
-use platform::KeyValueStore;
+use store::KeyValueStore;
 
 use crate::{
     context::Context,
--- /dev/null
+++ b/crates/proxy/src/catalog.rs
@@ -0,0 +1,118 @@
+//! The operators' configuration and the servers' own entries, as the engine uses them.
+
+use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
+
+use model::Name;
+
+/// What a session that names a database is given.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Route {
+    /// The route's name, for logs.
+    pub name: Name,
+    /// The service whose servers hold the database.
+    pub service: Name,
+    /// Which reads are allowed where.
+    pub reads: ReadRule,
+    /// How long one statement may take.
+    pub timeout: Duration,
+    /// How long the whole operation should take.
+    pub target_latency: Duration,
+    /// The most urgent is 0.
+    pub priority: u8,
+    /// How often a statement may be sent to a server in all.
+    pub attempts: u32,
+}
+
+/// How old the data of a read may be.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReadRule {
+    /// Reads see every acknowledged write, so they run at the primary.
+    Primary,
+    /// Reads see whatever was acknowledged longer ago than this.
+    BoundedStaleness {
+        /// The bound.
+        bound: Duration,
+    },
+    /// The same, and every write of the session itself.
+    OwnWrites {
+        /// The bound.
+        bound: Duration,
+    },
+}
+
+impl ReadRule {
+    /// Returns the word used in logs and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            ReadRule::Primary => "primary",
+            ReadRule::BoundedStaleness { .. } => "bounded",
+            ReadRule::OwnWrites { .. } => "own_writes",
+        }
+    }
+}
+
+/// A service of the configuration.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ServiceRule {
+    /// Connections that one server grants to all daemons together.
+    pub connections: u32,
+    /// Replicas that have received a write before it is acknowledged.
+    pub synchronous_replicas: u32,
+}
+
+/// A configuration, whole.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Catalog {
+    /// Rises with every change; 0 before the first configuration.
+    pub version: u64,
+    /// Routes by the database that callers name.
+    pub routes: HashMap<Name, Arc<Route>>,
+    /// Services by name.
+    pub services: HashMap<Name, ServiceRule>,
+    /// How long a transaction may rest before it may be ended; `None` for as long as it likes.
+    pub idle_transaction: Option<Duration>,
+}
+
+/// What a server says of itself in the store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ServerEntry {
+    /// The server's identity; another at the same address has another one.
+    pub server: Name,
+    /// The service that it belongs to.
+    pub service: Name,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// The availability zone it stands in.
+    pub availability_zone: Name,
+    /// Statements that it runs at a time.
+    pub slots: u32,
+    /// Whether it is leaving and gets no new work.
+    pub leaving: bool,
+    /// Whether it regards itself as the primary, which proves nothing.
+    pub claims_lead: bool,
+}
+
+
+/// An item that can't be understood; what was known before stays in force.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CatalogError(pub String);
+
+impl std::fmt::Display for CatalogError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl std::error::Error for CatalogError {}
+
+/// Where the catalog lies in the store and how it is written there.
+pub trait CatalogFormat: Clone + 'static {
+    /// The key that holds the configuration.
+    fn configuration_key(&self) -> &str;
+    /// The prefix of the servers' entries.
+    fn servers_prefix(&self) -> &str;
+    /// Reads the configuration.
+    fn decode_configuration(&self, value: &[u8]) -> Result<Catalog, CatalogError>;
+    /// Reads a server's entry; the identity follows from the key.
+    fn decode_server(&self, key: &str, value: &[u8]) -> Result<ServerEntry, CatalogError>;
+}
--- /dev/null
+++ b/crates/proxy/src/control/beliefs.rs
@@ -0,0 +1,106 @@
+//! What a daemon holds to be true, as one value that is replaced as a whole.
+//!
+//! The control thread publishes it, the serving thread reads it. Nothing in it is believed for longer
+//! than it says: the right to use a primary ends by itself ([`Lead::valid_until`]).
+
+use std::{
+    collections::HashMap,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use model::{Name, Term};
+use session::TermHistory;
+
+use crate::catalog::{Catalog, ServerEntry};
+
+/// What gives the right to use a primary; see `docs/PLATFORM.md`, "Who leads".
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Basis {
+    /// A linearizable read of the leadership records.
+    Store,
+    /// The statuses of a majority of the group's servers.
+    Evidence,
+}
+
+impl Basis {
+    /// Returns the word used in logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Basis::Store => "store",
+            Basis::Evidence => "evidence",
+        }
+    }
+}
+
+/// Who leads a group, as far as this daemon may act on it.
+#[derive(Clone, Debug)]
+pub struct Lead {
+    /// The primary.
+    pub server: Name,
+    /// Its term.
+    pub term: Term,
+    /// Until when it may be used, by the steady clock; counted from when the question was sent.
+    pub valid_until: Instant,
+    /// What the right rests on.
+    pub basis: Basis,
+    /// Whether a change of primary is under way, so that the right can't be renewed for now.
+    pub changing: bool,
+    /// Where each term began, which says what of an ended term was kept.
+    pub history: Arc<TermHistory>,
+}
+
+impl Lead {
+    /// Whether the primary may be used at `now`.
+    pub fn is_valid(&self, now: Instant) -> bool {
+        !self.changing && now < self.valid_until
+    }
+}
+
+/// Everything that the serving thread needs to know.
+#[derive(Clone, Debug, Default)]
+pub struct Beliefs {
+    /// The configuration in force.
+    pub catalog: Arc<Catalog>,
+    /// Servers by service.
+    pub servers: Arc<HashMap<Name, Vec<Arc<ServerEntry>>>>,
+    /// Who leads, by service.
+    pub leads: Arc<HashMap<Name, Lead>>,
+    /// Daemons that share the servers' connections, this one included.
+    pub members: u32,
+    /// Whether the servers' entries have been read at least once.
+    pub servers_known: bool,
+}
+
+impl Beliefs {
+    /// Whether callers can be served at all.
+    pub fn is_ready(&self) -> bool {
+        self.catalog.version > 0 && self.servers_known
+    }
+
+    /// Returns who leads a service if that may be acted on now.
+    pub fn lead_in_force(&self, service: &str, now: Instant) -> Option<&Lead> {
+        self.leads.get(service).filter(|lead| lead.is_valid(now))
+    }
+
+    /// Whether the want of a primary is known to be short: a change is under way.
+    pub fn is_changing(&self, service: &str) -> bool {
+        self.leads.get(service).is_some_and(|lead| lead.changing)
+    }
+}
+
+/// What the serving thread tells the control thread of a server.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Observation {
+    /// The service.
+    pub service: Name,
+    /// The server.
+    pub server: Name,
+    /// Whether it answers this daemon.
+    pub reachable: bool,
+}
+
+/// A time by which an answer must be in; kept apart from [`Instant`] arithmetic that could overflow.
+pub fn deadline(now: Instant, after_ms: u64) -> Instant {
+    now + Duration::from_millis(after_ms)
+}
--- /dev/null
+++ b/crates/proxy/src/control/record.rs
@@ -0,0 +1,145 @@
+//! What the store remembers of a group's leadership, and the decisions on it.
+//!
+//! A record changes only by compare-and-swap. While `change` stands, no daemon may use a primary of
+//! the group by the store's word. `docs/PLATFORM.md`, "Who leads", gives the argument.
+
+use std::time::{Duration, Instant};
+
+use model::TermStart;
+use serde::{Deserialize, Serialize};
+
+use crate::statement::EndpointStatus;
+
+/// The record of one service.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeadershipRecord {
+    /// The term in force, or the last one while a change is under way.
+    pub term: u64,
+    /// The server that leads in it.
+    pub primary: String,
+    /// Where terms began, oldest first, as far as promotions of this system made them.
+    pub starts: Vec<TermStart>,
+    /// A change of primary that is under way.
+    pub change: Option<PrimaryChange>,
+}
+
+/// A change of primary that is under way.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PrimaryChange {
+    /// Names this attempt; daemons answer with it that they have stopped.
+    pub id: String,
+    /// Why the change began, for operators.
+    pub reason: String,
+    /// The server that may have been ordered to lead; no other may be while it might still begin to.
+    pub chosen: Option<ChosenServer>,
+}
+
+/// The server that is to lead.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ChosenServer {
+    /// Its identity.
+    pub server: String,
+    /// The position up to which it keeps the history of the ended term.
+    pub keeps: u64,
+}
+
+/// Terms whose starts are kept; older ones matter only to sessions that have written nothing since.
+const KEPT_STARTS: usize = 32;
+
+impl LeadershipRecord {
+    /// Returns the record once the chosen server leads in `term`.
+    pub fn settled(&self, chosen: &ChosenServer, term: u64) -> LeadershipRecord {
+        let mut starts = self.starts.clone();
+        starts.push(TermStart {
+            term: model::Term(term),
+            start: model::Position(chosen.keeps),
+        });
+        let surplus = starts.len().saturating_sub(KEPT_STARTS);
+        starts.drain(..surplus);
+        LeadershipRecord { term, primary: chosen.server.clone(), starts, change: None }
+    }
+}
+
+/// A server that answered while the group was stopped.
+#[derive(Clone, Debug)]
+pub struct StoppedServer {
+    /// Its identity.
+    pub server: String,
+    /// What it said after it was stopped.
+    pub status: EndpointStatus,
+    /// Whether it is leaving.
+    pub leaving: bool,
+    /// Whether it is the primary that is to be replaced.
+    pub replaced: bool,
+}
+
+/// Chooses the server that holds the most; among equals one that stays.
+///
+/// The primary that is to be replaced is chosen only if `synchronous` says that no other can be sure
+/// to hold every acknowledged write.
+pub fn choose_successor(
+    stopped: &[StoppedServer],
+    servers: usize,
+    synchronous: u32,
+) -> Option<ChosenServer> {
+    // Every acknowledged write stands on the primary and `synchronous` others, so it is held by one of
+    // any `servers - synchronous` servers.
+    let needed = servers.saturating_sub(synchronous as usize);
+    if synchronous > 0 && stopped.len() < needed {
+        return None;
+    }
+    let others = stopped.iter().filter(|server| !server.replaced);
+    let best = others.max_by_key(|server| {
+        (server.status.received, !server.leaving, std::cmp::Reverse(server.server.clone()))
+    })?;
+    Some(ChosenServer { server: best.server.clone(), keeps: best.status.received.position.0 })
+}
+
+/// Returns how many servers of a group are a majority of it.
+pub fn majority(servers: usize) -> usize {
+    servers / 2 + 1
+}
+
+/// Whether a stop is complete: enough servers have been stopped for long enough, and every daemon has
+/// said that it stopped or its right has run out.
+#[derive(Clone, Copy, Debug)]
+pub struct StopProgress {
+    /// When the change stood in the store.
+    pub recorded_at: Instant,
+    /// When a majority of the servers had been stopped.
+    pub fenced_at: Option<Instant>,
+    /// Whether every daemon that may hold a right has answered.
+    pub all_answered: bool,
+}
+
+/// The bounds that rights are given for.
+#[derive(Clone, Copy, Debug)]
+pub struct RightBounds {
+    /// How long a read of the records gives the right.
+    pub store: Duration,
+    /// How long the statuses of a majority give it.
+    pub evidence: Duration,
+}
+
+/// Clocks of hosts may run at rates that differ by this part at the most.
+const CLOCK_RATE_MARGIN: f64 = 1.05;
+
+impl StopProgress {
+    /// Returns when the stop is complete if nothing else is heard; `None` without a majority.
+    pub fn complete_at(&self, bounds: RightBounds) -> Option<Instant> {
+        let fenced = self.fenced_at? + bounds.evidence.mul_f64(CLOCK_RATE_MARGIN);
+        if self.all_answered {
+            return Some(fenced);
+        }
+        Some(fenced.max(self.recorded_at + bounds.store.mul_f64(CLOCK_RATE_MARGIN)))
+    }
+}
+
+/// Whether so many daemons say that the primary is out of their reach that it is to be replaced.
+///
+/// One daemon alone may be cut off itself; a third of them, two at the least, can't all be.
+pub fn is_primary_lost(suspecting: usize, members: usize) -> bool {
+    let needed = members.div_ceil(3).max(2).min(members.max(1));
+    suspecting >= needed
+}
+
--- /dev/null
+++ b/crates/proxy/src/events.rs
@@ -0,0 +1,111 @@
+//! What the engine counts, and how it tells decisions to the log.
+
+use prometheus::{
+    Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGaugeVec, Opts, Registry, TextEncoder,
+};
+
+/// The metrics of a daemon; `docs/OPERATIONS.md` lists them.
+#[derive(Clone)]
+pub struct ProxyMetrics {
+    registry: Registry,
+    /// Statements by kind of route and how they ended.
+    pub statements: IntCounterVec,
+    /// The time of a statement by kind of route, in seconds.
+    pub statement_seconds: HistogramVec,
+    /// Statements sent to servers by the server's role, and whether it stands in the same zone.
+    pub sent: IntCounterVec,
+    /// Connections opened to servers, by how that ended.
+    pub connections_opened: IntCounterVec,
+    /// Calls to the metadata store by kind and how they ended.
+    pub store_calls: IntCounterVec,
+    /// Steps of changes of primary.
+    pub promotion_steps: IntCounterVec,
+    /// Numbers as they are now: callers, version of the configuration, members.
+    pub now: IntGaugeVec,
+}
+
+/// From a millisecond to five seconds, about three to a decade.
+const SECONDS_BUCKETS: [f64; 12] =
+    [0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0];
+
+impl ProxyMetrics {
+    /// Makes and registers every metric.
+    pub fn new() -> ProxyMetrics {
+        let registry = Registry::new();
+        let counter = |name: &str, help: &str, labels: &[&str]| {
+            let counter = IntCounterVec::new(Opts::new(name, help), labels)
+                .expect("names of metrics are constants that a test checks");
+            registry
+                .register(Box::new(counter.clone()))
+                .expect("each metric is registered once");
+            counter
+        };
+        let statements = counter(
+            "wardtiller_proxy_statements_total",
+            "Statements of callers, by kind of route and outcome.",
+            &["reads", "outcome"],
+        );
+        let sent = counter(
+            "wardtiller_proxy_sent_total",
+            "Statements sent to servers, by role and zone.",
+            &["role", "zone"],
+        );
+        let connections_opened = counter(
+            "wardtiller_proxy_connections_opened_total",
+            "Connections opened to servers, by outcome.",
+            &["outcome"],
+        );
+        let store_calls = counter(
+            "wardtiller_proxy_store_calls_total",
+            "Calls to the metadata store, by kind and outcome.",
+            &["kind", "outcome"],
+        );
+        let promotion_steps = counter(
+            "wardtiller_proxy_promotion_steps_total",
+            "Steps of changes of primary carried out by this daemon.",
+            &["step"],
+        );
+        let statement_seconds = HistogramVec::new(
+            HistogramOpts::new(
+                "wardtiller_proxy_statement_seconds",
+                "From the arrival of a statement to its answer, by kind of route.",
+            )
+            .buckets(SECONDS_BUCKETS.to_vec()),
+            &["reads"],
+        )
+        .expect("names of metrics are constants that a test checks");
+        registry
+            .register(Box::new(statement_seconds.clone()))
+            .expect("each metric is registered once");
+        let now = IntGaugeVec::new(
+            Opts::new("wardtiller_proxy_now", "Numbers as they are now, by what is counted."),
+            &["what"],
+        )
+        .expect("names of metrics are constants that a test checks");
+        registry.register(Box::new(now.clone())).expect("each metric is registered once");
+        ProxyMetrics {
+            registry,
+            statements,
+            statement_seconds,
+            sent,
+            connections_opened,
+            store_calls,
+            promotion_steps,
+            now,
+        }
+    }
+
+    /// Writes every metric in Prometheus's text format.
+    pub fn render(&self) -> String {
+        let mut buffer = Vec::new();
+        // Writing into memory can't fail, and every metric was checked when it was registered.
+        let _ = TextEncoder::new().encode(&self.registry.gather(), &mut buffer);
+        String::from_utf8_lossy(&buffer).into_owned()
+    }
+}
+
+impl Default for ProxyMetrics {
+    fn default() -> ProxyMetrics {
+        ProxyMetrics::new()
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/metadata.rs
@@ -0,0 +1,147 @@
+//! The metadata store, as the engine sees it.
+
+use std::{fmt, time::Duration};
+
+use bytes::Bytes;
+
+/// A revision of the store; each change anywhere in it raises it.
+pub type Revision = u64;
+
+/// A lease, by the store's number for it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LeaseId(pub u64);
+
+/// A key with its value.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Item {
+    /// The key.
+    pub key: String,
+    /// The value.
+    pub value: Bytes,
+    /// The revision of its last change.
+    pub revision: Revision,
+    /// The revision at which it was created.
+    pub created: Revision,
+}
+
+/// Items with the revision of the store as they were read.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Snapshot {
+    /// The items.
+    pub items: Vec<Item>,
+    /// The store's revision when the first of them was read.
+    pub revision: Revision,
+}
+
+/// A change.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// The key was written.
+    Put(Item),
+    /// The key was removed, or its lease ran out.
+    Removed {
+        /// The key.
+        key: String,
+        /// The revision of the removal.
+        revision: Revision,
+    },
+}
+
+/// What a watch brought.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Changes {
+    /// The changes, oldest first; none when the wait was over.
+    pub changes: Vec<Change>,
+    /// Where to go on.
+    pub revision: Revision,
+}
+
+/// A change under conditions: all of it or nothing.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Transaction {
+    /// Keys with the revision that they must have; 0 means that the key must not exist.
+    pub expected: Vec<(String, Revision)>,
+    /// Keys to write, with the lease that they go with.
+    pub puts: Vec<(String, Bytes, Option<LeaseId>)>,
+    /// Keys to remove.
+    pub removes: Vec<String>,
+}
+
+/// How a transaction ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TransactionOutcome {
+    /// It was done at this revision.
+    Done(Revision),
+    /// A condition did not hold; nothing was done.
+    Conflict,
+    /// The lease is over; nothing was done.
+    LeaseOver,
+}
+
+/// Whether a read may be answered from an older state.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Consistency {
+    /// It shows every change that was acknowledged before it was asked.
+    Linearizable,
+    /// It may be seconds old and costs a tenth.
+    Stale,
+}
+
+/// Why a call failed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum MetadataError {
+    /// The store said that nothing was done, or could not be reached at all.
+    NotDone(String),
+    /// No answer came; a write may have been done, or may be done later.
+    NoAnswer(String),
+    /// The history that a watch asked for is gone.
+    HistoryGone,
+    /// The store answered something that can't be understood.
+    Malformed(String),
+}
+
+impl fmt::Display for MetadataError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            MetadataError::NotDone(why) => write!(f, "the store did nothing: {why}"),
+            MetadataError::NoAnswer(why) => write!(f, "the store's answer is missing: {why}"),
+            MetadataError::HistoryGone => f.write_str("the store's history is gone"),
+            MetadataError::Malformed(why) => write!(f, "the store's answer is malformed: {why}"),
+        }
+    }
+}
+
+impl std::error::Error for MetadataError {}
+
+/// The store. Every call ends after the time it is given; none is repeated by the adapter.
+#[allow(async_fn_in_trait, reason = "the engine uses it on one thread only")]
+pub trait MetadataStore: 'static {
+    /// Reads a key; `None` when it does not exist.
+    async fn get(&self, key: &str, timeout: Duration) -> Result<Option<Item>, MetadataError>;
+    /// Reads every key below a prefix.
+    async fn range(
+        &self,
+        prefix: &str,
+        consistency: Consistency,
+        timeout: Duration,
+    ) -> Result<Snapshot, MetadataError>;
+    /// Waits for changes after a revision, at most for `wait`.
+    async fn watch(
+        &self,
+        prefix: &str,
+        after: Revision,
+        wait: Duration,
+    ) -> Result<Changes, MetadataError>;
+    /// Does a transaction.
+    async fn commit(
+        &self,
+        transaction: &Transaction,
+        timeout: Duration,
+    ) -> Result<TransactionOutcome, MetadataError>;
+    /// Takes a lease.
+    async fn grant(&self, lasts: Duration, timeout: Duration) -> Result<LeaseId, MetadataError>;
+    /// Renews a lease; `false` when it is over.
+    async fn renew(&self, lease: LeaseId, timeout: Duration) -> Result<bool, MetadataError>;
+    /// Ends a lease with its keys.
+    async fn revoke(&self, lease: LeaseId, timeout: Duration) -> Result<(), MetadataError>;
+}
--- /dev/null
+++ b/crates/proxy/src/serve/ask.rs
@@ -0,0 +1,60 @@
+//! Questions of the control thread to servers, over the connections that sessions share.
+//!
+//! While the store is silent every daemon asks every server; connections of their own for that would
+//! go beyond what the servers grant.
+
+use std::rc::Rc;
+
+use crate::{
+    control::runner::StatusAsk,
+    dialect::{CallerDialect, EndpointDialect},
+    serve::{engine::Engine, pool::Wish, replay::SessionValues},
+    statement::{EndpointCommand, EndpointStatus, EndpointText},
+};
+
+/// Answers questions until the control thread ends.
+pub async fn answer_asks<C: CallerDialect, E: EndpointDialect>(
+    engine: Rc<Engine<C, E>>,
+    asks: flume::Receiver<StatusAsk>,
+) {
+    while let Ok(ask) = asks.recv_async().await {
+        let engine = engine.clone();
+        tokio::task::spawn_local(async move {
+            if let Some(status) = ask_status(&engine, &ask).await {
+                // The control thread may have given the question up.
+                let _ = ask.answer.send(status);
+            }
+        });
+    }
+}
+
+async fn ask_status<C: CallerDialect, E: EndpointDialect>(
+    engine: &Rc<Engine<C, E>>,
+    ask: &StatusAsk,
+) -> Option<EndpointStatus> {
+    let beliefs = engine.beliefs();
+    let group = engine.group(&ask.service, &beliefs);
+    let wish = Wish {
+        only: Some(ask.server.clone()),
+        floor: None,
+        avoid: Vec::new(),
+        primary: None,
+        priority: 0,
+    };
+    // Whatever values the connection holds do no harm to a status.
+    let lent = engine.acquire(&group, wish, &SessionValues::new(), ask.deadline).await;
+    let mut lent = lent.ok()?;
+    let command = EndpointCommand::own(EndpointText::Status);
+    match lent.connection().ask(&command, ask.deadline).await {
+        Ok(answer) => {
+            lent.give_back();
+            let row = answer.rows.first()?;
+            engine.endpoint_dialect.decode_status(row)
+        }
+        Err(lost) => {
+            drop(lent);
+            engine.note_loss(&group, &ask.service, &ask.server, &lost);
+            None
+        }
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/serve/choose.rs
@@ -0,0 +1,79 @@
+//! Which server of a group a statement goes to.
+
+use std::time::Duration;
+
+/// What is known of a server that may run the statement.
+#[derive(Clone, Copy, Debug)]
+pub struct Candidate {
+    /// Its place in the group's list.
+    pub index: usize,
+    /// Whether it stands in this daemon's availability zone.
+    pub near: bool,
+    /// Whether it leads, and so has work that no other can do.
+    pub leads: bool,
+    /// Idle connections to it.
+    pub idle: u32,
+    /// Connections in use by this daemon.
+    pub in_use: u32,
+    /// Connections that this daemon may have to it.
+    pub limit: u32,
+    /// Its average answering time, in microseconds; 0 if it is not known.
+    pub latency_us: u32,
+}
+
+/// What to do next.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Choice {
+    /// Take an idle connection to this server.
+    UseIdle(usize),
+    /// Open a connection to this server.
+    Open(usize),
+    /// All connections are in use; wait for one.
+    Wait,
+    /// No server may run it.
+    Nowhere,
+}
+
+/// What crossing to another availability zone is taken to cost: its round trip, and its price, so that
+/// a far server is chosen only when the near one is busy or slow.
+const FAR_PENALTY: Duration = Duration::from_millis(20);
+/// What reading at the primary is taken to cost, since only the primary can write.
+const PRIMARY_PENALTY: Duration = Duration::from_millis(10);
+/// What a new connection is taken to cost: its handshake takes a slot of the server.
+const OPEN_PENALTY: Duration = Duration::from_millis(15);
+
+/// Chooses among the servers that may run a statement.
+pub fn choose(candidates: &[Candidate]) -> Choice {
+    let available = candidates.iter().filter(|candidate| has_room(candidate));
+    match available.min_by_key(|candidate| cost_us(candidate)) {
+        Some(best) if best.idle > 0 => Choice::UseIdle(best.index),
+        Some(best) => Choice::Open(best.index),
+        None if candidates.is_empty() => Choice::Nowhere,
+        None => Choice::Wait,
+    }
+}
+
+fn has_room(candidate: &Candidate) -> bool {
+    candidate.idle > 0 || candidate.in_use < candidate.limit
+}
+
+/// Estimates the time until the answer: the average for each statement that goes before, and what the
+/// detours cost.
+fn cost_us(candidate: &Candidate) -> u64 {
+    let rounds = 1 + u64::from(candidate.in_use);
+    let mut cost = u64::from(candidate.latency_us) * rounds;
+    if !candidate.near {
+        cost += micros(FAR_PENALTY);
+    }
+    if candidate.leads {
+        cost += micros(PRIMARY_PENALTY);
+    }
+    if candidate.idle == 0 {
+        cost += micros(OPEN_PENALTY);
+    }
+    cost
+}
+
+fn micros(duration: Duration) -> u64 {
+    duration.as_micros() as u64
+}
--- /dev/null
+++ b/crates/proxy/src/serve/connection.rs
@@ -0,0 +1,190 @@
+//! One connection to a server.
+
+use std::time::{Duration, Instant};
+
+use bytes::BytesMut;
+use model::{LogPoint, Name};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    time::timeout_at,
+};
+
+use crate::{
+    catalog::ServerEntry,
+    dialect::{EndpointDialect, EndpointMessage, EndpointStartup},
+    serve::replay::Environment,
+    statement::{Answer, EndpointCommand, ErrorCode, Outcome, StatementError, TransactionState},
+};
+
+/// The room that a read from a socket gets; most answers are under a kilobyte.
+const READ_RESERVE_BYTES: usize = 4 * 1024;
+
+/// Why a connection is of no more use.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ConnectionLost {
+    /// It broke off, or was refused.
+    Broken(String),
+    /// Nothing came within the time.
+    Silent,
+    /// The server refused the connection with an error.
+    Refused(ErrorCode),
+    /// The server sent what can't be understood.
+    Garbled(String),
+}
+
+impl std::fmt::Display for ConnectionLost {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            ConnectionLost::Broken(why) => write!(f, "broken off: {why}"),
+            ConnectionLost::Silent => f.write_str("no answer in time"),
+            ConnectionLost::Refused(code) => write!(f, "refused: {}", code.as_str()),
+            ConnectionLost::Garbled(why) => write!(f, "can't be understood: {why}"),
+        }
+    }
+}
+
+/// A connection that has been accepted by the server.
+pub struct EndpointConnection<E> {
+    dialect: E,
+    stream: TcpStream,
+    incoming: BytesMut,
+    outgoing: BytesMut,
+    /// The server's identity, as it was expected and confirmed.
+    pub server: Name,
+    /// What the server's side holds for sessions.
+    pub environment: Environment,
+    /// The point that the server showed last.
+    pub last_point: Option<LogPoint>,
+}
+
+impl<E: EndpointDialect> EndpointConnection<E> {
+    /// Connects and waits until the server accepts.
+    pub async fn open(
+        dialect: &E,
+        entry: &ServerEntry,
+        host: &Name,
+        within: Duration,
+    ) -> Result<EndpointConnection<E>, ConnectionLost> {
+        let deadline = Instant::now() + within;
+        let stream = match timeout_at(deadline.into(), TcpStream::connect(entry.address)).await {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(error)) => return Err(ConnectionLost::Broken(error.to_string())),
+            Err(_) => return Err(ConnectionLost::Silent),
+        };
+        stream.set_nodelay(true).map_err(|error| ConnectionLost::Broken(error.to_string()))?;
+        let mut connection = EndpointConnection {
+            dialect: dialect.clone(),
+            stream,
+            incoming: BytesMut::new(),
+            outgoing: BytesMut::new(),
+            server: entry.server.clone(),
+            environment: Environment::default(),
+            last_point: None,
+        };
+        let startup = EndpointStartup {
+            service: entry.service.clone(),
+            host: host.clone(),
+            server: entry.server.clone(),
+        };
+        connection.dialect.encode_startup(&startup, &mut connection.outgoing);
+        connection.flush(deadline).await?;
+        connection.await_acceptance(deadline).await?;
+        Ok(connection)
+    }
+
+    async fn await_acceptance(&mut self, deadline: Instant) -> Result<(), ConnectionLost> {
+        match self.next_message(deadline).await? {
+            EndpointMessage::Ready { point, .. } => {
+                self.last_point = point;
+                Ok(())
+            }
+            EndpointMessage::Error(error) => Err(ConnectionLost::Refused(error.code)),
+            _ => Err(ConnectionLost::Garbled("an answer before the connection's own".to_owned())),
+        }
+    }
+
+    /// Whether an idle connection is still good: nothing has come and it has not ended.
+    pub fn is_quiet(&self) -> bool {
+        let mut probe = [0_u8; 1];
+        matches!(
+            self.stream.try_read(&mut probe),
+            Err(error) if error.kind() == std::io::ErrorKind::WouldBlock
+        )
+    }
+
+    /// Adds a command to what the next flush sends.
+    pub fn queue(&mut self, command: &EndpointCommand) {
+        self.dialect.encode(command, &mut self.outgoing);
+    }
+
+    /// Sends what is queued, in one write where the socket takes it.
+    pub async fn flush(&mut self, deadline: Instant) -> Result<(), ConnectionLost> {
+        let outgoing = self.outgoing.split();
+        match timeout_at(deadline.into(), self.stream.write_all(&outgoing)).await {
+            Ok(Ok(())) => Ok(()),
+            Ok(Err(error)) => Err(ConnectionLost::Broken(error.to_string())),
+            Err(_) => Err(ConnectionLost::Silent),
+        }
+    }
+
+    /// Reads the whole answer to the oldest command that is not answered yet.
+    pub async fn read_answer(&mut self, deadline: Instant) -> Result<Answer, ConnectionLost> {
+        let mut rows = Vec::new();
+        let mut outcome = None;
+        loop {
+            match self.next_message(deadline).await? {
+                EndpointMessage::Row(row) => rows.push(row),
+                EndpointMessage::Complete(proof) => outcome = Some(Outcome::Complete(proof)),
+                EndpointMessage::Error(error) => outcome = Some(Outcome::Error(error)),
+                EndpointMessage::Ready { state, point } => {
+                    let Some(outcome) = outcome else {
+                        return Err(ConnectionLost::Garbled("an answer without an end".to_owned()));
+                    };
+                    self.last_point = point.or(self.last_point);
+                    return Ok(Answer { rows, outcome, state, point });
+                }
+            }
+        }
+    }
+
+    /// Sends one command and reads its answer.
+    pub async fn ask(
+        &mut self,
+        command: &EndpointCommand,
+        deadline: Instant,
+    ) -> Result<Answer, ConnectionLost> {
+        self.queue(command);
+        self.flush(deadline).await?;
+        self.read_answer(deadline).await
+    }
+
+    async fn next_message(&mut self, deadline: Instant) -> Result<EndpointMessage, ConnectionLost> {
+        loop {
+            match self.dialect.decode(&mut self.incoming) {
+                Ok(Some(message)) => return Ok(message),
+                Ok(None) => {}
+                Err(error) => return Err(ConnectionLost::Garbled(error.to_string())),
+            }
+            self.incoming.reserve(READ_RESERVE_BYTES);
+            let read = self.stream.read_buf(&mut self.incoming);
+            match timeout_at(deadline.into(), read).await {
+                Ok(Ok(0)) => return Err(ConnectionLost::Broken("closed by the server".to_owned())),
+                Ok(Ok(_)) => {}
+                Ok(Err(error)) => return Err(ConnectionLost::Broken(error.to_string())),
+                Err(_) => return Err(ConnectionLost::Silent),
+            }
+        }
+    }
+
+    /// Gives the read buffer's memory back while the connection rests.
+    pub fn rest(&mut self) {
+        self.incoming = BytesMut::new();
+        self.outgoing = BytesMut::new();
+    }
+}
+
+/// Makes the answer for a statement that the engine refuses itself.
+pub fn refusal(error: StatementError, state: TransactionState) -> Answer {
+    Answer { rows: Vec::new(), outcome: Outcome::Error(error), state, point: None }
+}
--- /dev/null
+++ b/crates/proxy/src/serve/engine.rs
@@ -0,0 +1,321 @@
+//! What all sessions of a daemon share.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    rc::Rc,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use model::{LogPoint, Name};
+use session::StalenessSamples;
+use tokio::sync::watch;
+
+use crate::{
+    control::beliefs::{Beliefs, Observation},
+    dialect::{CallerDialect, EndpointDialect},
+    events::ProxyMetrics,
+    serve::{
+        connection::{ConnectionLost, EndpointConnection},
+        pool::{GroupPool, Lent, NoConnection, Offer, Wish, share_of},
+        replay::SessionValues,
+        verdict::speaks_against_server,
+    },
+    statement::ErrorCode,
+};
+
+/// Samples of a primary's position that are kept for each group; they span the longest bound.
+const SAMPLES_KEPT: usize = 64;
+/// How long a new connection may take: a handshake, and a server that is busy.
+const CONNECT_WITHIN: Duration = Duration::from_millis(400);
+/// How long a server may take to accept a connection that only asks whether it is alive.
+const PROBE_WITHIN: Duration = Duration::from_millis(300);
+
+/// One service as this daemon serves it.
+pub struct Group<E: EndpointDialect> {
+    /// Its connections.
+    pub pool: Rc<GroupPool<E>>,
+    /// Where its primary's log stood when.
+    pub samples: RefCell<StalenessSamples>,
+    /// Servers that are being asked whether they are alive, and those that did not answer.
+    probes: RefCell<HashMap<Name, ProbeState>>,
+    seen: RefCell<Arc<HashMap<Name, Vec<Arc<crate::catalog::ServerEntry>>>>>,
+    seen_limit: Cell<u32>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ProbeState {
+    Asking,
+    Unreachable,
+}
+
+/// The settings that sessions go by.
+#[derive(Clone, Debug)]
+pub struct ServeSettings {
+    /// This daemon's host.
+    pub host: Name,
+    /// Its availability zone.
+    pub availability_zone: Name,
+    /// How long a server must be silent before it is asked whether it is alive.
+    pub suspect_after: Duration,
+    /// How long an open transaction may go on after the signal to stop.
+    pub stop_transactions_after: Duration,
+    /// How long a session at rest stays open after the signal to stop.
+    pub stop_resting_after: Duration,
+    /// Callers at a time; one more is refused.
+    pub most_callers: u64,
+}
+
+/// The shared state of the serving thread.
+pub struct Engine<C, E: EndpointDialect> {
+    /// How callers speak.
+    pub caller_dialect: C,
+    /// How servers speak.
+    pub endpoint_dialect: E,
+    /// The settings.
+    pub settings: ServeSettings,
+    /// What is believed now.
+    pub beliefs: watch::Receiver<Arc<Beliefs>>,
+    /// When the stop began; `None` while the daemon runs.
+    pub stopping: watch::Receiver<Option<Instant>>,
+    /// What is counted.
+    pub metrics: ProxyMetrics,
+    /// Callers connected now.
+    pub callers: Cell<u64>,
+    observations: flume::Sender<Observation>,
+    groups: RefCell<HashMap<Name, Rc<Group<E>>>>,
+}
+
+/// The pieces from which an engine is made.
+pub struct EngineParts<C, E> {
+    /// How callers speak.
+    pub caller_dialect: C,
+    /// How servers speak.
+    pub endpoint_dialect: E,
+    /// The settings.
+    pub settings: ServeSettings,
+    /// What is believed now.
+    pub beliefs: watch::Receiver<Arc<Beliefs>>,
+    /// When the stop began.
+    pub stopping: watch::Receiver<Option<Instant>>,
+    /// What is counted.
+    pub metrics: ProxyMetrics,
+    /// Where it is told which servers answer.
+    pub observations: flume::Sender<Observation>,
+}
+
+/// Why a statement got no connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AcquireError {
+    /// No server can run it.
+    Nowhere,
+    /// Too much waits already.
+    QueueFull,
+    /// None was free in time.
+    TooLate,
+}
+
+impl<C: CallerDialect, E: EndpointDialect> Engine<C, E> {
+    /// Joins the pieces.
+    pub fn new(parts: EngineParts<C, E>) -> Engine<C, E> {
+        Engine {
+            caller_dialect: parts.caller_dialect,
+            endpoint_dialect: parts.endpoint_dialect,
+            settings: parts.settings,
+            beliefs: parts.beliefs,
+            stopping: parts.stopping,
+            metrics: parts.metrics,
+            callers: Cell::new(0),
+            observations: parts.observations,
+            groups: RefCell::default(),
+        }
+    }
+
+    /// Returns what is believed now.
+    pub fn beliefs(&self) -> Arc<Beliefs> {
+        self.beliefs.borrow().clone()
+    }
+
+    /// Whether a stop has begun.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.borrow().is_some()
+    }
+
+    /// Returns a service's group, brought up to what is believed now.
+    pub fn group(&self, service: &Name, beliefs: &Beliefs) -> Rc<Group<E>> {
+        let group = self.groups.borrow().get(service).cloned().unwrap_or_else(|| {
+            let group = Rc::new(Group {
+                pool: Rc::new(GroupPool::new(self.settings.availability_zone.clone())),
+                samples: RefCell::new(StalenessSamples::new(SAMPLES_KEPT)),
+                probes: RefCell::default(),
+                seen: RefCell::default(),
+                seen_limit: Cell::new(0),
+            });
+            self.groups.borrow_mut().insert(service.clone(), group.clone());
+            group
+        });
+        let granted = beliefs.catalog.services.get(service).map_or(0, |rule| rule.connections);
+        let limit = share_of(granted, beliefs.members);
+        let is_current = Arc::ptr_eq(&group.seen.borrow(), &beliefs.servers);
+        if !is_current || group.seen_limit.get() != limit {
+            *group.seen.borrow_mut() = beliefs.servers.clone();
+            group.seen_limit.set(limit);
+            let entries = beliefs.servers.get(service).map_or(&[][..], Vec::as_slice);
+            group.pool.update(entries, limit);
+        }
+        group
+    }
+
+    /// Finds a connection that a statement with these wishes may use.
+    pub async fn acquire(
+        self: &Rc<Self>,
+        group: &Rc<Group<E>>,
+        mut wish: Wish,
+        values: &SessionValues,
+        deadline: Instant,
+    ) -> Result<Lent<E>, AcquireError> {
+        loop {
+            let offer = match group.pool.lend(wish.clone(), values, deadline).await {
+                Ok(offer) => offer,
+                Err(NoConnection::Nowhere) => return Err(AcquireError::Nowhere),
+                Err(NoConnection::QueueFull) => return Err(AcquireError::QueueFull),
+                Err(NoConnection::TooLate) => return Err(AcquireError::TooLate),
+            };
+            let place = match offer {
+                Offer::Lent(lent) => return Ok(lent),
+                Offer::Open(place) => place,
+            };
+            let server = place.entry.server.clone();
+            let opened = EndpointConnection::open(
+                &self.endpoint_dialect,
+                &place.entry,
+                &self.settings.host,
+                CONNECT_WITHIN,
+            )
+            .await;
+            match opened {
+                Ok(connection) => {
+                    self.metrics.connections_opened.with_label_values(&["opened"]).inc();
+                    self.note_reachable(group, &place.entry.service, &server);
+                    return Ok(place.opened(connection));
+                }
+                Err(lost) => {
+                    let service = place.entry.service.clone();
+                    drop(place);
+                    self.on_open_failed(group, &service, &server, &lost);
+                    if wish.only.is_some() || Instant::now() >= deadline {
+                        return Err(AcquireError::Nowhere);
+                    }
+                    wish.avoid.push(server);
+                }
+            }
+        }
+    }
+
+    fn on_open_failed(
+        self: &Rc<Self>,
+        group: &Rc<Group<E>>,
+        service: &Name,
+        server: &Name,
+        lost: &ConnectionLost,
+    ) {
+        self.metrics.connections_opened.with_label_values(&["failed"]).inc();
+        group.pool.on_failure(server);
+        log::info!(
+            event = "connection_failed", service = &**service, server = &**server,
+            why = lost.to_string().as_str();
+            "a server took no connection"
+        );
+        match lost {
+            ConnectionLost::Refused(_) => self.note_reachable(group, service, server),
+            _ => self.note_unreachable(group, service, server),
+        }
+    }
+
+    /// Takes what is known of a server after it answered.
+    pub fn note_answer(
+        &self,
+        group: &Group<E>,
+        service: &Name,
+        server: &Name,
+        point: Option<LogPoint>,
+        took: Duration,
+    ) {
+        group.pool.on_answer(server, point, took);
+        self.note_reachable(group, service, server);
+    }
+
+    /// Takes note that a connection was lost, and finds out whether the server still lives.
+    pub fn note_loss(
+        self: &Rc<Self>,
+        group: &Rc<Group<E>>,
+        service: &Name,
+        server: &Name,
+        lost: &ConnectionLost,
+    ) {
+        if speaks_against_server(lost) {
+            group.pool.on_failure(server);
+        }
+        log::info!(
+            event = "connection_lost", service = &**service, server = &**server,
+            why = lost.to_string().as_str();
+            "a connection to a server was lost"
+        );
+        self.probe(group, service, server);
+    }
+
+    /// Asks a server that has been silent whether it is alive, once at a time.
+    pub fn probe(self: &Rc<Self>, group: &Rc<Group<E>>, service: &Name, server: &Name) {
+        if group.probes.borrow().contains_key(server) {
+            return;
+        }
+        let Some(entry) = group.pool.entry_of(server) else { return };
+        group.probes.borrow_mut().insert(server.clone(), ProbeState::Asking);
+        let (engine, group) = (self.clone(), group.clone());
+        let (service, server) = (service.clone(), server.clone());
+        tokio::task::spawn_local(async move {
+            let opened = EndpointConnection::open(
+                &engine.endpoint_dialect,
+                &entry,
+                &engine.settings.host,
+                PROBE_WITHIN,
+            )
+            .await;
+            match opened {
+                Ok(_) | Err(ConnectionLost::Refused(ErrorCode::TooManyConnections)) => {
+                    engine.note_reachable(&group, &service, &server);
+                }
+                Err(_) => engine.note_unreachable(&group, &service, &server),
+            }
+        });
+    }
+
+    fn note_unreachable(&self, group: &Group<E>, service: &Name, server: &Name) {
+        let before = group.probes.borrow_mut().insert(server.clone(), ProbeState::Unreachable);
+        if before != Some(ProbeState::Unreachable) {
+            self.observe(service, server, false);
+        }
+    }
+
+    fn note_reachable(&self, group: &Group<E>, service: &Name, server: &Name) {
+        if group.probes.borrow().is_empty() {
+            return;
+        }
+        if group.probes.borrow_mut().remove(server) == Some(ProbeState::Unreachable) {
+            self.observe(service, server, true);
+        }
+    }
+
+    fn observe(&self, service: &Name, server: &Name, reachable: bool) {
+        log::info!(
+            event = "server_reachability", service = &**service, server = &**server,
+            reachable = reachable;
+            "a server's reachability changed"
+        );
+        let observation =
+            Observation { service: service.clone(), server: server.clone(), reachable };
+        // A full ring means that the control thread has enough to go by.
+        let _ = self.observations.try_send(observation);
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/serve/floor.rs
@@ -0,0 +1,49 @@
+//! What a read must have seen, and so where it may run.
+
+use std::time::{Duration, Instant};
+
+use model::{LogPoint, StatementClass};
+use session::{StalenessSamples, TermHistory};
+
+use crate::catalog::ReadRule;
+
+/// A sample is given up this much before its bound, for the time between the choice and the moment
+/// at which the caller's first byte counts.
+const BOUND_MARGIN: Duration = Duration::from_millis(50);
+
+/// Where a statement may run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Place {
+    /// At the primary, while the right to use it holds.
+    Primary,
+    /// At any server whose log holds this point; the server itself checks it.
+    AtLeast(LogPoint),
+}
+
+/// Says where a statement or the transaction that it opens may run.
+///
+/// `own` is the point up to which the session's own writes reach. A point of an ended term is moved
+/// down to where that term ended: what was rolled back is owed to nobody, and no log holds it.
+pub fn place_for(
+    rule: ReadRule,
+    class: StatementClass,
+    own: Option<LogPoint>,
+    samples: &StalenessSamples,
+    history: &TermHistory,
+    now: Instant,
+) -> Place {
+    if class == StatementClass::Write {
+        return Place::Primary;
+    }
+    let (bound, own) = match rule {
+        ReadRule::Primary => return Place::Primary,
+        ReadRule::BoundedStaleness { bound } => (bound, None),
+        ReadRule::OwnWrites { bound } => (bound, own),
+    };
+    let Some(sample) = samples.point_for(bound.saturating_sub(BOUND_MARGIN), now) else {
+        return Place::Primary;
+    };
+    let sample = history.clamp(sample);
+    let own = own.map(|own| history.clamp(own));
+    Place::AtLeast(own.map_or(sample, |own| own.max(sample)))
+}
--- /dev/null
+++ b/crates/proxy/src/serve/mod.rs
@@ -0,0 +1,12 @@
+//! Serving callers: sessions, the choice of a server, shared connections.
+
+pub mod ask;
+pub mod choose;
+pub mod connection;
+pub mod engine;
+pub mod execute;
+pub mod floor;
+pub mod pool;
+pub mod replay;
+pub mod session;
+pub mod verdict;
--- /dev/null
+++ b/crates/proxy/src/serve/pool.rs
@@ -0,0 +1,479 @@
+//! The connections of this daemon to the servers of one service, and the statements that wait for one.
+//!
+//! Connections are few and belong to all daemons together: each may have its share of what a server
+//! grants ([`share_of`]). Who finds none free waits, the most urgent first, and gets whatever suitable
+//! connection is given back next. `docs/PLATFORM.md`, "Connections", says what was weighed.
+
+use std::{
+    cell::RefCell,
+    collections::VecDeque,
+    rc::Rc,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use model::{LogPoint, Name};
+use routing::LatencyAverage;
+use tokio::sync::oneshot;
+
+use crate::{
+    catalog::ServerEntry,
+    dialect::EndpointDialect,
+    serve::{
+        choose::{Candidate, Choice, choose},
+        connection::EndpointConnection,
+        replay::SessionValues,
+    },
+};
+
+/// Connections of a server that no daemon counts on: those of dead daemons linger for some seconds,
+/// and changes of primary need some of their own.
+const RESERVED_CONNECTIONS: u32 = 3;
+/// Statements that may wait for the connections of one service; more are refused at once.
+const MOST_WAITING: usize = 256;
+/// How long a server that lagged behind a bounded floor is passed over.
+const LAGGING_FOR: Duration = Duration::from_millis(150);
+/// How long a server that could not be reached is passed over, at first; it doubles with each failure.
+const FIRST_BACKOFF: Duration = Duration::from_millis(100);
+/// The longest time that a server which can't be reached is passed over.
+const LONGEST_BACKOFF: Duration = Duration::from_millis(1_600);
+/// A latency that has not been confirmed for so long is forgotten, so that the server is tried again.
+const LATENCY_LASTS: Duration = Duration::from_secs(2);
+
+/// Returns how many connections to a server one of `members` daemons may have.
+pub fn share_of(granted: u32, members: u32) -> u32 {
+    let shared = granted.saturating_sub(RESERVED_CONNECTIONS);
+    (shared / members.max(1)).max(1)
+}
+
+/// What a statement that wants a connection asks for.
+#[derive(Clone, Debug)]
+pub struct Wish {
+    /// Only this server; `None` for any that is fit.
+    pub only: Option<Name>,
+    /// The point that the server must hold, to pass over those known to be behind.
+    pub floor: Option<LogPoint>,
+    /// Servers that have just failed to run this very statement.
+    pub avoid: Vec<Name>,
+    /// The server that leads, which has work that no other can do.
+    pub primary: Option<Name>,
+    /// The most urgent is 0.
+    pub priority: u8,
+}
+
+struct Waiter<E: EndpointDialect> {
+    wish: Wish,
+    grant: oneshot::Sender<Offer<E>>,
+}
+
+struct ServerSlot<E> {
+    entry: Arc<ServerEntry>,
+    idle: Vec<EndpointConnection<E>>,
+    in_use: u32,
+    limit: u32,
+    latency: LatencyAverage,
+    latency_at: Option<Instant>,
+    point: Option<LogPoint>,
+    lagging_until: Option<Instant>,
+    failures: u32,
+    away_until: Option<Instant>,
+    /// Whether it is still listed; one that is not gets no new work.
+    listed: bool,
+}
+
+impl<E> ServerSlot<E> {
+    fn new(entry: Arc<ServerEntry>) -> ServerSlot<E> {
+        ServerSlot {
+            entry,
+            idle: Vec::new(),
+            in_use: 0,
+            limit: 1,
+            latency: LatencyAverage::default(),
+            latency_at: None,
+            point: None,
+            lagging_until: None,
+            failures: 0,
+            away_until: None,
+            listed: true,
+        }
+    }
+
+    fn is_fit(&self, wish: &Wish, now: Instant) -> bool {
+        if !self.listed || wish.avoid.contains(&self.entry.server) {
+            return false;
+        }
+        if let Some(only) = &wish.only {
+            return *only == self.entry.server;
+        }
+        let away = self.away_until.is_some_and(|until| now < until);
+        let behind = self.lagging_until.is_some_and(|until| now < until)
+            && wish.floor.is_some_and(|floor| self.point.is_none_or(|point| point < floor));
+        !self.entry.leaving && !away && !behind
+    }
+}
+
+struct PoolState<E: EndpointDialect> {
+    servers: Vec<ServerSlot<E>>,
+    waiters: [VecDeque<Waiter<E>>; PRIORITIES],
+}
+
+/// Priorities that are told apart; less urgent ones count as the last.
+const PRIORITIES: usize = 4;
+
+/// The pool of one service.
+pub struct GroupPool<E: EndpointDialect> {
+    availability_zone: Name,
+    state: RefCell<PoolState<E>>,
+}
+
+/// Why no connection was given.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NoConnection {
+    /// No server may run the statement.
+    Nowhere,
+    /// Too many statements wait already.
+    QueueFull,
+    /// None was free in time.
+    TooLate,
+}
+
+/// The place of a connection that is about to be opened.
+pub struct OpeningPlace<E: EndpointDialect> {
+    pool: Rc<GroupPool<E>>,
+    /// The server to connect to.
+    pub entry: Arc<ServerEntry>,
+    settled: bool,
+}
+
+/// A connection that one statement or transaction has for itself.
+pub struct Lent<E: EndpointDialect> {
+    pool: Rc<GroupPool<E>>,
+    connection: Option<EndpointConnection<E>>,
+    lent_at: Instant,
+}
+
+/// What a wish was answered with.
+pub enum Offer<E: EndpointDialect> {
+    /// A connection.
+    Lent(Lent<E>),
+    /// Leave to open one.
+    Open(OpeningPlace<E>),
+}
+
+impl<E: EndpointDialect> GroupPool<E> {
+    /// Makes a pool without servers for a daemon in an availability zone.
+    pub fn new(availability_zone: Name) -> GroupPool<E> {
+        let state = PoolState { servers: Vec::new(), waiters: Default::default() };
+        GroupPool { availability_zone, state: RefCell::new(state) }
+    }
+
+    /// Takes over which servers there are and how many connections each may have.
+    pub fn update(self: &Rc<Self>, entries: &[Arc<ServerEntry>], limit: u32) {
+        let mut state = self.state.borrow_mut();
+        for slot in &mut state.servers {
+            slot.listed = entries.iter().any(|entry| entry.server == slot.entry.server);
+            if !slot.listed {
+                slot.idle.clear();
+            }
+        }
+        state.servers.retain(|slot| slot.listed || slot.in_use > 0);
+        for entry in entries {
+            match state.servers.iter_mut().find(|slot| slot.entry.server == entry.server) {
+                Some(slot) => slot.entry = entry.clone(),
+                None => state.servers.push(ServerSlot::new(entry.clone())),
+            }
+        }
+        for slot in &mut state.servers {
+            slot.limit = limit;
+            let surplus = (slot.idle.len() as u32 + slot.in_use).saturating_sub(limit) as usize;
+            let kept = slot.idle.len().saturating_sub(surplus);
+            slot.idle.truncate(kept);
+        }
+        drop(state);
+        self.serve_waiters();
+    }
+
+    /// Finds a connection, or leave to open one, waiting until `deadline` if all are in use.
+    pub async fn lend(
+        self: &Rc<Self>,
+        wish: Wish,
+        values: &SessionValues,
+        deadline: Instant,
+    ) -> Result<Offer<E>, NoConnection> {
+        match self.choose_now(&wish) {
+            Choice::UseIdle(index) => {
+                if let Some(connection) = self.take_idle(index, values) {
+                    return Ok(Offer::Lent(self.lent(connection)));
+                }
+                // Every idle connection had ended; there is room for a new one now.
+                Ok(Offer::Open(self.place(index)))
+            }
+            Choice::Open(index) => Ok(Offer::Open(self.place(index))),
+            Choice::Wait => self.wait(wish, deadline).await,
+            Choice::Nowhere => Err(NoConnection::Nowhere),
+        }
+    }
+
+    async fn wait(
+        self: &Rc<Self>,
+        wish: Wish,
+        deadline: Instant,
+    ) -> Result<Offer<E>, NoConnection> {
+        let (grant, granted) = oneshot::channel();
+        {
+            let mut state = self.state.borrow_mut();
+            for queue in &mut state.waiters {
+                queue.retain(|waiter| !waiter.grant.is_closed());
+            }
+            if state.waiters.iter().map(VecDeque::len).sum::<usize>() >= MOST_WAITING {
+                return Err(NoConnection::QueueFull);
+            }
+            let lane = usize::from(wish.priority).min(PRIORITIES - 1);
+            state.waiters[lane].push_back(Waiter { wish, grant });
+        }
+        match tokio::time::timeout_at(deadline.into(), granted).await {
+            Ok(Ok(offer)) => Ok(offer),
+            Ok(Err(_)) => Err(NoConnection::Nowhere),
+            Err(_) => Err(NoConnection::TooLate),
+        }
+    }
+
+    fn choose_now(&self, wish: &Wish) -> Choice {
+        let now = Instant::now();
+        let mut state = self.state.borrow_mut();
+        let mut candidates = self.candidates(&mut state, wish, now);
+        if candidates.is_empty() && wish.only.is_none() {
+            // Better a server that was away a moment ago than none.
+            for slot in &mut state.servers {
+                slot.away_until = None;
+                slot.lagging_until = None;
+            }
+            candidates = self.candidates(&mut state, wish, now);
+        }
+        choose(&candidates)
+    }
+
+    fn candidates(
+        &self,
+        state: &mut PoolState<E>,
+        wish: &Wish,
+        now: Instant,
+    ) -> Vec<Candidate> {
+        let fit = state.servers.iter_mut().enumerate().filter(|(_, slot)| slot.is_fit(wish, now));
+        fit.map(|(index, slot)| {
+            if slot.latency_at.is_some_and(|at| now.duration_since(at) > LATENCY_LASTS) {
+                slot.latency = LatencyAverage::default();
+                slot.latency_at = None;
+            }
+            Candidate {
+                index,
+                near: slot.entry.availability_zone == self.availability_zone,
+                leads: wish.primary.as_ref() == Some(&slot.entry.server),
+                idle: slot.idle.len() as u32,
+                in_use: slot.in_use,
+                limit: slot.limit,
+                latency_us: slot.latency.get_us(),
+            }
+        })
+        .collect()
+    }
+
+    /// Takes the idle connection that needs the least to be sent before the statement.
+    fn take_idle(
+        &self,
+        index: usize,
+        values: &SessionValues,
+    ) -> Option<EndpointConnection<E>> {
+        let mut state = self.state.borrow_mut();
+        let slot = &mut state.servers[index];
+        slot.idle.retain(EndpointConnection::is_quiet);
+        let fitting = |wanted: fn(&EndpointConnection<E>, &SessionValues) -> bool| {
+            slot.idle.iter().rposition(|connection| wanted(connection, values))
+        };
+        let best = fitting(|connection, values| connection.environment.has_values(values))
+            .or_else(|| fitting(|connection, values| connection.environment.can_become(values)))
+            .or_else(|| slot.idle.len().checked_sub(1))?;
+        slot.in_use += 1;
+        Some(slot.idle.remove(best))
+    }
+
+    fn place(self: &Rc<Self>, index: usize) -> OpeningPlace<E> {
+        let mut state = self.state.borrow_mut();
+        let slot = &mut state.servers[index];
+        slot.in_use += 1;
+        OpeningPlace { pool: self.clone(), entry: slot.entry.clone(), settled: false }
+    }
+
+    fn lent(self: &Rc<Self>, connection: EndpointConnection<E>) -> Lent<E> {
+        Lent { pool: self.clone(), connection: Some(connection), lent_at: Instant::now() }
+    }
+
+    fn with_slot<R>(&self, server: &str, act: impl FnOnce(&mut ServerSlot<E>) -> R) -> Option<R> {
+        let mut state = self.state.borrow_mut();
+        state.servers.iter_mut().find(|slot| &*slot.entry.server == server).map(act)
+    }
+
+    /// Notes that a server answered, with its point.
+    pub fn on_answer(&self, server: &str, point: Option<LogPoint>, took: Duration) {
+        self.with_slot(server, |slot| {
+            slot.latency.add(took.as_micros() as u64);
+            slot.latency_at = Some(Instant::now());
+            slot.failures = 0;
+            slot.away_until = None;
+            if point.is_some() {
+                slot.point = point;
+            }
+        });
+    }
+
+    /// Notes that a server's log lacked the point that was asked for.
+    pub fn on_lagging(&self, server: &str) {
+        self.with_slot(server, |slot| slot.lagging_until = Some(Instant::now() + LAGGING_FOR));
+    }
+
+    /// Notes that a server could not be reached or would take no more.
+    pub fn on_failure(&self, server: &str) {
+        self.with_slot(server, |slot| {
+            let backoff = FIRST_BACKOFF.saturating_mul(1 << slot.failures.min(8));
+            slot.failures += 1;
+            slot.away_until = Some(Instant::now() + backoff.min(LONGEST_BACKOFF));
+        });
+    }
+
+    /// Returns how long a new statement would wait, for callers that are told when to come back.
+    pub fn expected_wait(&self) -> Duration {
+        let state = self.state.borrow();
+        let waiting: usize = state.waiters.iter().map(VecDeque::len).sum();
+        let connections: u32 = state.servers.iter().map(|slot| slot.limit).sum();
+        let latency_us = state.servers.iter().map(|slot| slot.latency.get_us()).max().unwrap_or(0);
+        let rounds = 1 + waiting as u64 / u64::from(connections.max(1));
+        Duration::from_micros(u64::from(latency_us) * rounds)
+    }
+
+    /// Returns a server's entry by its identity.
+    pub fn entry_of(&self, server: &str) -> Option<Arc<ServerEntry>> {
+        self.with_slot(server, |slot| slot.entry.clone())
+    }
+
+    fn put_idle(&self, connection: EndpointConnection<E>) {
+        let server = connection.server.clone();
+        self.with_slot(&server, |slot| {
+            slot.in_use = slot.in_use.saturating_sub(1);
+            if slot.listed && (slot.idle.len() as u32 + slot.in_use) < slot.limit {
+                slot.idle.push(connection);
+            }
+        });
+    }
+
+    fn give_up(self: &Rc<Self>, server: &str) {
+        self.with_slot(server, |slot| slot.in_use = slot.in_use.saturating_sub(1));
+        self.serve_waiters();
+    }
+
+    /// Hands free places to those that wait.
+    fn serve_waiters(self: &Rc<Self>) {
+        loop {
+            let free = {
+                let state = self.state.borrow();
+                let mut free = state.servers.iter().filter(|slot| {
+                    slot.listed && slot.idle.len() as u32 + slot.in_use < slot.limit
+                });
+                let waits = |slot: &&ServerSlot<E>| self.has_waiter(&state, slot);
+                free.find(waits).map(|slot| slot.entry.clone())
+            };
+            let Some(entry) = free else { return };
+            let Some(waiter) = self.next_waiter(&entry.server) else { return };
+            self.with_slot(&entry.server, |slot| slot.in_use += 1);
+            let place = OpeningPlace { pool: self.clone(), entry, settled: false };
+            // A place that nobody takes any more gives itself up when it is dropped.
+            let _ = waiter.grant.send(Offer::Open(place));
+        }
+    }
+
+    fn has_waiter(&self, state: &PoolState<E>, slot: &ServerSlot<E>) -> bool {
+        let now = Instant::now();
+        state
+            .waiters
+            .iter()
+            .flatten()
+            .any(|waiter| !waiter.grant.is_closed() && slot.is_fit(&waiter.wish, now))
+    }
+
+    fn next_waiter(&self, server: &str) -> Option<Waiter<E>> {
+        let now = Instant::now();
+        let mut state = self.state.borrow_mut();
+        let PoolState { servers, waiters } = &mut *state;
+        let slot = servers.iter().find(|slot| &*slot.entry.server == server)?;
+        if !slot.listed {
+            return None;
+        }
+        for queue in waiters {
+            queue.retain(|waiter| !waiter.grant.is_closed());
+            if let Some(index) = queue.iter().position(|waiter| slot.is_fit(&waiter.wish, now)) {
+                return queue.remove(index);
+            }
+        }
+        None
+    }
+}
+
+impl<E: EndpointDialect> OpeningPlace<E> {
+    /// Takes the new connection.
+    pub fn opened(mut self, connection: EndpointConnection<E>) -> Lent<E> {
+        self.settled = true;
+        self.pool.lent(connection)
+    }
+}
+
+impl<E: EndpointDialect> Drop for OpeningPlace<E> {
+    fn drop(&mut self) {
+        if !self.settled {
+            self.pool.give_up(&self.entry.server);
+        }
+    }
+}
+
+impl<E: EndpointDialect> Lent<E> {
+    /// Returns the connection.
+    pub fn connection(&mut self) -> &mut EndpointConnection<E> {
+        self.connection.as_mut().expect("a lent connection is there until it is given back")
+    }
+
+    /// Returns the server's identity.
+    pub fn server(&self) -> &Name {
+        &self.connection.as_ref().expect("a lent connection is there until it is given back").server
+    }
+
+    /// How long it has been lent.
+    pub fn lent_for(&self) -> Duration {
+        self.lent_at.elapsed()
+    }
+
+    /// Gives it back for the next statement. Whatever is not given back is closed.
+    pub fn give_back(mut self) {
+        if let Some(connection) = &mut self.connection {
+            connection.rest();
+        }
+        self.lent_at = Instant::now();
+        while let Some(waiter) = self.pool.next_waiter(self.server()) {
+            match waiter.grant.send(Offer::Lent(self)) {
+                Ok(()) => return,
+                Err(Offer::Lent(lent)) => self = lent,
+                Err(Offer::Open(_)) => return,
+            }
+        }
+        if let Some(connection) = self.connection.take() {
+            self.pool.put_idle(connection);
+        }
+    }
+}
+
+impl<E: EndpointDialect> Drop for Lent<E> {
+    fn drop(&mut self) {
+        if let Some(connection) = self.connection.take() {
+            let server = connection.server.clone();
+            drop(connection);
+            self.pool.give_up(&server);
+        }
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/serve/session.rs
@@ -0,0 +1,476 @@
+//! One caller's connection: its messages in order, its values and names, its transaction.
+
+use std::{
+    collections::HashMap,
+    rc::Rc,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use bytes::{Bytes, BytesMut};
+use model::{LogPoint, Name};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+};
+
+use crate::{
+    catalog::Route,
+    dialect::{CallerDialect, CallerMessage, CallerReply, EndpointDialect},
+    serve::{
+        connection::refusal,
+        engine::Engine,
+        execute::{Job, Transaction, Work, id_text},
+        replay::SessionValues,
+    },
+    statement::{
+        Answer, ErrorCode, Outcome, PreparedShape, Request, Statement, StatementError,
+        TransactionState,
+    },
+};
+
+/// The room that a read from a caller gets.
+const READ_RESERVE_BYTES: usize = 2 * 1024;
+/// How long a caller may take to read an answer before its connection is ended.
+const CALLER_READS_WITHIN: Duration = Duration::from_secs(10);
+/// How long a new connection may take to say what it wants.
+const STARTUP_WITHIN: Duration = Duration::from_secs(10);
+/// Values and prepared names that one session may hold; they are replayed and kept in memory.
+const MOST_NAMES: usize = 1_024;
+
+/// Why a session ends.
+enum End {
+    /// The caller left or said that it ends.
+    Left,
+    /// A planned stop closes sessions that are at rest.
+    Stopping,
+    /// The caller sent what can't be read on; it is told why.
+    Unreadable(StatementError),
+}
+
+/// What came next.
+enum Event {
+    Message(CallerMessage),
+    End(End),
+    /// The open transaction has rested for too long.
+    Rested,
+    /// An open transaction has no more time, since the daemon stops.
+    StopsNow,
+}
+
+struct Session<C, E: EndpointDialect> {
+    engine: Rc<Engine<C, E>>,
+    stream: TcpStream,
+    incoming: BytesMut,
+    outgoing: BytesMut,
+    database: Name,
+    values: SessionValues,
+    prepared: HashMap<Name, PreparedShape>,
+    own_points: HashMap<Name, LogPoint>,
+    transaction: Option<Transaction<E>>,
+}
+
+/// Serves a caller until it leaves or the daemon stops.
+pub async fn serve_caller<C: CallerDialect, E: EndpointDialect>(
+    engine: Rc<Engine<C, E>>,
+    stream: TcpStream,
+) {
+    engine.callers.set(engine.callers.get() + 1);
+    let _ = stream.set_nodelay(true);
+    let mut session = Session {
+        engine: engine.clone(),
+        stream,
+        incoming: BytesMut::new(),
+        outgoing: BytesMut::new(),
+        database: Name::from(""),
+        values: SessionValues::new(),
+        prepared: HashMap::new(),
+        own_points: HashMap::new(),
+        transaction: None,
+    };
+    session.run().await;
+    if let Some(lent) = session.transaction.take().and_then(|transaction| transaction.lent) {
+        engine.roll_back(lent);
+    }
+    engine.callers.set(engine.callers.get() - 1);
+}
+
+impl<C: CallerDialect, E: EndpointDialect> Session<C, E> {
+    async fn run(&mut self) {
+        if !self.start().await {
+            return;
+        }
+        loop {
+            match self.next_event().await {
+                Event::Message(message) => {
+                    if !self.on_message(message).await {
+                        return;
+                    }
+                }
+                Event::Rested => self.fail_transaction("idle_transaction"),
+                Event::StopsNow => {
+                    self.fail_transaction("stopping");
+                    return;
+                }
+                Event::End(End::Left | End::Stopping) => return,
+                Event::End(End::Unreadable(error)) => {
+                    let state = self.state();
+                    self.reply(refusal(error, state));
+                    let _ = self.flush().await;
+                    return;
+                }
+            }
+        }
+    }
+
+    /// Reads the first message; `false` if the connection ends with it.
+    async fn start(&mut self) -> bool {
+        let first = tokio::time::timeout(STARTUP_WITHIN, self.read_message()).await;
+        let Ok(Ok(CallerMessage::Startup { database })) = first else {
+            if let Ok(Ok(_)) = first {
+                let error = StatementError::new(ErrorCode::Malformed, "a startup must come first");
+                self.outgoing_error(error);
+                let _ = self.flush().await;
+            }
+            return false;
+        };
+        if self.engine.callers.get() > self.engine.settings.most_callers {
+            let why = "this daemon has as many callers as it may";
+            self.outgoing_error(StatementError::come_back(ErrorCode::Overloaded, why, 500));
+            let _ = self.flush().await;
+            return false;
+        }
+        if !self.engine.beliefs().catalog.routes.contains_key(&database) {
+            log::info!(
+                event = "unknown_database", database = &*database,
+                configuration = self.engine.beliefs().catalog.version;
+                "a caller named a database that no route has"
+            );
+            let why = "no route has this database";
+            self.outgoing_error(StatementError::new(ErrorCode::UnknownDatabase, why));
+            let _ = self.flush().await;
+            return false;
+        }
+        self.database = database;
+        self.ready(TransactionState::Idle, None);
+        self.flush().await.is_ok()
+    }
+
+    async fn next_event(&mut self) -> Event {
+        let mut stopping = self.engine.stopping.clone();
+        loop {
+            if !self.incoming.is_empty() {
+                match self.engine.caller_dialect.decode(&mut self.incoming) {
+                    Ok(Some(message)) => return Event::Message(message),
+                    Ok(None) => {}
+                    Err(error) => return Event::End(End::Unreadable(error.0)),
+                }
+            }
+            let rest_until = self.rest_until();
+            let stop_until = stopping.borrow_and_update().map(|since| since + self.time_to_stop());
+            let at_rest = self.incoming.is_empty() && self.transaction.is_none();
+            if at_rest && stop_until.is_some_and(|until| until <= Instant::now()) {
+                return Event::End(End::Stopping);
+            }
+            self.incoming.reserve(READ_RESERVE_BYTES);
+            tokio::select! {
+                biased;
+                read = self.stream.read_buf(&mut self.incoming) => match read {
+                    Ok(0) | Err(_) => return Event::End(End::Left),
+                    Ok(_) => {}
+                },
+                () = sleep_until(rest_until) => return Event::Rested,
+                () = sleep_until(stop_until) => {
+                    if self.transaction.is_some() {
+                        return Event::StopsNow;
+                    }
+                }
+                _ = stopping.changed() => {}
+            }
+        }
+    }
+
+    /// How long after the signal to stop the session may go on: one at rest until the load balancer
+    /// has heard of it and sends its caller elsewhere, a transaction for longer.
+    fn time_to_stop(&self) -> Duration {
+        let settings = &self.engine.settings;
+        match self.transaction {
+            Some(_) => settings.stop_transactions_after,
+            None => settings.stop_resting_after,
+        }
+    }
+
+    /// Until when the open transaction may rest, if it has a connection of its own.
+    fn rest_until(&self) -> Option<Instant> {
+        let transaction = self.transaction.as_ref()?;
+        transaction.lent.as_ref()?;
+        Some(Instant::now() + self.engine.beliefs().catalog.idle_transaction?)
+    }
+
+    async fn read_message(&mut self) -> Result<CallerMessage, ()> {
+        loop {
+            match self.engine.caller_dialect.decode(&mut self.incoming) {
+                Ok(Some(message)) => return Ok(message),
+                Ok(None) => {}
+                Err(error) => {
+                    self.outgoing_error(error.0);
+                    let _ = self.flush().await;
+                    return Err(());
+                }
+            }
+            match self.stream.read_buf(&mut self.incoming).await {
+                Ok(0) | Err(_) => return Err(()),
+                Ok(_) => {}
+            }
+        }
+    }
+
+    /// Answers a message; `false` if the connection ends with it.
+    async fn on_message(&mut self, message: CallerMessage) -> bool {
+        let arrived = Instant::now();
+        let answer = match message {
+            CallerMessage::Terminate => return false,
+            CallerMessage::Startup { .. } => {
+                self.local_error(ErrorCode::Malformed, "the session has begun already")
+            }
+            CallerMessage::Invalid { error } => {
+                self.fail_if_open();
+                refusal(error, self.state())
+            }
+            CallerMessage::Request(request) => self.on_request(request, arrived).await,
+        };
+        self.reply(answer);
+        if self.incoming.is_empty() {
+            self.incoming = BytesMut::new();
+        }
+        self.flush().await.is_ok()
+    }
+
+    async fn on_request(&mut self, request: Request, arrived: Instant) -> Answer {
+        let Request { id, statement } = request;
+        if self.transaction.as_ref().is_some_and(|transaction| transaction.failed) {
+            return self.on_failed_transaction(&statement);
+        }
+        match statement {
+            Statement::Begin { read_only } => self.on_begin(read_only),
+            Statement::Set { name, value } => {
+                if self.values.len() >= MOST_NAMES && !self.values.contains_key(&name) {
+                    return self.local_error(ErrorCode::TooLarge, "too many values");
+                }
+                self.values.insert(name, value);
+                self.local_success()
+            }
+            Statement::Prepare { name, shape } => {
+                if self.prepared.len() >= MOST_NAMES && !self.prepared.contains_key(&name) {
+                    return self.local_error(ErrorCode::TooLarge, "too many prepared names");
+                }
+                self.prepared.insert(name, shape);
+                self.local_success()
+            }
+            Statement::Deallocate { name } => match self.prepared.remove(&name) {
+                Some(_) => self.local_success(),
+                None => self.local_error(ErrorCode::UnknownStatement, "no such prepared name"),
+            },
+            Statement::Rollback => self.on_rollback(),
+            Statement::Commit if self.transaction.is_none() => {
+                self.local_error(ErrorCode::Malformed, "no transaction is open")
+            }
+            Statement::Commit => self.on_work(id, Work::Commit, arrived).await,
+            Statement::Read { body } => self.on_work(id, Work::Read(body), arrived).await,
+            Statement::Write { body } => self.on_work(id, Work::Write(body), arrived).await,
+            Statement::Execute { name, arguments } => match self.prepared.get(&name).cloned() {
+                Some(shape) => self.on_work(id, Work::Execute { shape, arguments }, arrived).await,
+                None => self.local_error(ErrorCode::UnknownStatement, "no such prepared name"),
+            },
+        }
+    }
+
+    /// Only the end of a failed transaction is taken; nothing of it is kept.
+    fn on_failed_transaction(&mut self, statement: &Statement) -> Answer {
+        match statement {
+            Statement::Rollback => self.on_rollback(),
+            Statement::Commit => {
+                self.transaction = None;
+                let error =
+                    StatementError::new(ErrorCode::Aborted, "the transaction had failed before");
+                refusal(error, TransactionState::Idle)
+            }
+            _ => {
+                let error = StatementError::new(
+                    ErrorCode::Malformed,
+                    "the transaction has failed and waits for its end",
+                );
+                refusal(error, TransactionState::Failed)
+            }
+        }
+    }
+
+    fn on_begin(&mut self, read_only: bool) -> Answer {
+        if self.transaction.is_some() {
+            return self.local_error(ErrorCode::Malformed, "a transaction is open already");
+        }
+        match self.route() {
+            Some(route) => {
+                self.transaction = Some(Transaction::new(route, read_only));
+                self.local_success()
+            }
+            None => self.local_error(ErrorCode::UnknownDatabase, "the route was removed"),
+        }
+    }
+
+    fn on_rollback(&mut self) -> Answer {
+        let Some(transaction) = self.transaction.take() else {
+            return self.local_error(ErrorCode::Malformed, "no transaction is open");
+        };
+        if let Some(lent) = transaction.lent {
+            self.engine.roll_back(lent);
+        }
+        self.local_success()
+    }
+
+    async fn on_work(&mut self, id: Bytes, work: Work, arrived: Instant) -> Answer {
+        let route = match &self.transaction {
+            Some(transaction) => Some(transaction.route.clone()),
+            None => self.route(),
+        };
+        let Some(route) = route else {
+            return self.local_error(ErrorCode::UnknownDatabase, "the route was removed");
+        };
+        let writes = work.class() == model::StatementClass::Write;
+        let is_commit = work == Work::Commit;
+        let own = self.own_points.get(&route.service).copied();
+        let values = std::mem::take(&mut self.values);
+        let job = Job { id, work, route: &route, values: &values, own, arrived };
+        let engine = self.engine.clone();
+        let answer = match &mut self.transaction {
+            Some(transaction) => engine.run_in_transaction(&job, transaction).await,
+            None => engine.run_single(&job).await,
+        };
+        self.after_work(&job, &answer, writes, is_commit);
+        self.values = values;
+        answer
+    }
+
+    fn after_work(&mut self, job: &Job<'_>, answer: &Answer, writes: bool, is_commit: bool) {
+        let succeeded = matches!(answer.outcome, Outcome::Complete(_));
+        let ended = answer.state == TransactionState::Idle;
+        let wrote = match &self.transaction {
+            Some(transaction) => is_commit && transaction.wrote,
+            None => writes,
+        };
+        if let Some(point) = answer.point
+            && succeeded
+            && ended
+            && wrote
+        {
+            let own = self.own_points.entry(job.route.service.clone()).or_insert(point);
+            *own = point.max(*own);
+        }
+        if ended {
+            self.transaction = None;
+        }
+        let outcome = answer.error_code().map_or("success", ErrorCode::as_str);
+        let reads = job.route.reads.as_str();
+        let metrics = &self.engine.metrics;
+        metrics.statements.with_label_values(&[reads, outcome]).inc();
+        let took = job.arrived.elapsed();
+        metrics.statement_seconds.with_label_values(&[reads]).observe(took.as_secs_f64());
+        log::debug!(
+            event = "statement", id = id_text(&job.id).as_str(), route = &*job.route.name,
+            outcome = outcome, took_us = took.as_micros() as u64;
+            "a statement ended"
+        );
+    }
+
+    fn route(&self) -> Option<Arc<Route>> {
+        self.engine.beliefs().catalog.routes.get(&self.database).cloned()
+    }
+
+    fn state(&self) -> TransactionState {
+        match &self.transaction {
+            None => TransactionState::Idle,
+            Some(transaction) if transaction.failed => TransactionState::Failed,
+            Some(_) => TransactionState::Open,
+        }
+    }
+
+    /// An error that the session gives itself; inside a transaction it fails the transaction.
+    fn local_error(&mut self, code: ErrorCode, text: &'static str) -> Answer {
+        self.fail_if_open();
+        refusal(StatementError::new(code, text), self.state())
+    }
+
+    fn fail_if_open(&mut self) {
+        if self.transaction.as_ref().is_some_and(|transaction| !transaction.failed) {
+            self.fail_transaction("error");
+        }
+    }
+
+    /// Ends the open transaction at its server; its caller learns of it with its next message.
+    fn fail_transaction(&mut self, why: &str) {
+        let Some(transaction) = &mut self.transaction else { return };
+        transaction.failed = true;
+        if let Some(lent) = transaction.lent.take() {
+            log::info!(
+                event = "transaction_ended", service = &*transaction.route.service,
+                server = &**lent.server(), why = why,
+                lent_ms = lent.lent_for().as_millis() as u64;
+                "an open transaction was rolled back"
+            );
+            self.engine.roll_back(lent);
+        }
+    }
+
+    fn local_success(&self) -> Answer {
+        Answer {
+            rows: Vec::new(),
+            outcome: Outcome::Complete(Bytes::new()),
+            state: self.state(),
+            point: None,
+        }
+    }
+
+    fn reply(&mut self, answer: Answer) {
+        let dialect = self.engine.caller_dialect.clone();
+        for row in answer.rows {
+            dialect.encode(&CallerReply::Row(row), &mut self.outgoing);
+        }
+        match answer.outcome {
+            Outcome::Complete(proof) => {
+                let proof = Some(proof).filter(|proof| !proof.is_empty());
+                dialect.encode(&CallerReply::Complete(proof), &mut self.outgoing);
+            }
+            Outcome::Error(error) => self.outgoing_error(error),
+        }
+        self.ready(answer.state, answer.point);
+    }
+
+    fn outgoing_error(&mut self, error: StatementError) {
+        let dialect = self.engine.caller_dialect.clone();
+        dialect.encode(&CallerReply::Error(error), &mut self.outgoing);
+    }
+
+    fn ready(&mut self, state: TransactionState, point: Option<LogPoint>) {
+        let dialect = self.engine.caller_dialect.clone();
+        dialect.encode(&CallerReply::Ready { state, point }, &mut self.outgoing);
+    }
+
+    /// Sends what is queued in one write where the socket takes it.
+    async fn flush(&mut self) -> Result<(), ()> {
+        let outgoing = self.outgoing.split();
+        let written =
+            tokio::time::timeout(CALLER_READS_WITHIN, self.stream.write_all(&outgoing)).await;
+        self.outgoing = BytesMut::new();
+        match written {
+            Ok(Ok(())) => Ok(()),
+            Ok(Err(_)) | Err(_) => Err(()),
+        }
+    }
+}
+
+async fn sleep_until(at: Option<Instant>) {
+    match at {
+        Some(at) => tokio::time::sleep_until(at.into()).await,
+        None => std::future::pending().await,
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/serve/verdict.rs
@@ -0,0 +1,65 @@
+//! What became of an attempt, and so what may be done next and what a caller may be told.
+//!
+//! The table in `docs/PLATFORM.md`, "Verdicts", lists every case; `tests/verdict.rs` compares them.
+
+use model::StatementClass;
+
+use crate::{serve::connection::ConnectionLost, statement::ErrorCode};
+
+/// How far an attempt had come when it ended without a usable answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Progress {
+    /// No byte of the statement was sent.
+    NotSent,
+    /// Some or all of it was sent, and no answer came.
+    Sent,
+}
+
+/// What to do next.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Next {
+    /// No server ran it: try another one while there is time.
+    TryElsewhere,
+    /// The server does not lead any more: wait for the one that does.
+    AwaitPrimary,
+    /// Tell the caller this; it is final.
+    Tell(ErrorCode),
+}
+
+/// What follows when a server answered a single statement with an error.
+pub fn after_error(code: ErrorCode, class: StatementClass) -> Next {
+    match code {
+        ErrorCode::NotPrimary | ErrorCode::WrongServer => Next::AwaitPrimary,
+        code if code.was_not_run() => Next::TryElsewhere,
+        // It ran and failed; a read may run again, since it changes nothing.
+        ErrorCode::Failed | ErrorCode::TimedOut if class == StatementClass::Read => {
+            Next::TryElsewhere
+        }
+        code => Next::Tell(code),
+    }
+}
+
+/// What follows when a single statement's connection was lost.
+pub fn after_loss(progress: Progress, class: StatementClass) -> Next {
+    match (progress, class) {
+        (Progress::NotSent, _) | (Progress::Sent, StatementClass::Read) => Next::TryElsewhere,
+        (Progress::Sent, StatementClass::Write) => Next::Tell(ErrorCode::InDoubt),
+    }
+}
+
+/// What a caller is told when the connection of its open transaction was lost.
+///
+/// A server rolls a transaction back when its connection ends, so before the commit was sent nothing
+/// is kept; after it, only a transaction that wrote nothing has surely kept nothing.
+pub fn transaction_after_loss(is_commit: bool, wrote: bool, progress: Progress) -> ErrorCode {
+    if is_commit && wrote && progress == Progress::Sent {
+        ErrorCode::InDoubt
+    } else {
+        ErrorCode::Aborted
+    }
+}
+
+/// Whether a lost connection speaks against the server itself.
+pub fn speaks_against_server(lost: &ConnectionLost) -> bool {
+    !matches!(lost, ConnectionLost::Refused(ErrorCode::TooManyConnections))
+}
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -17,7 +17,7 @@
 };
 use base64::{Engine, engine::general_purpose::STANDARD};
 use parking_lot::Mutex;
-use platform::{CatalogNode, KeyValuePair, SessionCreated, SessionRequest};
+use store::{CatalogNode, KeyValuePair, SessionCreated, SessionRequest};
 use serde::Deserialize;
 use tokio::{net::TcpListener, sync::watch};
 
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -3,11 +3,13 @@
 //! Logs are JSON lines, metrics are Prometheus's, and each hop of a traced request is a span joined
 //! by the W3C trace context. `docs/OPERATIONS.md` lists the metrics and what to watch.
 
+mod bounded_log;
 mod exporter;
 mod logging;
 mod metrics;
 mod trace;
 
+pub use bounded_log::{flush_logs, init_bounded_logging};
 pub use exporter::{SpanExporter, SpanSink};
 pub use logging::init_logging;
 pub use metrics::Metrics;
--- a/crates/telemetry/src/logging.rs
+++ b/crates/telemetry/src/logging.rs
@@ -26,7 +26,7 @@
     let _ = dispatch.apply();
 }
 
-fn json_line(message: &str, record: &Record<'_>) -> serde_json::Value {
+pub(crate) fn json_line(message: &str, record: &Record<'_>) -> serde_json::Value {
     let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     let mut fields = Map::new();
     fields.insert("time_unix_ms".to_owned(), json!(since_epoch.as_millis() as u64));
--- a/crates/wardtiller/src/commands/apply.rs
+++ b/crates/wardtiller/src/commands/apply.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use daemon::{ApplyError, apply_configuration};
-use platform::ConsulClient;
+use store::ConsulClient;
 
 use super::{EXIT_DONE, EXIT_FAILED, read_file, write_error, write_out};
 use crate::cli::Apply;
--- a/crates/wardtiller/src/commands/run.rs
+++ b/crates/wardtiller/src/commands/run.rs
@@ -6,7 +6,7 @@
 use daemon::Daemon;
 use eyre::OptionExt;
 use log::LevelFilter;
-use platform::ConsulClient;
+use store::ConsulClient;
 
 use super::{EXIT_DONE, EXIT_FAILED, read_file, signals::wait_for_stop, write_error};
 use crate::cli::Run;
--- a/crates/wardtiller/src/local_system.rs
+++ b/crates/wardtiller/src/local_system.rs
@@ -12,7 +12,7 @@
 use daemon::{Daemon, apply_configuration};
 use eyre::{OptionExt, bail, ensure};
 use model::{GroupId, Name};
-use platform::{CatalogNode, ConsulClient};
+use store::{CatalogNode, ConsulClient};
 use standin::{EndpointOptions, GroupStandin, Network, PlatformStandin};
 
 /// How a local system is set up.
--- a/crates/wardtiller/tests/configuration.rs
+++ b/crates/wardtiller/tests/configuration.rs
@@ -8,7 +8,7 @@
 use config::HostSettings;
 use daemon::{ApplyError, Daemon, apply_configuration};
 use model::Name;
-use platform::ConsulClient;
+use store::ConsulClient;
 use wardtiller::local_system::LocalSystem;
 
 fn store(system: &LocalSystem) -> ConsulClient {
