--- a/crates/proxy/src/control/duty.rs
+++ b/crates/proxy/src/control/duty.rs
@@ -63,6 +63,18 @@
     NotSettled,
 }
 
+impl std::fmt::Display for ChangeEnd {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            ChangeEnd::Store(error) => error.fmt(f),
+            ChangeEnd::Superseded => f.write_str("another daemon has taken over"),
+            ChangeEnd::NoMajority => f.write_str("too few servers answered"),
+            ChangeEnd::NoSuccessor => f.write_str("no server can take over yet"),
+            ChangeEnd::NotSettled => f.write_str("the chosen server did not come to lead"),
+        }
+    }
+}
+
 /// The duty as this daemon holds it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct HeldDuty {
@@ -190,7 +202,7 @@
             Err(end) => {
                 log::info!(
                     event = "change_ended", service = &**service, reason = reason.as_str(),
-                    took_ms = took_ms, why = format!("{end:?}").as_str();
+                    took_ms = took_ms, why = end.to_string().as_str();
                     "a change of primary ended without one"
                 );
                 tokio::time::sleep(LOOK_EVERY).await;
--- a/crates/proxy/src/serve/engine.rs
+++ b/crates/proxy/src/serve/engine.rs
@@ -44,6 +44,18 @@
     seen_limit: Cell<u32>,
 }
 
+impl<E: EndpointDialect> Group<E> {
+    fn new(availability_zone: Name) -> Group<E> {
+        Group {
+            pool: Rc::new(GroupPool::new(availability_zone)),
+            samples: RefCell::new(StalenessSamples::new(SAMPLES_KEPT)),
+            probes: RefCell::default(),
+            seen: RefCell::default(),
+            seen_limit: Cell::new(0),
+        }
+    }
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum ProbeState {
     Asking,
@@ -144,17 +156,12 @@
 
     /// Returns a service's group, brought up to what is believed now.
     pub fn group(&self, service: &Name, beliefs: &Beliefs) -> Rc<Group<E>> {
-        let group = self.groups.borrow().get(service).cloned().unwrap_or_else(|| {
-            let group = Rc::new(Group {
-                pool: Rc::new(GroupPool::new(self.settings.availability_zone.clone())),
-                samples: RefCell::new(StalenessSamples::new(SAMPLES_KEPT)),
-                probes: RefCell::default(),
-                seen: RefCell::default(),
-                seen_limit: Cell::new(0),
-            });
-            self.groups.borrow_mut().insert(service.clone(), group.clone());
-            group
-        });
+        let group = self
+            .groups
+            .borrow_mut()
+            .entry(service.clone())
+            .or_insert_with(|| Rc::new(Group::new(self.settings.availability_zone.clone())))
+            .clone();
         let granted = beliefs.catalog.services.get(service).map_or(0, |rule| rule.connections);
         let limit = share_of(granted, beliefs.members);
         let is_current = Arc::ptr_eq(&group.seen.borrow(), &beliefs.servers);
--- a/crates/proxy/src/serve/execute.rs
+++ b/crates/proxy/src/serve/execute.rs
@@ -225,7 +225,7 @@
                     self.note_answer(&group, &job.route.service, &server, answer.point, took);
                     match self.judge_in_transaction(&answer, is_first, job) {
                         InTransaction::Deliver => {
-                            return self.finish_in_transaction(&group, job, transaction, answer).await;
+                            return self.finish_in_transaction(job, transaction, answer).await;
                         }
                         InTransaction::SameConnection => tokio::time::sleep(ROUND_PAUSE).await,
                         InTransaction::Restart => {
@@ -592,7 +592,6 @@
 
     async fn finish_in_transaction(
         self: &Rc<Self>,
-        group: &Rc<Group<E>>,
         job: &Job<'_>,
         transaction: &mut Transaction<E>,
         answer: Answer,
