fix(control): the watch begins at the older of two readings; a lapsed primary is waited for

A daemon that started while the store came back took entries that had lapsed for a lost primary and changed two of them.

--- a/crates/proxy/src/control/duty.rs
+++ b/crates/proxy/src/control/duty.rs
@@ -220,9 +220,10 @@
         let entries = self.entries(service);
         let Some(primary) = entries.iter().find(|entry| *entry.server == *known.record.primary)
         else {
-            return (self.state.borrow().servers_known && !entries.is_empty())
-                .then_some(Reason::Gone);
+            let is_gone = !entries.is_empty() && self.is_missing_for_long(service);
+            return is_gone.then_some(Reason::Gone);
         };
+        self.state.borrow_mut().primary_missing_since.remove(service);
         if primary.leaving {
             let other = entries.iter().any(|entry| !entry.leaving);
             return other.then_some(Reason::Leaving);
@@ -234,6 +235,19 @@
         is_primary_lost(suspecting, members).then_some(Reason::Unreachable)
     }
 
+    /// Whether the primary's entry has been missing for so long, in readings of a store that answered
+    /// all the while, that it did not just lapse while the store was away.
+    fn is_missing_for_long(&self, service: &Name) -> bool {
+        let now = Instant::now();
+        let grace = Duration::from_millis(self.settings.leadership.lapse_grace_ms);
+        let mut state = self.state.borrow_mut();
+        let Some(watching_since) = state.watching_since.filter(|_| state.servers_known) else {
+            return false;
+        };
+        let since = *state.primary_missing_since.entry(service.clone()).or_insert(now);
+        now.saturating_duration_since(since.max(watching_since)) >= grace
+    }
+
     fn known_record(&self, service: &Name) -> Option<VersionedRecord> {
         let state = self.state.borrow();
         let item = state.mirror.get(&self.record_key(service))?;
--- a/crates/proxy/src/control/runner.rs
+++ b/crates/proxy/src/control/runner.rs
@@ -79,6 +79,8 @@
     /// Since when members have been watched, which bounds what may have been missed.
     pub(crate) watching_since: Option<Instant>,
     pub(crate) last_read_at: Option<Instant>,
+    /// Since when the recorded primary of a service has had no entry.
+    pub(crate) primary_missing_since: HashMap<Name, Instant>,
     acknowledged: HashMap<Name, String>,
     suspected: HashSet<(Name, Name)>,
     published_servers: Arc<HashMap<Name, Vec<Arc<crate::catalog::ServerEntry>>>>,
@@ -256,20 +258,22 @@
 
     async fn read_everything(&self) -> Result<Revision, MetadataError> {
         let timeout = self.read_timeout();
+        // A range, for the revision at which it was read: the watch must begin there, since the
+        // configuration may change before the servers are read.
         let key = self.format.configuration_key();
-        let configuration = self.store.get(key, timeout).await;
-        self.count_call("get", &configuration);
+        let configuration = self.store.range(key, Consistency::Linearizable, timeout).await;
+        self.count_call("range", &configuration);
         let configuration = configuration?;
         let prefix = self.format.servers_prefix();
         let servers = self.store.range(prefix, Consistency::Linearizable, timeout).await;
         self.count_call("range", &servers);
         let servers = servers?;
-        if let Some(item) = configuration {
-            self.on_configuration(&item);
+        for item in configuration.items.iter().filter(|item| item.key == key) {
+            self.on_configuration(item);
         }
         self.on_server_snapshot(&servers);
         self.publish();
-        Ok(servers.revision)
+        Ok(configuration.revision.min(servers.revision))
     }
 
     fn on_server_snapshot(&self, snapshot: &Snapshot) {
