--- a/crates/proxy/src/control/runner.rs
+++ b/crates/proxy/src/control/runner.rs
@@ -44,6 +44,10 @@
 /// Askings for evidence within the time that it holds.
 const EVIDENCE_PER_TERM: u32 = 2;
 
+/// How long a daemon counts among those that share the servers' connections after its key was last
+/// seen: one that is cut off from the store keeps its connections, and a cut may last this long.
+const MEMBER_LASTS: Duration = Duration::from_secs(20);
+
 /// A question to a server that the serving thread asks over its own connections.
 #[derive(Debug)]
 pub struct StatusAsk {
@@ -401,7 +405,7 @@
             state.published_servers = Arc::new(state.servers.by_service());
             state.servers_dirty = false;
         }
-        let members = state.mirror.below(&self.key("members/")).count().max(1);
+        let members = state.members_seen.len().max(1);
         self.metrics.now.with_label_values(&["members"]).set(members as i64);
         self.metrics
             .now
@@ -501,7 +505,7 @@
         for host in hosts {
             state.members_seen.insert(host, now);
         }
-        let lasting = self.right() * 2;
+        let lasting = MEMBER_LASTS;
         state.members_seen.retain(|_, seen| now.duration_since(*seen) < lasting);
     }
 
--- a/crates/proxy/src/serve/engine.rs
+++ b/crates/proxy/src/serve/engine.rs
@@ -9,8 +9,9 @@
 };
 
 use model::{LogPoint, Name};
+use routing::RetryBudget;
 use session::StalenessSamples;
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 use crate::{
     control::beliefs::{Beliefs, Observation},
@@ -27,6 +28,9 @@
 
 /// Samples of a primary's position that are kept for each group; they span the longest bound.
 const SAMPLES_KEPT: usize = 64;
+/// Reads in a hundred that may be tried at a second server while the first may still answer; more
+/// would multiply the load on servers that are slow because they are overloaded.
+const RETRY_PERCENT: u32 = 10;
 /// How long a new connection may take: a handshake, and a server that is busy.
 const CONNECT_WITHIN: Duration = Duration::from_millis(400);
 /// How long a server may take to accept a connection that only asks whether it is alive.
@@ -38,6 +42,10 @@
     pub pool: Rc<GroupPool<E>>,
     /// Where its primary's log stood when.
     pub samples: RefCell<StalenessSamples>,
+    /// Reads that may be sent to a second server although the first may still answer.
+    pub retries: RefCell<RetryBudget>,
+    /// Wakes reads that wait for a server which was found to be out of reach.
+    pub lost_server: Notify,
     /// Servers that are being asked whether they are alive, and those that did not answer.
     probes: RefCell<HashMap<Name, ProbeState>>,
     seen: RefCell<Arc<HashMap<Name, Vec<Arc<crate::catalog::ServerEntry>>>>>,
@@ -49,6 +57,8 @@
         Group {
             pool: Rc::new(GroupPool::new(availability_zone)),
             samples: RefCell::new(StalenessSamples::new(SAMPLES_KEPT)),
+            retries: RefCell::new(RetryBudget::new(RETRY_PERCENT)),
+            lost_server: Notify::new(),
             probes: RefCell::default(),
             seen: RefCell::default(),
             seen_limit: Cell::new(0),
@@ -228,12 +238,15 @@
         lost: &ConnectionLost,
     ) {
         self.metrics.connections_opened.with_label_values(&["failed"]).inc();
-        group.pool.on_failure(server);
+        group.pool.on_open_failed(server);
         log::info!(
             event = "connection_failed", service = &**service, server = &**server,
             why = lost.to_string().as_str();
             "a server took no connection"
         );
+        if speaks_against_server(lost) {
+            group.pool.on_failure(server);
+        }
         match lost {
             ConnectionLost::Refused(_) => self.note_reachable(group, service, server),
             _ => self.note_unreachable(group, service, server),
@@ -298,8 +311,14 @@
         });
     }
 
+    /// Whether a server was found to be out of reach.
+    pub fn is_unreachable(&self, group: &Group<E>, server: &Name) -> bool {
+        group.probes.borrow().get(server) == Some(&ProbeState::Unreachable)
+    }
+
     fn note_unreachable(&self, group: &Group<E>, service: &Name, server: &Name) {
         let before = group.probes.borrow_mut().insert(server.clone(), ProbeState::Unreachable);
+        group.lost_server.notify_waiters();
         if before != Some(ProbeState::Unreachable) {
             self.observe(service, server, false);
         }
--- a/crates/proxy/src/serve/execute.rs
+++ b/crates/proxy/src/serve/execute.rs
@@ -28,13 +28,19 @@
     },
 };
 
-/// The part of a statement's time after which it is refused if it could not be sent, so that the
-/// refusal still reaches the caller in time.
-const HOLD_SHARE: f64 = 0.9;
+/// The part of a statement's time after which it is refused if it could not be sent. A caller that is
+/// told early, and when to come back, has time left for another attempt.
+const HOLD_SHARE: f64 = 0.35;
+/// The same while a primary is being replaced: the gap is known to be short, so waiting serves better.
+const HOLD_SHARE_CHANGING: f64 = 0.9;
+/// How many times a server's average answering time a read waits before a second server is tried.
+const SLOW_ANSWER_FACTOR: u32 = 6;
 /// How long nothing is tried after every server refused, before they are asked again.
 const ROUND_PAUSE: Duration = Duration::from_millis(15);
-/// The least time that a server gets for a read before another one is tried.
-const LEAST_READ_ATTEMPT: Duration = Duration::from_millis(150);
+/// How long a server may take to open or roll back a transaction, which takes none of its slots.
+const BEGIN_WITHIN: Duration = Duration::from_millis(300);
+/// The least time that a statement waits for a connection, however late it was given leave to.
+const LEAST_WAIT: Duration = Duration::from_millis(50);
 /// What a caller is told to wait where nothing better is known.
 const COME_BACK_MS: u64 = 100;
 /// What a caller is told to wait while a primary is being replaced.
@@ -111,8 +117,10 @@
         self.arrived + self.route.timeout
     }
 
-    fn hold_until(&self) -> Instant {
-        self.arrived + self.route.timeout.mul_f64(HOLD_SHARE)
+    /// Until when the statement may wait to be sent.
+    fn hold_until(&self, changing: bool) -> Instant {
+        let share = if changing { HOLD_SHARE_CHANGING } else { HOLD_SHARE };
+        self.arrived + self.route.timeout.mul_f64(share)
     }
 }
 
@@ -165,8 +173,10 @@
                 Err(Denied::Again) => continue,
             };
             let sent_at = Instant::now();
-            let deadline = rounds.attempt_deadline(job, class, sent_at);
-            let sent = self.send(&group, job, &mut granted.lent, granted.floor, deadline).await;
+            group.retries.borrow_mut().on_request();
+            let may_run_again = class == StatementClass::Read;
+            let sent =
+                self.send(&group, job, &mut granted.lent, granted.floor, may_run_again).await;
             let server = granted.lent.server().clone();
             let next = match sent {
                 Ok(answer) => match answer.error_code() {
@@ -219,7 +229,7 @@
             let Some(lent) = transaction.lent.as_mut() else { continue };
             let server = lent.server().clone();
             let sent_at = Instant::now();
-            match self.send(&group, job, lent, None, job.deadline()).await {
+            match self.send(&group, job, lent, None, false).await {
                 Ok(answer) => {
                     let took = sent_at.elapsed();
                     self.note_answer(&group, &job.route.service, &server, answer.point, took);
@@ -256,7 +266,7 @@
     pub fn roll_back(self: &Rc<Self>, mut lent: Lent<E>) {
         tokio::task::spawn_local(async move {
             let command = EndpointCommand::own(EndpointText::Rollback);
-            let deadline = Instant::now() + LEAST_READ_ATTEMPT;
+            let deadline = Instant::now() + BEGIN_WITHIN;
             match lent.connection().ask(&command, deadline).await {
                 Ok(answer) if answer.state == TransactionState::Idle => lent.give_back(),
                 // Closing the connection rolls back too.
@@ -301,7 +311,8 @@
             primary: known.map(|lead| lead.server.clone()),
             priority: job.route.priority,
         };
-        let lent = match self.acquire(group, wish, job.values, job.hold_until()).await {
+        let hold_until = job.hold_until(false).max(now + LEAST_WAIT);
+        let lent = match self.acquire(group, wish, job.values, hold_until).await {
             Ok(lent) => lent,
             Err(error) => return Err(self.on_not_acquired(group, job, rounds, error).await),
         };
@@ -352,8 +363,9 @@
             {
                 return Ok(lead.clone());
             }
-            let changed =
-                tokio::time::timeout_at(job.hold_until().into(), beliefs.changed()).await;
+            let changing = current.is_changing(&job.route.service);
+            let hold_until = job.hold_until(changing);
+            let changed = tokio::time::timeout_at(hold_until.into(), beliefs.changed()).await;
             match changed {
                 Ok(Ok(())) => rounds.avoid.clear(),
                 Ok(Err(_)) | Err(_) => {
@@ -413,8 +425,9 @@
         job: &Job<'_>,
         lent: &mut Lent<E>,
         floor: Option<LogPoint>,
-        deadline: Instant,
+        may_run_again: bool,
     ) -> Result<Answer, (Progress, ConnectionLost)> {
+        let deadline = job.deadline();
         let own = lent.connection().environment.prepare_for(job.values, job.work.shape());
         let Some(text) = job.work.text(lent) else {
             let lost = ConnectionLost::Garbled("a shape that was not prepared".to_owned());
@@ -442,14 +455,48 @@
         tokio::pin!(answers);
         let answered = tokio::select! {
             answered = &mut answers => answered,
-            () = tokio::time::sleep(self.settings.suspect_after) => {
-                self.probe(group, &job.route.service, &server);
-                answers.await
-            }
+            () = self.give_up_waiting(group, job, &server, may_run_again) => Err(ConnectionLost::Silent),
         };
         answered.map_err(sent)
     }
 
+    /// Ends when another server should be tried instead of waiting for this one; a server that is
+    /// silent is asked meanwhile whether it lives. Whatever may not run twice is waited for.
+    async fn give_up_waiting(
+        self: &Rc<Self>,
+        group: &Rc<Group<E>>,
+        job: &Job<'_>,
+        server: &Name,
+        may_run_again: bool,
+    ) {
+        let average = group.pool.latency_of(server);
+        let slow_after = job.route.target_latency.max(average * SLOW_ANSWER_FACTOR);
+        let sent_at = Instant::now();
+        let probe_at = sent_at + self.settings.suspect_after;
+        let slow_at = sent_at + slow_after;
+        let mut probed = false;
+        let mut slow = false;
+        loop {
+            let lost = group.lost_server.notified();
+            if may_run_again && self.is_unreachable(group, server) {
+                return;
+            }
+            tokio::select! {
+                () = tokio::time::sleep_until(probe_at.into()), if !probed => {
+                    probed = true;
+                    self.probe(group, &job.route.service, server);
+                }
+                () = tokio::time::sleep_until(slow_at.into()), if may_run_again && !slow => {
+                    slow = true;
+                    if group.retries.borrow_mut().try_retry() {
+                        return;
+                    }
+                }
+                () = lost => {}
+            }
+        }
+    }
+
     async fn finish_single(
         self: &Rc<Self>,
         group: &Rc<Group<E>>,
@@ -534,7 +581,7 @@
             let text = EndpointText::Begin { read_only: transaction.read_only };
             let begin = EndpointCommand { id: None, floor: granted.floor, text };
             let sent_at = Instant::now();
-            let deadline = rounds.attempt_deadline(job, StatementClass::Read, sent_at);
+            let deadline = job.deadline().min(sent_at + BEGIN_WITHIN);
             let begun = granted.lent.connection().ask(&begin, deadline).await;
             let server = granted.lent.server().clone();
             let next = match begun {
@@ -579,7 +626,7 @@
         job: &Job<'_>,
     ) -> InTransaction {
         let Some(code) = answer.error_code() else { return InTransaction::Deliver };
-        let in_time = Instant::now() + ROUND_PAUSE < job.hold_until();
+        let in_time = Instant::now() + ROUND_PAUSE < job.hold_until(false);
         if !code.was_not_run() || !in_time {
             return InTransaction::Deliver;
         }
@@ -635,8 +682,8 @@
         next: Next,
         server: Name,
     ) -> Option<StatementError> {
-        rounds.made += 1;
-        if Instant::now() + ROUND_PAUSE >= job.hold_until() {
+        let changing = self.beliefs().is_changing(&job.route.service);
+        if Instant::now() + ROUND_PAUSE >= job.hold_until(changing) {
             let code = rounds.last_error.unwrap_or(ErrorCode::Overloaded);
             let group = self.group(&job.route.service, &self.beliefs());
             return Some(self.refuse(&group, job, code, "no server could run it", COME_BACK_MS));
@@ -739,23 +786,11 @@
 /// What earlier attempts of one statement have shown.
 #[derive(Default)]
 struct Rounds {
-    made: u32,
     avoid: Vec<Name>,
     primary_only: bool,
     last_error: Option<ErrorCode>,
 }
 
-impl Rounds {
-    /// A read leaves time for another server; whatever may not run twice has all the time there is.
-    fn attempt_deadline(&self, job: &Job<'_>, class: StatementClass, now: Instant) -> Instant {
-        let deadline = job.deadline();
-        if class == StatementClass::Write || self.made + 1 >= job.route.attempts {
-            return deadline;
-        }
-        deadline.min(now + job.route.target_latency.max(LEAST_READ_ATTEMPT))
-    }
-}
-
 /// Returns a request's identifier as text for the log.
 pub fn id_text(id: &[u8]) -> String {
     String::from_utf8_lossy(id).into_owned()
--- a/crates/proxy/src/serve/pool.rs
+++ b/crates/proxy/src/serve/pool.rs
@@ -76,6 +76,8 @@
     point: Option<LogPoint>,
     lagging_until: Option<Instant>,
     failures: u32,
+    /// Until when no connection is opened, after one could not be.
+    no_opening_until: Option<Instant>,
     away_until: Option<Instant>,
     /// Whether it is still listed; one that is not gets no new work.
     listed: bool,
@@ -93,11 +95,26 @@
             point: None,
             lagging_until: None,
             failures: 0,
+            no_opening_until: None,
             away_until: None,
             listed: true,
         }
     }
 
+    fn next_backoff(&mut self) -> Duration {
+        let backoff = FIRST_BACKOFF.saturating_mul(1 << self.failures.min(8));
+        self.failures += 1;
+        backoff.min(LONGEST_BACKOFF)
+    }
+
+    /// How many connections may be used now; those that stand, after one could not be opened.
+    fn limit_at(&self, now: Instant) -> u32 {
+        match self.no_opening_until {
+            Some(until) if now < until => self.limit.min(self.in_use),
+            _ => self.limit,
+        }
+    }
+
     fn is_fit(&self, wish: &Wish, now: Instant) -> bool {
         if !self.listed || wish.avoid.contains(&self.entry.server) {
             return false;
@@ -271,7 +288,7 @@
                 leads: wish.primary.as_ref() == Some(&slot.entry.server),
                 idle: slot.idle.len() as u32,
                 in_use: slot.in_use,
-                limit: slot.limit,
+                limit: slot.limit_at(now),
                 latency_us: slot.latency.get_us(),
             }
         })
@@ -320,6 +337,7 @@
             slot.latency_at = Some(Instant::now());
             slot.failures = 0;
             slot.away_until = None;
+            slot.no_opening_until = None;
             if point.is_some() {
                 slot.point = point;
             }
@@ -331,12 +349,26 @@
         self.with_slot(server, |slot| slot.lagging_until = Some(Instant::now() + LAGGING_FOR));
     }
 
-    /// Notes that a server could not be reached or would take no more.
+    /// Notes that a server could not be reached or failed; it is passed over for a while.
     pub fn on_failure(&self, server: &str) {
         self.with_slot(server, |slot| {
-            let backoff = FIRST_BACKOFF.saturating_mul(1 << slot.failures.min(8));
-            slot.failures += 1;
-            slot.away_until = Some(Instant::now() + backoff.min(LONGEST_BACKOFF));
+            slot.away_until = Some(Instant::now() + slot.next_backoff());
+        });
+    }
+
+    /// Notes that a connection could not be opened: nobody tries again for a while, so that a server
+    /// which grants no more is not flooded, and statements wait for the connections there are.
+    pub fn on_open_failed(self: &Rc<Self>, server: &str) {
+        let backoff = self.with_slot(server, |slot| {
+            let backoff = slot.next_backoff();
+            slot.no_opening_until = Some(Instant::now() + backoff);
+            backoff
+        });
+        let Some(backoff) = backoff else { return };
+        let pool = self.clone();
+        tokio::task::spawn_local(async move {
+            tokio::time::sleep(backoff).await;
+            pool.serve_waiters();
         });
     }
 
@@ -350,6 +382,12 @@
         Duration::from_micros(u64::from(latency_us) * rounds)
     }
 
+    /// Returns a server's average answering time; zero if it is not known.
+    pub fn latency_of(&self, server: &str) -> Duration {
+        let us = self.with_slot(server, |slot| slot.latency.get_us()).unwrap_or(0);
+        Duration::from_micros(u64::from(us))
+    }
+
     /// Returns a server's entry by its identity.
     pub fn entry_of(&self, server: &str) -> Option<Arc<ServerEntry>> {
         self.with_slot(server, |slot| slot.entry.clone())
@@ -374,9 +412,10 @@
     fn serve_waiters(self: &Rc<Self>) {
         loop {
             let free = {
+                let now = Instant::now();
                 let state = self.state.borrow();
                 let mut free = state.servers.iter().filter(|slot| {
-                    slot.listed && slot.idle.len() as u32 + slot.in_use < slot.limit
+                    slot.listed && slot.idle.len() as u32 + slot.in_use < slot.limit_at(now)
                 });
                 let waits = |slot: &&ServerSlot<E>| self.has_waiter(&state, slot);
                 free.find(waits).map(|slot| slot.entry.clone())
