--- a/crates/proxy/src/serve/execute.rs
+++ b/crates/proxy/src/serve/execute.rs
@@ -39,8 +39,11 @@
 const ROUND_PAUSE: Duration = Duration::from_millis(15);
 /// How long a server may take to open or roll back a transaction, which takes none of its slots.
 const BEGIN_WITHIN: Duration = Duration::from_millis(300);
+/// The part of its target latency that a statement waits for a connection. Under a lasting overload
+/// every statement waits for as long as it may; with more, all of them would be late.
+const WAIT_SHARE: f64 = 0.35;
 /// The least time that a statement waits for a connection, however late it was given leave to.
-const LEAST_WAIT: Duration = Duration::from_millis(50);
+const LEAST_WAIT: Duration = Duration::from_millis(30);
 /// What a caller is told to wait where nothing better is known.
 const COME_BACK_MS: u64 = 100;
 /// What a caller is told to wait while a primary is being replaced.
@@ -117,7 +120,12 @@
         self.arrived + self.route.timeout
     }
 
-    /// Until when the statement may wait to be sent.
+    /// Until when the statement may wait for a connection while all of them are in use.
+    fn wait_until(&self) -> Instant {
+        self.arrived + self.route.target_latency.mul_f64(WAIT_SHARE)
+    }
+
+    /// Until when the statement may wait for a server that can run it.
     fn hold_until(&self, changing: bool) -> Instant {
         let share = if changing { HOLD_SHARE_CHANGING } else { HOLD_SHARE };
         self.arrived + self.route.timeout.mul_f64(share)
@@ -182,7 +190,7 @@
                 Ok(answer) => match answer.error_code() {
                     None => return self.finish_single(&group, job, granted, answer, sent_at).await,
                     Some(code) => {
-                        self.note_refused(&group, job, &server, code);
+                        self.note_refused(&group, job, &server, code, granted.floor, &answer);
                         granted.lent.give_back();
                         let next = after_error(code, class);
                         if let Next::Tell(_) = next {
@@ -311,8 +319,8 @@
             primary: known.map(|lead| lead.server.clone()),
             priority: job.route.priority,
         };
-        let hold_until = job.hold_until(false).max(now + LEAST_WAIT);
-        let lent = match self.acquire(group, wish, job.values, hold_until).await {
+        let wait_until = job.wait_until().max(now + LEAST_WAIT);
+        let lent = match self.acquire(group, wish, job.values, wait_until).await {
             Ok(lent) => lent,
             Err(error) => return Err(self.on_not_acquired(group, job, rounds, error).await),
         };
@@ -363,8 +371,7 @@
             {
                 return Ok(lead.clone());
             }
-            let changing = current.is_changing(&job.route.service);
-            let hold_until = job.hold_until(changing);
+            let hold_until = job.hold_until(self.is_gap_short(job));
             let changed = tokio::time::timeout_at(hold_until.into(), beliefs.changed()).await;
             match changed {
                 Ok(Ok(())) => rounds.avoid.clear(),
@@ -375,6 +382,14 @@
         }
     }
 
+    /// Whether the want of a primary will soon be over: it is being replaced, or is about to be.
+    fn is_gap_short(&self, job: &Job<'_>) -> bool {
+        let beliefs = self.beliefs();
+        let Some(lead) = beliefs.leads.get(&job.route.service) else { return false };
+        let group = self.group(&job.route.service, &beliefs);
+        lead.changing || self.is_unreachable(&group, &lead.server)
+    }
+
     fn no_primary(&self, group: &Group<E>, job: &Job<'_>) -> StatementError {
         let changing = self.beliefs().is_changing(&job.route.service);
         let (why, come_back_ms) = if changing {
@@ -595,7 +610,7 @@
                         return None;
                     }
                     Some(code) => {
-                        self.note_refused(group, job, &server, code);
+                        self.note_refused(group, job, &server, code, granted.floor, &answer);
                         rounds.last_error = Some(code);
                         match answer.state {
                             TransactionState::Idle => granted.lent.give_back(),
@@ -682,8 +697,7 @@
         next: Next,
         server: Name,
     ) -> Option<StatementError> {
-        let changing = self.beliefs().is_changing(&job.route.service);
-        if Instant::now() + ROUND_PAUSE >= job.hold_until(changing) {
+        if Instant::now() + ROUND_PAUSE >= job.hold_until(self.is_gap_short(job)) {
             let code = rounds.last_error.unwrap_or(ErrorCode::Overloaded);
             let group = self.group(&job.route.service, &self.beliefs());
             return Some(self.refuse(&group, job, code, "no server could run it", COME_BACK_MS));
@@ -701,7 +715,24 @@
         None
     }
 
-    fn note_refused(&self, group: &Rc<Group<E>>, job: &Job<'_>, server: &Name, code: ErrorCode) {
+    fn note_refused(
+        &self,
+        group: &Rc<Group<E>>,
+        job: &Job<'_>,
+        server: &Name,
+        code: ErrorCode,
+        floor: Option<LogPoint>,
+        answer: &Answer,
+    ) {
+        if code == ErrorCode::NotFresh {
+            log::debug!(
+                event = "not_fresh", id = id_text(&job.id).as_str(),
+                service = &*job.route.service, server = &**server,
+                floor = format!("{floor:?}").as_str(), own = format!("{:?}", job.own).as_str(),
+                shown = format!("{:?}", answer.point).as_str();
+                "a server's log lacks the point that a read must have seen"
+            );
+        }
         match code {
             ErrorCode::NotFresh => group.pool.on_lagging(server),
             ErrorCode::NotPrimary | ErrorCode::WrongServer | ErrorCode::TooManyConnections => {
