feat(proxy): reads that could run elsewhere leave room at the primary

Cause: with its replicas behind, a primary's queue filled with reads, and writes waited behind them in the server, where no priority counts.

--- a/crates/proxy/src/serve/ask.rs
+++ b/crates/proxy/src/serve/ask.rs
@@ -40,6 +40,7 @@
         avoid: Vec::new(),
         primary: None,
         priority: 0,
+        yields: false,
     };
     // Whatever values the connection holds do no harm to a status.
     let lent = engine.acquire(&group, wish, &SessionValues::new(), ask.deadline).await;
--- a/crates/proxy/src/serve/choose.rs
+++ b/crates/proxy/src/serve/choose.rs
@@ -17,6 +17,8 @@
     pub in_use: u32,
     /// Connections that this daemon may have to it.
     pub limit: u32,
+    /// Whether the room that the statement may take is taken.
+    pub full: bool,
     /// Its average answering time, in microseconds; 0 if it is not known.
     pub latency_us: u32,
 }
@@ -54,7 +56,7 @@
 }
 
 fn has_room(candidate: &Candidate) -> bool {
-    candidate.idle > 0 || candidate.in_use < candidate.limit
+    !candidate.full && (candidate.idle > 0 || candidate.in_use < candidate.limit)
 }
 
 /// Estimates the time until the answer: the average for each statement that goes before, and what the
--- a/crates/proxy/src/serve/execute.rs
+++ b/crates/proxy/src/serve/execute.rs
@@ -318,6 +318,7 @@
             avoid: rounds.avoid.clone(),
             primary: known.map(|lead| lead.server.clone()),
             priority: job.route.priority,
+            yields: class == StatementClass::Read && job.route.reads != ReadRule::Primary,
         };
         let wait_until = job.wait_until().max(now + LEAST_WAIT);
         let lent = match self.acquire(group, wish, job.values, wait_until).await {
--- a/crates/proxy/src/serve/pool.rs
+++ b/crates/proxy/src/serve/pool.rs
@@ -29,6 +29,8 @@
 /// Connections of a server that no daemon counts on: those of dead daemons linger for some seconds,
 /// and changes of primary need some of their own.
 const RESERVED_CONNECTIONS: u32 = 3;
+/// One part in so many of a primary's connections may be used by statements that leave room for others.
+const YIELDING_PART: u32 = 2;
 /// Statements that may wait for the connections of one service; more are refused at once.
 const MOST_WAITING: usize = 256;
 /// How long a server that lagged behind a bounded floor is passed over.
@@ -59,6 +61,8 @@
     pub primary: Option<Name>,
     /// The most urgent is 0.
     pub priority: u8,
+    /// Whether it leaves room at the primary for statements that only the primary can run.
+    pub yields: bool,
 }
 
 struct Waiter<E: EndpointDialect> {
@@ -70,6 +74,8 @@
     entry: Arc<ServerEntry>,
     idle: Vec<EndpointConnection<E>>,
     in_use: u32,
+    /// Those in use by statements that leave room for others.
+    yielding: u32,
     limit: u32,
     latency: LatencyAverage,
     latency_at: Option<Instant>,
@@ -89,6 +95,7 @@
             entry,
             idle: Vec::new(),
             in_use: 0,
+            yielding: 0,
             limit: 1,
             latency: LatencyAverage::default(),
             latency_at: None,
@@ -101,6 +108,16 @@
         }
     }
 
+    fn take(&mut self, yields: bool) {
+        self.in_use += 1;
+        self.yielding += u32::from(yields);
+    }
+
+    fn leave(&mut self, yields: bool) {
+        self.in_use = self.in_use.saturating_sub(1);
+        self.yielding = self.yielding.saturating_sub(u32::from(yields));
+    }
+
     fn next_backoff(&mut self) -> Duration {
         let backoff = FIRST_BACKOFF.saturating_mul(1 << self.failures.min(8));
         self.failures += 1;
@@ -115,6 +132,13 @@
         }
     }
 
+    /// Whether a statement that leaves room at the primary would take room that others need. What runs
+    /// in a server at a time is few; more only waits there, where no priority counts.
+    fn is_full_for(&self, wish: &Wish) -> bool {
+        let leads = wish.primary.as_ref() == Some(&self.entry.server);
+        wish.yields && leads && self.yielding >= (self.limit / YIELDING_PART).max(1)
+    }
+
     fn is_fit(&self, wish: &Wish, now: Instant) -> bool {
         if !self.listed || wish.avoid.contains(&self.entry.server) {
             return false;
@@ -159,6 +183,7 @@
     pool: Rc<GroupPool<E>>,
     /// The server to connect to.
     pub entry: Arc<ServerEntry>,
+    yields: bool,
     settled: bool,
 }
 
@@ -167,6 +192,7 @@
     pool: Rc<GroupPool<E>>,
     connection: Option<EndpointConnection<E>>,
     lent_at: Instant,
+    yields: bool,
 }
 
 /// What a wish was answered with.
@@ -219,13 +245,13 @@
     ) -> Result<Offer<E>, NoConnection> {
         match self.choose_now(&wish) {
             Choice::UseIdle(index) => {
-                if let Some(connection) = self.take_idle(index, values) {
-                    return Ok(Offer::Lent(self.lent(connection)));
+                if let Some(connection) = self.take_idle(index, values, wish.yields) {
+                    return Ok(Offer::Lent(self.lent(connection, wish.yields)));
                 }
                 // Every idle connection had ended; there is room for a new one now.
-                Ok(Offer::Open(self.place(index)))
+                Ok(Offer::Open(self.place(index, wish.yields)))
             }
-            Choice::Open(index) => Ok(Offer::Open(self.place(index))),
+            Choice::Open(index) => Ok(Offer::Open(self.place(index, wish.yields))),
             Choice::Wait => self.wait(wish, deadline).await,
             Choice::Nowhere => Err(NoConnection::Nowhere),
         }
@@ -289,6 +315,7 @@
                 idle: slot.idle.len() as u32,
                 in_use: slot.in_use,
                 limit: slot.limit_at(now),
+                full: slot.is_full_for(wish),
                 latency_us: slot.latency.get_us(),
             }
         })
@@ -300,6 +327,7 @@
         &self,
         index: usize,
         values: &SessionValues,
+        yields: bool,
     ) -> Option<EndpointConnection<E>> {
         let mut state = self.state.borrow_mut();
         let slot = &mut state.servers[index];
@@ -310,19 +338,19 @@
         let best = fitting(|connection, values| connection.environment.has_values(values))
             .or_else(|| fitting(|connection, values| connection.environment.can_become(values)))
             .or_else(|| slot.idle.len().checked_sub(1))?;
-        slot.in_use += 1;
+        slot.take(yields);
         Some(slot.idle.remove(best))
     }
 
-    fn place(self: &Rc<Self>, index: usize) -> OpeningPlace<E> {
+    fn place(self: &Rc<Self>, index: usize, yields: bool) -> OpeningPlace<E> {
         let mut state = self.state.borrow_mut();
         let slot = &mut state.servers[index];
-        slot.in_use += 1;
-        OpeningPlace { pool: self.clone(), entry: slot.entry.clone(), settled: false }
+        slot.take(yields);
+        OpeningPlace { pool: self.clone(), entry: slot.entry.clone(), yields, settled: false }
     }
 
-    fn lent(self: &Rc<Self>, connection: EndpointConnection<E>) -> Lent<E> {
-        Lent { pool: self.clone(), connection: Some(connection), lent_at: Instant::now() }
+    fn lent(self: &Rc<Self>, connection: EndpointConnection<E>, yields: bool) -> Lent<E> {
+        Lent { pool: self.clone(), connection: Some(connection), lent_at: Instant::now(), yields }
     }
 
     fn with_slot<R>(&self, server: &str, act: impl FnOnce(&mut ServerSlot<E>) -> R) -> Option<R> {
@@ -396,15 +424,15 @@
     fn put_idle(&self, connection: EndpointConnection<E>) {
         let server = connection.server.clone();
         self.with_slot(&server, |slot| {
-            slot.in_use = slot.in_use.saturating_sub(1);
+            slot.leave(false);
             if slot.listed && (slot.idle.len() as u32 + slot.in_use) < slot.limit {
                 slot.idle.push(connection);
             }
         });
     }
 
-    fn give_up(self: &Rc<Self>, server: &str) {
-        self.with_slot(server, |slot| slot.in_use = slot.in_use.saturating_sub(1));
+    fn give_up(self: &Rc<Self>, server: &str, yields: bool) {
+        self.with_slot(server, |slot| slot.leave(yields));
         self.serve_waiters();
     }
 
@@ -422,8 +450,9 @@
             };
             let Some(entry) = free else { return };
             let Some(waiter) = self.next_waiter(&entry.server) else { return };
-            self.with_slot(&entry.server, |slot| slot.in_use += 1);
-            let place = OpeningPlace { pool: self.clone(), entry, settled: false };
+            let yields = waiter.wish.yields;
+            self.with_slot(&entry.server, |slot| slot.take(yields));
+            let place = OpeningPlace { pool: self.clone(), entry, yields, settled: false };
             // A place that nobody takes any more gives itself up when it is dropped.
             let _ = waiter.grant.send(Offer::Open(place));
         }
@@ -435,7 +464,8 @@
             .waiters
             .iter()
             .flatten()
-            .any(|waiter| !waiter.grant.is_closed() && slot.is_fit(&waiter.wish, now))
+            .filter(|waiter| !waiter.grant.is_closed())
+            .any(|waiter| slot.is_fit(&waiter.wish, now) && !slot.is_full_for(&waiter.wish))
     }
 
     fn next_waiter(&self, server: &str) -> Option<Waiter<E>> {
@@ -448,7 +478,8 @@
         }
         for queue in waiters {
             queue.retain(|waiter| !waiter.grant.is_closed());
-            if let Some(index) = queue.iter().position(|waiter| slot.is_fit(&waiter.wish, now)) {
+            let fits = |wish: &Wish| slot.is_fit(wish, now) && !slot.is_full_for(wish);
+            if let Some(index) = queue.iter().position(|waiter| fits(&waiter.wish)) {
                 return queue.remove(index);
             }
         }
@@ -460,14 +491,14 @@
     /// Takes the new connection.
     pub fn opened(mut self, connection: EndpointConnection<E>) -> Lent<E> {
         self.settled = true;
-        self.pool.lent(connection)
+        self.pool.lent(connection, self.yields)
     }
 }
 
 impl<E: EndpointDialect> Drop for OpeningPlace<E> {
     fn drop(&mut self) {
         if !self.settled {
-            self.pool.give_up(&self.entry.server);
+            self.pool.give_up(&self.entry.server, self.yields);
         }
     }
 }
@@ -494,10 +525,22 @@
             connection.rest();
         }
         self.lent_at = Instant::now();
+        if std::mem::take(&mut self.yields) {
+            self.pool.with_slot(self.server(), |slot| slot.yielding -= 1);
+        }
         while let Some(waiter) = self.pool.next_waiter(self.server()) {
+            if waiter.wish.yields {
+                self.yields = true;
+                self.pool.with_slot(self.server(), |slot| slot.yielding += 1);
+            }
             match waiter.grant.send(Offer::Lent(self)) {
                 Ok(()) => return,
-                Err(Offer::Lent(lent)) => self = lent,
+                Err(Offer::Lent(lent)) => {
+                    self = lent;
+                    if std::mem::take(&mut self.yields) {
+                        self.pool.with_slot(self.server(), |slot| slot.yielding -= 1);
+                    }
+                }
                 Err(Offer::Open(_)) => return,
             }
         }
@@ -512,7 +555,7 @@
         if let Some(connection) = self.connection.take() {
             let server = connection.server.clone();
             drop(connection);
-            self.pool.give_up(&server);
+            self.pool.give_up(&server, self.yields);
         }
     }
 }
