--- a/crates/proxy/src/control/duty.rs
+++ b/crates/proxy/src/control/duty.rs
@@ -111,8 +111,11 @@
                 () = tokio::time::sleep(LOOK_EVERY) => {}
                 () = self.changed.notified() => {}
             }
+            let stopping = self.stopping.borrow().is_some();
             match self.held_duty() {
+                Some(duty) if stopping => self.leave_duty(duty).await,
                 Some(_) => self.look_after_groups(),
+                None if stopping => {}
                 None => self.take_duty().await,
             }
             // A burst of changes is looked at once.
@@ -169,6 +172,29 @@
         }
     }
 
+    /// Leaves the duty to another daemon before this one stops; a change under way is finished first.
+    async fn leave_duty(&self, duty: HeldDuty) {
+        if !self.changes_running.borrow().is_empty() {
+            return;
+        }
+        let transaction = Transaction {
+            expected: vec![(self.duty_key(), duty.revision)],
+            puts: Vec::new(),
+            removes: vec![self.duty_key()],
+        };
+        let left = self.store.commit(&transaction, self.write_timeout()).await;
+        self.count_call("commit", &left);
+        match left {
+            Ok(_) => log::info!(event = "duty_left"; "this daemon stops and promotes no more"),
+            Err(error) => log::info!(
+                event = "duty_not_left", why = error.to_string().as_str();
+                "the duty may end only with this daemon's lease"
+            ),
+        }
+        // The mirror hears of it by the watch; until then nothing more is to be done.
+        tokio::time::sleep(LOOK_EVERY).await;
+    }
+
     /// Starts a change for each group that needs one.
     fn look_after_groups(self: &Rc<Self>) {
         let services: Vec<Name> = self.state.borrow().catalog.services.keys().cloned().collect();
--- a/crates/proxy/src/control/runner.rs
+++ b/crates/proxy/src/control/runner.rs
@@ -120,8 +120,10 @@
     pub observations: flume::Receiver<Observation>,
     /// Questions that the serving thread asks.
     pub asks: flume::Sender<StatusAsk>,
-    /// When the stop began.
+    /// When the stop began: from then on the duty is left to others.
     pub stopping: watch::Receiver<Option<Instant>>,
+    /// Whether every caller has left: from then on nothing is needed any more.
+    pub ended: watch::Receiver<bool>,
     /// What is counted.
     pub metrics: ProxyMetrics,
 }
@@ -142,7 +144,7 @@
     beliefs: watch::Sender<Arc<Beliefs>>,
     observations: flume::Receiver<Observation>,
     asks: flume::Sender<StatusAsk>,
-    stopping: watch::Receiver<Option<Instant>>,
+    pub(crate) stopping: watch::Receiver<Option<Instant>>,
     refresh_now: Notify,
     writes: (flume::Sender<PendingWrite>, flume::Receiver<PendingWrite>),
 }
@@ -179,7 +181,7 @@
         refresh_now: Notify::new(),
         writes: flume::bounded(MOST_PENDING_WRITES),
     });
-    let mut stopping = control.stopping.clone();
+    let mut ended = parts.ended;
     let work = async {
         tokio::join!(
             control.clone().watch_loop(),
@@ -193,7 +195,8 @@
     };
     tokio::select! {
         () = work => {}
-        _ = stopping.wait_for(Option::is_some) => {}
+        // An error means that the serving thread is gone, which is an end too.
+        _ = ended.wait_for(|ended| *ended) => {}
     }
     control.clone().stop().await;
 }
--- a/crates/proxy/src/daemon.rs
+++ b/crates/proxy/src/daemon.rs
@@ -90,6 +90,7 @@
     let metrics = ProxyMetrics::new();
     let (beliefs_out, beliefs) = watch::channel(Arc::new(Beliefs::default()));
     let (stopping_out, stopping) = watch::channel(None);
+    let (ended_out, ended) = watch::channel(false);
     let (observations_out, observations) = flume::bounded(OBSERVATIONS);
     let (asks_out, asks) = flume::bounded(ASKS);
 
@@ -117,6 +118,7 @@
                 observations,
                 asks: asks_out,
                 stopping,
+                ended,
                 metrics,
             })
             .await;
@@ -148,6 +150,7 @@
         &runtime()?,
         serve(Rc::new(engine), listen, asks, stopping_out, grace, stop),
     );
+    ended_out.send_replace(true);
     join(control);
     join(http);
     served
--- a/crates/proxy/src/serve/engine.rs
+++ b/crates/proxy/src/serve/engine.rs
@@ -238,7 +238,8 @@
         lost: &ConnectionLost,
     ) {
         self.metrics.connections_opened.with_label_values(&["failed"]).inc();
-        group.pool.on_open_failed(server);
+        let refused = matches!(lost, ConnectionLost::Refused(_));
+        group.pool.on_open_failed(server, refused);
         log::info!(
             event = "connection_failed", service = &**service, server = &**server,
             why = lost.to_string().as_str();
--- a/crates/proxy/src/serve/pool.rs
+++ b/crates/proxy/src/serve/pool.rs
@@ -22,7 +22,7 @@
     serve::{
         choose::{Candidate, Choice, choose},
         connection::EndpointConnection,
-        replay::SessionValues,
+        replay::{Environment, SessionValues},
     },
 };
 
@@ -39,6 +39,12 @@
 const FIRST_BACKOFF: Duration = Duration::from_millis(100);
 /// The longest time that a server which can't be reached is passed over.
 const LONGEST_BACKOFF: Duration = Duration::from_millis(1_600);
+/// The longest time that nobody opens a connection to a server which grants no more: those of daemons
+/// that died end after some seconds, and then there is room at once.
+const LONGEST_REFUSED_BACKOFF: Duration = Duration::from_millis(250);
+/// How long a connection beyond the first may rest. Connections that are not needed leave room for
+/// those of daemons that start anew while their former ones still count.
+const SPARE_RESTS: Duration = Duration::from_millis(1_000);
 /// A latency that has not been confirmed for so long is forgotten, so that the server is tried again.
 const LATENCY_LASTS: Duration = Duration::from_secs(2);
 
@@ -72,7 +78,8 @@
 
 struct ServerSlot<E> {
     entry: Arc<ServerEntry>,
-    idle: Vec<EndpointConnection<E>>,
+    /// Idle connections with the time since when; the one that rested least is used first.
+    idle: Vec<(Instant, EndpointConnection<E>)>,
     in_use: u32,
     /// Those in use by statements that leave room for others.
     yielding: u32,
@@ -108,6 +115,17 @@
         }
     }
 
+    /// Ends connections that have rested for long, but the last.
+    fn end_spares(&mut self) {
+        let now = Instant::now();
+        let others = self.in_use as usize;
+        while self.idle.len() + others > 1
+            && self.idle.first().is_some_and(|(since, _)| now.duration_since(*since) > SPARE_RESTS)
+        {
+            self.idle.remove(0);
+        }
+    }
+
     fn take(&mut self, yields: bool) {
         self.in_use += 1;
         self.yielding += u32::from(yields);
@@ -331,15 +349,15 @@
     ) -> Option<EndpointConnection<E>> {
         let mut state = self.state.borrow_mut();
         let slot = &mut state.servers[index];
-        slot.idle.retain(EndpointConnection::is_quiet);
-        let fitting = |wanted: fn(&EndpointConnection<E>, &SessionValues) -> bool| {
-            slot.idle.iter().rposition(|connection| wanted(connection, values))
+        slot.idle.retain(|(_, connection)| connection.is_quiet());
+        let fitting = |wanted: fn(&Environment, &SessionValues) -> bool| {
+            slot.idle.iter().rposition(|(_, idle)| wanted(&idle.environment, values))
         };
-        let best = fitting(|connection, values| connection.environment.has_values(values))
-            .or_else(|| fitting(|connection, values| connection.environment.can_become(values)))
+        let best = fitting(Environment::has_values)
+            .or_else(|| fitting(Environment::can_become))
             .or_else(|| slot.idle.len().checked_sub(1))?;
         slot.take(yields);
-        Some(slot.idle.remove(best))
+        Some(slot.idle.remove(best).1)
     }
 
     fn place(self: &Rc<Self>, index: usize, yields: bool) -> OpeningPlace<E> {
@@ -386,9 +404,10 @@
 
     /// Notes that a connection could not be opened: nobody tries again for a while, so that a server
     /// which grants no more is not flooded, and statements wait for the connections there are.
-    pub fn on_open_failed(self: &Rc<Self>, server: &str) {
+    pub fn on_open_failed(self: &Rc<Self>, server: &str, refused: bool) {
+        let longest = if refused { LONGEST_REFUSED_BACKOFF } else { LONGEST_BACKOFF };
         let backoff = self.with_slot(server, |slot| {
-            let backoff = slot.next_backoff();
+            let backoff = slot.next_backoff().min(longest);
             slot.no_opening_until = Some(Instant::now() + backoff);
             backoff
         });
@@ -426,7 +445,8 @@
         self.with_slot(&server, |slot| {
             slot.leave(false);
             if slot.listed && (slot.idle.len() as u32 + slot.in_use) < slot.limit {
-                slot.idle.push(connection);
+                slot.idle.push((Instant::now(), connection));
+                slot.end_spares();
             }
         });
     }
