--- a/crates/config/src/proxy_settings.rs
+++ b/crates/config/src/proxy_settings.rs
@@ -46,7 +46,7 @@
         /// How long one watch waits before it is renewed; also how soon a cut is noticed.
         watch_wait_ms: u64 = 4_000,
         /// How long a member's lease lasts without a renewal, and so the duty to promote.
-        lease_ms: u64 = 2_500,
+        lease_ms: u64 = 3_000,
     }
 }
 
@@ -58,9 +58,9 @@
         /// How long an order may take to be answered.
         order_timeout_ms: u64 = 700,
         /// How long a read of the leadership records gives the right to use a primary.
-        right_ms: u64 = 1_200,
+        right_ms: u64 = 1_500,
         /// How often the records are read; a fraction of `right_ms`, so that one lost read costs nothing.
-        refresh_ms: u64 = 450,
+        refresh_ms: u64 = 650,
         /// How long the statuses of a majority give that right while the store is out of reach.
         evidence_ms: u64 = 400,
         /// How long a primary must be out of reach before it is suspected.
--- a/crates/proxy/src/control/runner.rs
+++ b/crates/proxy/src/control/runner.rs
@@ -39,8 +39,8 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(80);
 /// The longest pause after failed calls.
 const LONGEST_PAUSE: Duration = Duration::from_millis(800);
-/// Renewals of a lease within the time that it lasts, so that two may fail.
-const RENEWALS_PER_LEASE: u32 = 4;
+/// Renewals of a lease within the time that it lasts, so that one may fail.
+const RENEWALS_PER_LEASE: u32 = 3;
 /// Askings for evidence within the time that it holds.
 const EVIDENCE_PER_TERM: u32 = 2;
 
