--- a/crates/proxy/src/daemon.rs
+++ b/crates/proxy/src/daemon.rs
@@ -54,6 +54,15 @@
 /// The pause after a connection could not be accepted, as when descriptors run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// Where a daemon listens, once it does; ports that were left to the system are known from here.
+#[derive(Clone, Copy, Debug)]
+pub struct Bound {
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where the load balancer asks.
+    pub ready: SocketAddr,
+}
+
 /// What an adapter provides. The makers run on the thread that uses what they make.
 pub struct Adapter<C, E, F, M, O> {
     /// How callers speak.
@@ -79,6 +88,7 @@
         impl FnOnce(SocketAddr) -> P + Send + 'static,
     >,
     stop: impl Future<Output = ()>,
+    on_bound: impl FnOnce(Bound),
 ) -> eyre::Result<()>
 where
     C: CallerDialect,
@@ -124,9 +134,17 @@
             .await;
         })?
     };
+    let listen = settings.daemon.listen.ok_or_eyre("listen is unset")?;
+    let ready_listen = settings.daemon.ready_listen.ok_or_eyre("ready_listen is unset")?;
+    let caller_listener = bind(listen)?;
+    let ready_listener = bind(ready_listen)?;
+    on_bound(Bound {
+        callers: caller_listener.local_addr()?,
+        ready: ready_listener.local_addr()?,
+    });
     let http = {
         let part = HttpPart {
-            ready_listen: settings.daemon.ready_listen.ok_or_eyre("ready_listen is unset")?,
+            ready_listener,
             metrics_listen: settings.daemon.metrics_listen,
             beliefs: beliefs.clone(),
             stopping: stopping.clone(),
@@ -145,10 +163,9 @@
         observations: observations_out,
     });
     let grace = Duration::from_millis(settings.daemon.stop_grace_ms);
-    let listen = settings.daemon.listen.ok_or_eyre("listen is unset")?;
     let served = LocalSet::new().block_on(
         &runtime()?,
-        serve(Rc::new(engine), listen, asks, stopping_out, grace, stop),
+        serve(Rc::new(engine), caller_listener, asks, stopping_out, grace, stop),
     );
     ended_out.send_replace(true);
     join(control);
@@ -171,14 +188,13 @@
 /// Accepts callers until the stop, then waits for those that are connected.
 async fn serve<C: CallerDialect, E: EndpointDialect>(
     engine: Rc<Engine<C, E>>,
-    listen: SocketAddr,
+    listener: std::net::TcpListener,
     asks: flume::Receiver<StatusAsk>,
     stopping: watch::Sender<Option<Instant>>,
     grace: Duration,
     stop: impl Future<Output = ()>,
 ) -> eyre::Result<()> {
-    let listener =
-        TcpListener::bind(listen).await.wrap_err_with(|| format!("can't listen on {listen}"))?;
+    let listener = TcpListener::from_std(listener).wrap_err("can't listen for callers")?;
     log::info!(event = "started", host = &*engine.settings.host; "the daemon runs");
     tokio::task::spawn_local(answer_asks(engine.clone(), asks));
     let accepting = {
@@ -224,6 +240,13 @@
     Ok(())
 }
 
+fn bind(address: SocketAddr) -> eyre::Result<std::net::TcpListener> {
+    let listener = std::net::TcpListener::bind(address)
+        .wrap_err_with(|| format!("can't listen on {address}"))?;
+    listener.set_nonblocking(true)?;
+    Ok(listener)
+}
+
 fn runtime() -> eyre::Result<Runtime> {
     tokio::runtime::Builder::new_current_thread()
         .enable_all()
--- a/crates/proxy/src/http.rs
+++ b/crates/proxy/src/http.rs
@@ -15,12 +15,12 @@
 /// The pause after a connection could not be accepted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 /// The pause between two attempts to listen on an address that is still taken.
-const BIND_PAUSE: Duration = Duration::from_millis(200);
+const BIND_PAUSE: Duration = Duration::from_secs(1);
 
 /// What the HTTP thread needs.
 pub struct HttpPart {
     /// Where the load balancer asks.
-    pub ready_listen: SocketAddr,
+    pub ready_listener: std::net::TcpListener,
     /// Where operators read metrics.
     pub metrics_listen: Option<SocketAddr>,
     /// What is believed now.
@@ -43,10 +43,18 @@
     let shared =
         Shared { beliefs: part.beliefs, stopping: part.stopping, metrics: part.metrics };
     if let Some(address) = part.metrics_listen {
-        tokio::task::spawn_local(listen(address, shared.clone(), answer_metrics));
+        tokio::task::spawn_local(listen_for_metrics(address, shared.clone()));
     }
     let mut beliefs = shared.beliefs.clone();
-    let serving = listen(part.ready_listen, shared, answer_ready);
+    let serving = async {
+        match TcpListener::from_std(part.ready_listener) {
+            Ok(listener) => accept(listener, shared, answer_ready).await,
+            Err(error) => log::error!(
+                event = "listen_failed", why = error.to_string().as_str();
+                "can't answer the load balancer"
+            ),
+        }
+    };
     tokio::select! {
         () = serving => {}
         // The control thread drops the beliefs when it has stopped, last of all.
@@ -71,20 +79,22 @@
     (StatusCode::OK, shared.metrics.render())
 }
 
-async fn listen(address: SocketAddr, shared: Shared, answer: Answer) {
-    let listener = loop {
+/// Metrics are worth waiting for an address that a former process may still hold.
+async fn listen_for_metrics(address: SocketAddr, shared: Shared) {
+    loop {
         match TcpListener::bind(address).await {
-            Ok(listener) => break listener,
-            Err(error) => {
-                log::error!(
-                    event = "listen_failed", address = address.to_string().as_str(),
-                    why = error.to_string().as_str();
-                    "can't listen for HTTP"
-                );
-                tokio::time::sleep(BIND_PAUSE).await;
-            }
+            Ok(listener) => return accept(listener, shared, answer_metrics).await,
+            Err(error) => log::warn!(
+                event = "listen_failed", address = address.to_string().as_str(),
+                why = error.to_string().as_str();
+                "can't listen for readers of metrics yet"
+            ),
         }
-    };
+        tokio::time::sleep(BIND_PAUSE).await;
+    }
+}
+
+async fn accept(listener: TcpListener, shared: Shared, answer: Answer) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
