fix(control): a taken-away member key is written again; suspicions are looked at by all

Found by platform/tests: keys_that_are_taken_away_are_written_again hung, since a key that the store took away under a standing lease was only looked for in readings during a renewal, so the daemon had no right from the store any more; a_crashed_primary_is_replaced... hung, since a daemon without traffic to a group never shared another's suspicion. Now a reading without the key wakes the lease loop, and a suspicion makes every daemon probe the server, again each second until it answers.

--- a/crates/config/src/reference.rs
+++ b/crates/config/src/reference.rs
@@ -4,8 +4,9 @@
 
 use crate::{
     ControlSettings, DaemonSettings, EndpointSettings, FailoverOptions, GroupOptions, KindOptions,
-    LeavingOptions, LeadershipSettings, LimitOptions, LogSettings, MetadataSettings, PlatformSettings, ProxyDaemonSettings, RuleOptions, Section,
-    ServerOptions, ServiceOptions, TlsSettings, TraceSettings, UserOptions,
+    LeadershipSettings, LeavingOptions, LimitOptions, LogSettings, MetadataSettings,
+    PlatformSettings, ProxyDaemonSettings, RuleOptions, Section, ServerOptions, ServiceOptions,
+    TlsSettings, TraceSettings, UserOptions,
 };
 
 /// Returns the tables of every section, as the page holds them between its markers.
--- a/crates/daemon/src/configuration_duty.rs
+++ b/crates/daemon/src/configuration_duty.rs
@@ -11,8 +11,8 @@
 use membership::{Member, MemberState, is_watcher};
 use model::Name;
 use peer::{Body, ChunkAnswer, ChunkRequest, HeadRequest, HostListRequest};
-use store::{Entry, HostEntry, HostList, HostRole, HostState, KeyValueStore};
 use rand::seq::IndexedRandom;
+use store::{Entry, HostEntry, HostList, HostRole, HostState, KeyValueStore};
 
 use crate::{
     apply::{chunk_key, head_key},
--- a/crates/proxy/src/catalog.rs
+++ b/crates/proxy/src/catalog.rs
@@ -92,7 +92,6 @@
     pub claims_lead: bool,
 }
 
-
 /// An item that can't be understood; what was known before stays in force.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct CatalogError(pub String);
--- a/crates/proxy/src/control/duty.rs
+++ b/crates/proxy/src/control/duty.rs
@@ -435,10 +435,8 @@
         commands: &mut Commands<'_, M, O, F, E>,
     ) -> Vec<StoppedServer> {
         let term = Term(run.record.term + 1);
-        let (old, replicas): (Vec<_>, Vec<_>) = entries
-            .iter()
-            .cloned()
-            .partition(|entry| *entry.server == *run.record.primary);
+        let (old, replicas): (Vec<_>, Vec<_>) =
+            entries.iter().cloned().partition(|entry| *entry.server == *run.record.primary);
         let step_down = |entry| (entry, EndpointText::StepDown { term });
         let stepped_down = commands.ask_all(old.into_iter().map(step_down).collect()).await;
         if let Some((_, status)) = stepped_down.first() {
@@ -486,9 +484,8 @@
         let watched = state
             .watching_since
             .is_some_and(|since| run.recorded_at.saturating_duration_since(since) > lasting);
-        let within = |seen: &Instant| {
-            run.recorded_at.checked_sub(lasting).is_none_or(|from| *seen >= from)
-        };
+        let within =
+            |seen: &Instant| run.recorded_at.checked_sub(lasting).is_none_or(|from| *seen >= from);
         watched
             && state.members_seen.iter().filter(|(_, seen)| within(seen)).all(|(host, _)| {
                 let key = self.key(&format!("stopped/{service}/{host}"));
@@ -536,7 +533,8 @@
             }
         }
         // It will not lead any more: the next look may choose another.
-        let change = run.record.change.clone().map(|change| PrimaryChange { chosen: None, ..change });
+        let change =
+            run.record.change.clone().map(|change| PrimaryChange { chosen: None, ..change });
         let record = LeadershipRecord { change, ..run.record.clone() };
         self.write_record(service, &record, run.revision).await?;
         Err(ChangeEnd::NotSettled)
@@ -765,9 +763,10 @@
                 continue;
             }
             let row = answer.rows.first().map_or(&[][..], |row| row);
-            let status = self.dialect.decode_status(row).ok_or_else(|| {
-                ConnectionLost::Garbled("a status that can't be read".to_owned())
-            })?;
+            let status = self
+                .dialect
+                .decode_status(row)
+                .ok_or_else(|| ConnectionLost::Garbled("a status that can't be read".to_owned()))?;
             return Ok((connection, status));
         }
     }
--- a/crates/proxy/src/control/record.rs
+++ b/crates/proxy/src/control/record.rs
@@ -50,10 +50,7 @@
     /// Returns the record once the chosen server leads in `term`.
     pub fn settled(&self, chosen: &ChosenServer, term: u64) -> LeadershipRecord {
         let mut starts = self.starts.clone();
-        starts.push(TermStart {
-            term: model::Term(term),
-            start: model::Position(chosen.keeps),
-        });
+        starts.push(TermStart { term: model::Term(term), start: model::Position(chosen.keeps) });
         let surplus = starts.len().saturating_sub(KEPT_STARTS);
         starts.drain(..surplus);
         LeadershipRecord { term, primary: chosen.server.clone(), starts, change: None }
@@ -142,4 +139,3 @@
     let needed = members.div_ceil(3).max(2).min(members.max(1));
     suspecting >= needed
 }
-
--- a/crates/proxy/src/control/runner.rs
+++ b/crates/proxy/src/control/runner.rs
@@ -48,6 +48,20 @@
 /// seen: one that is cut off from the store keeps its connections, and a cut may last this long.
 const MEMBER_LASTS: Duration = Duration::from_secs(20);
 
+/// What the control thread asks of the serving thread.
+#[derive(Debug)]
+pub enum Ask {
+    /// Ask a server for its status, over the connections that sessions share.
+    Status(StatusAsk),
+    /// Find out whether a server that another daemon suspects can be reached from here.
+    Probe {
+        /// The service.
+        service: Name,
+        /// The server.
+        server: Name,
+    },
+}
+
 /// A question to a server that the serving thread asks over its own connections.
 #[derive(Debug)]
 pub struct StatusAsk {
@@ -83,6 +97,7 @@
     /// Since when members have been watched, which bounds what may have been missed.
     pub(crate) watching_since: Option<Instant>,
     pub(crate) last_read_at: Option<Instant>,
+    member_put_at: Option<Instant>,
     /// Since when the recorded primary of a service has had no entry.
     pub(crate) primary_missing_since: HashMap<Name, Instant>,
     acknowledged: HashMap<Name, String>,
@@ -119,7 +134,7 @@
     /// What the serving thread observes.
     pub observations: flume::Receiver<Observation>,
     /// Questions that the serving thread asks.
-    pub asks: flume::Sender<StatusAsk>,
+    pub asks: flume::Sender<Ask>,
     /// When the stop began: from then on the duty is left to others.
     pub stopping: watch::Receiver<Option<Instant>>,
     /// Whether every caller has left: from then on nothing is needed any more.
@@ -143,9 +158,11 @@
     format: F,
     beliefs: watch::Sender<Arc<Beliefs>>,
     observations: flume::Receiver<Observation>,
-    asks: flume::Sender<StatusAsk>,
+    asks: flume::Sender<Ask>,
     pub(crate) stopping: watch::Receiver<Option<Instant>>,
     refresh_now: Notify,
+    /// Wakes the lease loop when this daemon's key is found to be gone.
+    rejoin: Notify,
     writes: (flume::Sender<PendingWrite>, flume::Receiver<PendingWrite>),
 }
 
@@ -179,6 +196,7 @@
         asks: parts.asks,
         stopping: parts.stopping,
         refresh_now: Notify::new(),
+        rejoin: Notify::new(),
         writes: flume::bounded(MOST_PENDING_WRITES),
     });
     let mut ended = parts.ended;
@@ -287,8 +305,7 @@
         let now = Instant::now();
         {
             let mut state = self.state.borrow_mut();
-            let present =
-                |key: &str| snapshot.items.iter().any(|item| item.key == key);
+            let present = |key: &str| snapshot.items.iter().any(|item| item.key == key);
             if state.servers.retain(&present, now) {
                 state.servers_dirty = true;
             }
@@ -475,6 +492,8 @@
         self.on_own_keys(changed.iter().map(String::as_str));
         if is_member {
             self.grant_rights(asked_at);
+        } else if self.is_key_gone() {
+            self.rejoin.notify_one();
         }
         self.note_members(now);
         self.publish();
@@ -538,8 +557,16 @@
     /// Takes over changes of the keys that daemons share.
     fn on_own_keys<'a>(&self, keys: impl Iterator<Item = &'a str>) {
         let prefix = self.key("groups/");
-        let touched: Vec<Name> =
-            keys.filter_map(|key| key.strip_prefix(&*prefix)).map(Name::from).collect();
+        let suspicions = self.key("suspicions/");
+        let mut touched: Vec<Name> = Vec::new();
+        for key in keys {
+            if let Some(service) = key.strip_prefix(&*prefix) {
+                touched.push(Name::from(service));
+            }
+            if let Some(suspicion) = key.strip_prefix(&*suspicions) {
+                self.look_at_suspicion(key, suspicion);
+            }
+        }
         for (service, record) in self.records() {
             if touched.contains(&service) {
                 self.on_record(service, &record);
@@ -554,9 +581,8 @@
         {
             let mut state = self.state.borrow_mut();
             let known = state.leads.get(&service);
-            let unchanged = known.is_some_and(|lead| {
-                *lead.server == *record.primary && lead.term.0 == record.term
-            });
+            let unchanged = known
+                .is_some_and(|lead| *lead.server == *record.primary && lead.term.0 == record.term);
             // A right by evidence may be of a later term than the record; it ends by itself.
             let ahead = known.is_some_and(|lead| lead.term.0 > record.term);
             if !ahead {
@@ -618,7 +644,10 @@
             match outcome {
                 Ok(()) => {
                     pause.reset();
-                    tokio::time::sleep(lasts / RENEWALS_PER_LEASE).await;
+                    tokio::select! {
+                        () = tokio::time::sleep(lasts / RENEWALS_PER_LEASE) => {}
+                        () = self.rejoin.notified() => {}
+                    }
                 }
                 Err(error) => {
                     log::info!(
@@ -647,6 +676,14 @@
         Ok(())
     }
 
+    /// Whether a reading after the member key was written shows that it is gone, as when the store
+    /// took it away although the lease stands.
+    fn is_key_gone(&self) -> bool {
+        let state = self.state.borrow();
+        let read_since = state.last_read_at > state.member_put_at;
+        read_since && state.mirror.get(&self.member_key()).is_none()
+    }
+
     async fn put_member(&self, id: LeaseId) -> Result<(), MetadataError> {
         let transaction = Transaction {
             puts: vec![(self.member_key(), Bytes::from_static(b"{}"), Some(id))],
@@ -655,7 +692,10 @@
         let put = self.store.commit(&transaction, self.write_timeout()).await;
         self.count_call("commit", &put);
         match put? {
-            TransactionOutcome::Done(_) => Ok(()),
+            TransactionOutcome::Done(_) => {
+                self.state.borrow_mut().member_put_at = Some(Instant::now());
+                Ok(())
+            }
             TransactionOutcome::Conflict | TransactionOutcome::LeaseOver => {
                 Err(MetadataError::NotDone("the lease was over at once".to_owned()))
             }
@@ -670,9 +710,8 @@
             Ok(true) => {
                 let lease = HeldLease { valid_until: sent_at + lasts, ..lease };
                 self.state.borrow_mut().lease = Some(lease);
-                // The key may be gone although the lease stands.
-                let recent = self.state.borrow().last_read_at.is_some_and(|at| at > sent_at);
-                if recent && self.state.borrow().mirror.get(&self.member_key()).is_none() {
+                if self.is_key_gone() {
+                    log::info!(event = "member_key_gone"; "this daemon's key is written again");
                     self.put_member(lease.id).await?;
                     self.refresh_now.notify_one();
                 }
@@ -707,7 +746,8 @@
             if !silent {
                 continue;
             }
-            let services: Vec<Name> = self.state.borrow().published_servers.keys().cloned().collect();
+            let services: Vec<Name> =
+                self.state.borrow().published_servers.keys().cloned().collect();
             let asked = services.into_iter().map(|service| self.ask_for_evidence(service));
             join_all(asked).await;
             self.publish();
@@ -761,7 +801,7 @@
             let ask =
                 StatusAsk { service: service.clone(), server: server.clone(), deadline, answer };
             // A full ring means that the serving thread is behind; this round goes without it.
-            if self.asks.try_send(ask).is_ok() {
+            if self.asks.try_send(Ask::Status(ask)).is_ok() {
                 waiting.push((server.clone(), answered));
             }
         }
@@ -774,6 +814,19 @@
         statuses
     }
 
+    /// Has a server looked at that another daemon suspects: one daemon alone may be wrong, and the
+    /// others may have no reason of their own to notice.
+    fn look_at_suspicion(&self, key: &str, suspicion: &str) {
+        if self.state.borrow().mirror.get(key).is_none() {
+            return;
+        }
+        let mut parts = suspicion.split('/');
+        let (Some(service), Some(server)) = (parts.next(), parts.next()) else { return };
+        let ask = Ask::Probe { service: Name::from(service), server: Name::from(server) };
+        // A full ring means that the serving thread is behind; its own traffic will show it.
+        let _ = self.asks.try_send(ask);
+    }
+
     // --- Suspicion ---------------------------------------------------------------------------------
 
     /// Tells the other daemons which primaries this one can't reach.
@@ -794,8 +847,7 @@
                 state.lease
             };
             let Some(lease) = lease else { continue };
-            let key =
-                self.key(&format!("suspicions/{service}/{server}/{}", self.settings.host));
+            let key = self.key(&format!("suspicions/{service}/{server}/{}", self.settings.host));
             let transaction = if reachable {
                 Transaction { removes: vec![key], ..Transaction::default() }
             } else {
@@ -865,8 +917,7 @@
 
 /// Waits for all futures on this task.
 pub(crate) async fn join_all<F: Future>(futures: impl IntoIterator<Item = F>) -> Vec<F::Output> {
-    let mut waiting: Vec<_> =
-        futures.into_iter().map(|future| (Box::pin(future), None)).collect();
+    let mut waiting: Vec<_> = futures.into_iter().map(|future| (Box::pin(future), None)).collect();
     std::future::poll_fn(|context| {
         let mut done = true;
         for (future, output) in &mut waiting {
--- a/crates/proxy/src/control/servers.rs
+++ b/crates/proxy/src/control/servers.rs
@@ -56,8 +56,7 @@
 
     /// Keeps only entries with these keys, as a whole reading of the store shows them.
     pub fn retain(&mut self, present: &dyn Fn(&str) -> bool, now: Instant) -> bool {
-        let missing: Vec<String> =
-            self.known.keys().filter(|key| !present(key)).cloned().collect();
+        let missing: Vec<String> = self.known.keys().filter(|key| !present(key)).cloned().collect();
         let mut changed = false;
         for key in missing {
             changed |= self.remove(&key, now);
--- a/crates/proxy/src/daemon.rs
+++ b/crates/proxy/src/daemon.rs
@@ -24,7 +24,7 @@
     catalog::CatalogFormat,
     control::{
         beliefs::Beliefs,
-        runner::{ControlParts, ControlSettings, StatusAsk, run_control},
+        runner::{Ask, ControlParts, ControlSettings, run_control},
     },
     dialect::{CallerDialect, EndpointDialect},
     events::ProxyMetrics,
@@ -114,8 +114,7 @@
             leadership: settings.leadership.clone(),
         };
         let dialect = adapter.endpoint_dialect.clone();
-        let (format, metrics, stopping) =
-            (adapter.format, metrics.clone(), stopping.clone());
+        let (format, metrics, stopping) = (adapter.format, metrics.clone(), stopping.clone());
         let (make_store, make_orders) = (adapter.make_store, adapter.make_orders);
         spawn_thread("control", move || async move {
             run_control(ControlParts {
@@ -138,10 +137,7 @@
     let ready_listen = settings.daemon.ready_listen.ok_or_eyre("ready_listen is unset")?;
     let caller_listener = bind(listen)?;
     let ready_listener = bind(ready_listen)?;
-    on_bound(Bound {
-        callers: caller_listener.local_addr()?,
-        ready: ready_listener.local_addr()?,
-    });
+    on_bound(Bound { callers: caller_listener.local_addr()?, ready: ready_listener.local_addr()? });
     let http = {
         let part = HttpPart {
             ready_listener,
@@ -189,7 +185,7 @@
 async fn serve<C: CallerDialect, E: EndpointDialect>(
     engine: Rc<Engine<C, E>>,
     listener: std::net::TcpListener,
-    asks: flume::Receiver<StatusAsk>,
+    asks: flume::Receiver<Ask>,
     stopping: watch::Sender<Option<Instant>>,
     grace: Duration,
     stop: impl Future<Output = ()>,
--- a/crates/proxy/src/events.rs
+++ b/crates/proxy/src/events.rs
@@ -35,9 +35,7 @@
         let counter = |name: &str, help: &str, labels: &[&str]| {
             let counter = IntCounterVec::new(Opts::new(name, help), labels)
                 .expect("names of metrics are constants that a test checks");
-            registry
-                .register(Box::new(counter.clone()))
-                .expect("each metric is registered once");
+            registry.register(Box::new(counter.clone())).expect("each metric is registered once");
             counter
         };
         let statements = counter(
--- a/crates/proxy/src/http.rs
+++ b/crates/proxy/src/http.rs
@@ -1,12 +1,20 @@
 //! What the load balancer and operators read over HTTP: whether the daemon takes callers, and metrics.
 
-use std::{convert::Infallible, net::SocketAddr, sync::Arc, time::{Duration, Instant}};
+use std::{
+    convert::Infallible,
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Request, Response, StatusCode, body::Incoming, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use tokio::{net::{TcpListener, TcpStream}, sync::watch};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::watch,
+};
 
 use crate::{control::beliefs::Beliefs, events::ProxyMetrics};
 
@@ -40,8 +48,7 @@
 
 /// Serves until the daemon's process ends.
 pub async fn serve_http(part: HttpPart) {
-    let shared =
-        Shared { beliefs: part.beliefs, stopping: part.stopping, metrics: part.metrics };
+    let shared = Shared { beliefs: part.beliefs, stopping: part.stopping, metrics: part.metrics };
     if let Some(address) = part.metrics_listen {
         tokio::task::spawn_local(listen_for_metrics(address, shared.clone()));
     }
--- a/crates/proxy/src/serve/ask.rs
+++ b/crates/proxy/src/serve/ask.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 
 use crate::{
-    control::runner::StatusAsk,
+    control::runner::{Ask, StatusAsk},
     dialect::{CallerDialect, EndpointDialect},
     serve::{engine::Engine, pool::Wish, replay::SessionValues},
     statement::{EndpointCommand, EndpointStatus, EndpointText},
@@ -15,10 +15,18 @@
 /// Answers questions until the control thread ends.
 pub async fn answer_asks<C: CallerDialect, E: EndpointDialect>(
     engine: Rc<Engine<C, E>>,
-    asks: flume::Receiver<StatusAsk>,
+    asks: flume::Receiver<Ask>,
 ) {
     while let Ok(ask) = asks.recv_async().await {
         let engine = engine.clone();
+        let ask = match ask {
+            Ask::Status(ask) => ask,
+            Ask::Probe { service, server } => {
+                let group = engine.group(&service, &engine.beliefs());
+                engine.probe(&group, &service, &server);
+                continue;
+            }
+        };
         tokio::task::spawn_local(async move {
             if let Some(status) = ask_status(&engine, &ask).await {
                 // The control thread may have given the question up.
--- a/crates/proxy/src/serve/engine.rs
+++ b/crates/proxy/src/serve/engine.rs
@@ -14,6 +14,7 @@
 use tokio::sync::{Notify, watch};
 
 use crate::{
+    catalog::ServerEntry,
     control::beliefs::{Beliefs, Observation},
     dialect::{CallerDialect, EndpointDialect},
     events::ProxyMetrics,
@@ -33,6 +34,8 @@
 const RETRY_PERCENT: u32 = 10;
 /// How long a new connection may take: a handshake, and a server that is busy.
 const CONNECT_WITHIN: Duration = Duration::from_millis(400);
+/// How long after a server was found to be out of reach it is asked again.
+const PROBE_AGAIN_AFTER: Duration = Duration::from_secs(1);
 /// How long a server may take to accept a connection that only asks whether it is alive.
 const PROBE_WITHIN: Duration = Duration::from_millis(250);
 
@@ -48,7 +51,7 @@
     pub lost_server: Notify,
     /// Servers that are being asked whether they are alive, and those that did not answer.
     probes: RefCell<HashMap<Name, ProbeState>>,
-    seen: RefCell<Arc<HashMap<Name, Vec<Arc<crate::catalog::ServerEntry>>>>>,
+    seen: RefCell<Arc<HashMap<Name, Vec<Arc<ServerEntry>>>>>,
     seen_limit: Cell<u32>,
 }
 
@@ -250,7 +253,7 @@
         }
         match lost {
             ConnectionLost::Refused(_) => self.note_reachable(group, service, server),
-            _ => self.note_unreachable(group, service, server),
+            _ => self.probe(group, service, server),
         }
     }
 
@@ -296,22 +299,24 @@
         let (engine, group) = (self.clone(), group.clone());
         let (service, server) = (service.clone(), server.clone());
         tokio::task::spawn_local(async move {
-            let opened = EndpointConnection::open(
-                &engine.endpoint_dialect,
-                &entry,
-                &engine.settings.host,
-                PROBE_WITHIN,
-            )
-            .await;
-            match opened {
-                Ok(_) | Err(ConnectionLost::Refused(ErrorCode::TooManyConnections)) => {
-                    engine.note_reachable(&group, &service, &server);
+            while !engine.is_alive(&entry).await {
+                engine.note_unreachable(&group, &service, &server);
+                tokio::time::sleep(PROBE_AGAIN_AFTER).await;
+                if group.pool.entry_of(&server).is_none() {
+                    break;
                 }
-                Err(_) => engine.note_unreachable(&group, &service, &server),
             }
+            // Of a server that is no longer listed nothing more is said.
+            engine.note_reachable(&group, &service, &server);
         });
     }
 
+    async fn is_alive(&self, entry: &ServerEntry) -> bool {
+        let (dialect, host) = (&self.endpoint_dialect, &self.settings.host);
+        let opened = EndpointConnection::open(dialect, entry, host, PROBE_WITHIN).await;
+        matches!(opened, Ok(_) | Err(ConnectionLost::Refused(ErrorCode::TooManyConnections)))
+    }
+
     /// Whether a server was found to be out of reach.
     pub fn is_unreachable(&self, group: &Group<E>, server: &Name) -> bool {
         group.probes.borrow().get(server) == Some(&ProbeState::Unreachable)
--- a/crates/proxy/src/serve/execute.rs
+++ b/crates/proxy/src/serve/execute.rs
@@ -296,14 +296,8 @@
         let known = beliefs.leads.get(service);
         let history = known.map(|lead| lead.history.clone()).unwrap_or_default();
         let now = Instant::now();
-        let place = place_for(
-            job.route.reads,
-            class,
-            job.own,
-            &group.samples.borrow(),
-            &history,
-            now,
-        );
+        let place =
+            place_for(job.route.reads, class, job.own, &group.samples.borrow(), &history, now);
         let floor = match place {
             Place::AtLeast(floor) if !rounds.primary_only => Some(floor),
             _ => None,
@@ -647,7 +641,9 @@
             return InTransaction::Deliver;
         }
         match answer.state {
-            TransactionState::Open if code == ErrorCode::Overloaded => InTransaction::SameConnection,
+            TransactionState::Open if code == ErrorCode::Overloaded => {
+                InTransaction::SameConnection
+            }
             TransactionState::Failed | TransactionState::Idle if is_first => InTransaction::Restart,
             _ => InTransaction::Deliver,
         }
--- a/crates/proxy/src/serve/pool.rs
+++ b/crates/proxy/src/serve/pool.rs
@@ -314,12 +314,7 @@
         choose(&candidates)
     }
 
-    fn candidates(
-        &self,
-        state: &mut PoolState<E>,
-        wish: &Wish,
-        now: Instant,
-    ) -> Vec<Candidate> {
+    fn candidates(&self, state: &mut PoolState<E>, wish: &Wish, now: Instant) -> Vec<Candidate> {
         let fit = state.servers.iter_mut().enumerate().filter(|(_, slot)| slot.is_fit(wish, now));
         fit.map(|(index, slot)| {
             if slot.latency_at.is_some_and(|at| now.duration_since(at) > LATENCY_LASTS) {
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -17,8 +17,8 @@
 };
 use base64::{Engine, engine::general_purpose::STANDARD};
 use parking_lot::Mutex;
-use store::{CatalogNode, KeyValuePair, SessionCreated, SessionRequest};
 use serde::Deserialize;
+use store::{CatalogNode, KeyValuePair, SessionCreated, SessionRequest};
 use tokio::{net::TcpListener, sync::watch};
 
 use crate::Network;
--- a/crates/wardtiller/src/local_system.rs
+++ b/crates/wardtiller/src/local_system.rs
@@ -12,8 +12,8 @@
 use daemon::{Daemon, apply_configuration};
 use eyre::{OptionExt, bail, ensure};
 use model::{GroupId, Name};
-use store::{CatalogNode, ConsulClient};
 use standin::{EndpointOptions, GroupStandin, Network, PlatformStandin};
+use store::{CatalogNode, ConsulClient};
 
 /// How a local system is set up.
 #[derive(Clone, Debug)]
