--- a/crates/proxy/src/serve/pool.rs
+++ b/crates/proxy/src/serve/pool.rs
@@ -79,7 +79,7 @@
 struct ServerSlot<E> {
     entry: Arc<ServerEntry>,
     /// Idle connections with the time since when; the one that rested least is used first.
-    idle: Vec<(Instant, EndpointConnection<E>)>,
+    idle: Vec<(Instant, Box<EndpointConnection<E>>)>,
     in_use: u32,
     /// Those in use by statements that leave room for others.
     yielding: u32,
@@ -208,7 +208,7 @@
 /// A connection that one statement or transaction has for itself.
 pub struct Lent<E: EndpointDialect> {
     pool: Rc<GroupPool<E>>,
-    connection: Option<EndpointConnection<E>>,
+    connection: Option<Box<EndpointConnection<E>>>,
     lent_at: Instant,
     yields: bool,
 }
@@ -341,7 +341,7 @@
         index: usize,
         values: &SessionValues,
         yields: bool,
-    ) -> Option<EndpointConnection<E>> {
+    ) -> Option<Box<EndpointConnection<E>>> {
         let mut state = self.state.borrow_mut();
         let slot = &mut state.servers[index];
         slot.idle.retain(|(_, connection)| connection.is_quiet());
@@ -362,7 +362,7 @@
         OpeningPlace { pool: self.clone(), entry: slot.entry.clone(), yields, settled: false }
     }
 
-    fn lent(self: &Rc<Self>, connection: EndpointConnection<E>, yields: bool) -> Lent<E> {
+    fn lent(self: &Rc<Self>, connection: Box<EndpointConnection<E>>, yields: bool) -> Lent<E> {
         Lent { pool: self.clone(), connection: Some(connection), lent_at: Instant::now(), yields }
     }
 
@@ -435,7 +435,7 @@
         self.with_slot(server, |slot| slot.entry.clone())
     }
 
-    fn put_idle(&self, connection: EndpointConnection<E>) {
+    fn put_idle(&self, connection: Box<EndpointConnection<E>>) {
         let server = connection.server.clone();
         self.with_slot(&server, |slot| {
             slot.leave(false);
@@ -506,7 +506,7 @@
     /// Takes the new connection.
     pub fn opened(mut self, connection: EndpointConnection<E>) -> Lent<E> {
         self.settled = true;
-        self.pool.lent(connection, self.yields)
+        self.pool.lent(Box::new(connection), self.yields)
     }
 }
 
