--- /dev/null
+++ b/crates/proxy/tests/control.rs
@@ -0,0 +1,186 @@
+//! The decisions of the control thread: records, evidence, suspicion, the servers' list, the mirror.
+
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use model::{LogPoint, Name, Term};
+use proxy::{
+    catalog::ServerEntry,
+    control::{
+        evidence::{LeadByEvidence, judge},
+        mirror::Mirror,
+        record::{
+            ChosenServer, LeadershipRecord, RightBounds, StopProgress, StoppedServer,
+            choose_successor, is_primary_lost,
+        },
+        servers::ServerList,
+    },
+    metadata::{Change, Item, Snapshot},
+    statement::EndpointStatus,
+};
+
+fn status(leads: bool, term: u64, received: u64, paused_for: u64) -> EndpointStatus {
+    EndpointStatus {
+        leads,
+        term: Term(term),
+        received: LogPoint::new(term, received),
+        paused_for: Term(paused_for),
+        lag_ms: 0,
+        connections: 1,
+    }
+}
+
+#[test]
+fn evidence_needs_a_majority_of_one_term_that_nobody_has_stopped() {
+    let primary = || (Name::from("a"), status(true, 3, 9, 0));
+    let replica = |name: &str| (Name::from(name), status(false, 3, 9, 0));
+    let paused = |name: &str| (Name::from(name), status(false, 3, 9, 4));
+    let newer = |name: &str| (Name::from(name), status(true, 4, 9, 0));
+    let follower = |name: &str| (Name::from(name), status(false, 4, 9, 0));
+    let found =
+        |server: &str, term| Some(LeadByEvidence { server: Name::from(server), term: Term(term) });
+    let cases = [
+        ("primary and a replica", vec![primary(), replica("b")], 3, found("a", 3)),
+        ("the primary alone", vec![primary()], 3, None),
+        ("replicas alone", vec![replica("b"), replica("c")], 3, None),
+        ("a paused replica", vec![primary(), paused("b")], 3, None),
+        ("one of two is paused", vec![primary(), paused("b"), replica("c")], 3, found("a", 3)),
+        ("both are paused", vec![primary(), paused("b"), paused("c")], 3, None),
+        ("a newer term, alone", vec![primary(), replica("c"), newer("b")], 3, None),
+        ("a newer term, followed", vec![primary(), newer("b"), follower("c")], 3, found("b", 4)),
+        ("two that lead", vec![primary(), (Name::from("b"), status(true, 3, 9, 0))], 3, None),
+        ("an older term than known", vec![primary(), replica("b")], 4, None),
+        ("nobody answered", vec![], 3, None),
+    ];
+    for (name, statuses, known, expected) in cases {
+        assert_eq!(judge(&statuses, 3, Term(known)), expected, "{name}");
+    }
+}
+
+fn stopped(server: &str, received: u64, leaving: bool, replaced: bool) -> StoppedServer {
+    StoppedServer {
+        server: server.to_owned(),
+        status: status(replaced, 1, received, 2),
+        leaving,
+        replaced,
+    }
+}
+
+#[test]
+fn the_successor_holds_the_most_and_stays() {
+    let chosen = |server: &str, keeps| Some(ChosenServer { server: server.to_owned(), keeps });
+    let old = stopped("a", 9, true, true);
+    let behind = stopped("b", 7, false, false);
+    let ahead = stopped("c", 9, false, false);
+    let leaving = stopped("d", 9, true, false);
+    let cases = [
+        ("the longest log", vec![old.clone(), behind.clone(), ahead.clone()], 0, chosen("c", 9)),
+        ("one that stays", vec![leaving.clone(), ahead.clone()], 0, chosen("c", 9)),
+        ("a longer log before one that stays", vec![leaving, behind.clone()], 0, chosen("d", 9)),
+        ("never the one that is replaced", vec![old.clone()], 0, None),
+        ("not enough to be sure of every write", vec![behind.clone()], 1, None),
+        ("enough of them", vec![behind, ahead], 1, chosen("c", 9)),
+    ];
+    for (name, servers, synchronous, expected) in cases {
+        assert_eq!(choose_successor(&servers, 3, synchronous), expected, "{name}");
+    }
+}
+
+#[test]
+fn a_settled_record_says_where_the_term_began() {
+    let record =
+        LeadershipRecord { term: 3, primary: "a".to_owned(), ..LeadershipRecord::default() };
+    let settled = record.settled(&ChosenServer { server: "b".to_owned(), keeps: 17 }, 4);
+    assert_eq!((settled.term, settled.primary.as_str()), (4, "b"));
+    assert_eq!(settled.change, None);
+    assert_eq!(settled.starts[0].term, Term(4));
+    assert_eq!(settled.starts[0].start.0, 17);
+}
+
+#[test]
+fn a_stop_waits_for_evidence_and_for_those_that_did_not_answer() {
+    let recorded_at = Instant::now();
+    let bounds =
+        RightBounds { store: Duration::from_millis(1_500), evidence: Duration::from_millis(300) };
+    let after = |ms| recorded_at + Duration::from_millis(ms);
+    let progress = |fenced_at, all_answered| StopProgress { recorded_at, fenced_at, all_answered };
+    let complete = |progress: StopProgress| progress.complete_at(bounds);
+    assert_eq!(complete(progress(None, true)), None);
+    assert_eq!(complete(progress(Some(after(20)), true)), Some(after(335)));
+    assert_eq!(complete(progress(Some(after(20)), false)), Some(after(1_575)));
+    assert_eq!(complete(progress(Some(after(2_000)), false)), Some(after(2_315)));
+}
+
+#[test]
+fn a_third_of_the_daemons_and_two_at_the_least_must_share_a_suspicion() {
+    let cases = [
+        (0, 0, false),
+        (0, 1, false),
+        (1, 1, true),
+        (1, 2, false),
+        (2, 2, true),
+        (1, 3, false),
+        (2, 3, true),
+        (2, 9, false),
+        (3, 9, true),
+        (23, 71, false),
+        (24, 71, true),
+    ];
+    for (suspecting, members, lost) in cases {
+        assert_eq!(is_primary_lost(suspecting, members), lost, "{suspecting} of {members}");
+    }
+}
+
+fn entry(server: &str, leaving: bool) -> ServerEntry {
+    ServerEntry {
+        server: Name::from(server),
+        service: Name::from("s"),
+        address: "127.0.0.1:1".parse().unwrap(),
+        availability_zone: Name::from("z"),
+        slots: 3,
+        leaving,
+        claims_lead: false,
+    }
+}
+
+#[test]
+fn a_lapsed_server_is_believed_in_for_a_while_and_a_leaving_one_is_not() {
+    let now = Instant::now();
+    let grace = Duration::from_millis(2_500);
+    let mut servers = ServerList::default();
+    servers.put("k/a", entry("a", false));
+    servers.put("k/b", entry("b", true));
+    assert!(!servers.remove("k/a", now), "nothing changes yet");
+    assert!(servers.remove("k/b", now), "it was leaving and is gone");
+    assert!(servers.expire(grace, now + grace / 2).is_empty());
+    assert_eq!(servers.by_service()[&Name::from("s")].len(), 1);
+    // The store was away: the time begins anew.
+    servers.restart_grace(now + grace);
+    assert!(servers.expire(grace, now + grace).is_empty());
+    assert!(servers.put("k/a", entry("a", false)), "it is back");
+    assert!(servers.expire(grace, now + grace * 5).is_empty());
+    servers.remove("k/a", now + grace * 5);
+    assert_eq!(servers.expire(grace, now + grace * 6), [Name::from("a")]);
+    assert!(servers.by_service().is_empty());
+}
+
+fn item(key: &str, revision: u64) -> Item {
+    Item { key: key.to_owned(), value: Bytes::new(), revision, created: 1 }
+}
+
+#[test]
+fn the_mirror_goes_by_revisions_in_whatever_order_they_come() {
+    let mut mirror = Mirror::default();
+    assert!(mirror.apply(Change::Put(item("p/a", 5))));
+    assert!(!mirror.apply(Change::Put(item("p/a", 4))), "an older write");
+    assert!(!mirror.apply(Change::Removed { key: "p/a".to_owned(), revision: 3 }));
+    assert!(mirror.apply(Change::Removed { key: "p/a".to_owned(), revision: 6 }));
+    assert!(!mirror.apply(Change::Put(item("p/a", 5))), "a write from before the removal");
+    assert!(mirror.apply(Change::Put(item("p/a", 7))));
+    assert!(mirror.apply(Change::Put(item("p/b", 9))));
+    // A reading at revision 8 says nothing of what came later.
+    let snapshot = Snapshot { items: vec![item("p/c", 8)], revision: 8 };
+    assert_eq!(mirror.replace(snapshot), ["p/a", "p/c"]);
+    let keys: Vec<&str> = mirror.below("p/").map(|item| item.key.as_str()).collect();
+    assert_eq!(keys, ["p/b", "p/c"]);
+}
--- /dev/null
+++ b/crates/proxy/tests/reads.rs
@@ -0,0 +1,102 @@
+//! What a read must have seen, and where it goes.
+
+use std::time::{Duration, Instant};
+
+use model::{LogPoint, Position, StatementClass, Term, TermStart};
+use proxy::{
+    catalog::ReadRule,
+    serve::{
+        choose::{Candidate, Choice, choose},
+        floor::{Place, place_for},
+    },
+};
+use session::{StalenessSamples, TermHistory};
+
+const BOUND: Duration = Duration::from_millis(1_000);
+
+fn at(base: Instant, ms: u64) -> Instant {
+    base + Duration::from_millis(ms)
+}
+
+#[test]
+fn the_place_follows_from_rule_samples_and_history() {
+    let base = Instant::now();
+    let now = at(base, 10_000);
+    let mut samples = StalenessSamples::new(16);
+    samples.add(at(base, 8_000), LogPoint::new(1, 10));
+    samples.add(at(base, 9_300), LogPoint::new(1, 20));
+    samples.add(at(base, 9_900), LogPoint::new(1, 30));
+    let bounded = ReadRule::BoundedStaleness { bound: BOUND };
+    let own = ReadRule::OwnWrites { bound: BOUND };
+    let long = ReadRule::BoundedStaleness { bound: Duration::from_millis(2_100) };
+    let short = ReadRule::BoundedStaleness { bound: Duration::from_millis(60) };
+    let written = Some(LogPoint::new(1, 25));
+    let no_history = TermHistory::default();
+    let ended = TermHistory::new(vec![TermStart { term: Term(2), start: Position(15) }]);
+    let read = StatementClass::Read;
+    let point = |number| Place::AtLeast(LogPoint::new(1, number));
+    let cases = [
+        (
+            "writes run at the primary",
+            bounded,
+            StatementClass::Write,
+            None,
+            &no_history,
+            Place::Primary,
+        ),
+        ("the rule says so", ReadRule::Primary, read, None, &no_history, Place::Primary),
+        ("the oldest sample that is young enough", bounded, read, None, &no_history, point(20)),
+        ("a longer bound allows an older one", long, read, None, &no_history, point(10)),
+        ("no sample is young enough", short, read, None, &no_history, Place::Primary),
+        ("own writes count", own, read, written, &no_history, point(25)),
+        (
+            "own writes don't count where not promised",
+            bounded,
+            read,
+            written,
+            &no_history,
+            point(20),
+        ),
+        ("an ended term ends lower", own, read, written, &ended, point(15)),
+    ];
+    for (name, rule, class, own, history, expected) in cases {
+        assert_eq!(place_for(rule, class, own, &samples, history, now), expected, "{name}");
+    }
+}
+
+fn candidate(index: usize) -> Candidate {
+    Candidate {
+        index,
+        near: true,
+        leads: false,
+        idle: 1,
+        in_use: 0,
+        limit: 2,
+        full: false,
+        latency_us: 20_000,
+    }
+}
+
+#[test]
+fn the_choice_prefers_near_idle_replicas_with_room() {
+    let near = candidate(0);
+    let far = Candidate { near: false, ..candidate(1) };
+    let primary = Candidate { leads: true, ..candidate(2) };
+    let closed = Candidate { idle: 0, ..candidate(3) };
+    let in_use = Candidate { idle: 0, in_use: 2, ..candidate(4) };
+    let full = Candidate { full: true, ..candidate(5) };
+    let slow = Candidate { latency_us: 200_000, ..candidate(6) };
+    let cases = [
+        ("none", vec![], Choice::Nowhere),
+        ("near before far", vec![far, near], Choice::UseIdle(0)),
+        ("a replica before the primary", vec![primary, near], Choice::UseIdle(0)),
+        ("an idle connection before a new one", vec![closed, near], Choice::UseIdle(0)),
+        ("a new connection near before a far one", vec![far, closed], Choice::Open(3)),
+        ("far when near is in use", vec![in_use, far], Choice::UseIdle(1)),
+        ("far when near is slow", vec![slow, far], Choice::UseIdle(1)),
+        ("all in use", vec![in_use, full], Choice::Wait),
+    ];
+    for (name, candidates, expected) in cases {
+        assert_eq!(choose(&candidates), expected, "{name}");
+    }
+}
--- /dev/null
+++ b/crates/proxy/tests/verdict.rs
@@ -0,0 +1,67 @@
+//! What may be done and said after each way in which an attempt ends.
+
+use model::StatementClass::{self, Read, Write};
+use proxy::{
+    serve::{
+        connection::ConnectionLost,
+        verdict::{
+            Next, Progress, after_error, after_loss, speaks_against_server, transaction_after_loss,
+        },
+    },
+    statement::ErrorCode,
+};
+
+#[test]
+fn errors_of_servers() {
+    let cases: [(ErrorCode, StatementClass, Next); 14] = [
+        (ErrorCode::Overloaded, Write, Next::TryElsewhere),
+        (ErrorCode::NotFresh, Read, Next::TryElsewhere),
+        (ErrorCode::TooManyConnections, Write, Next::TryElsewhere),
+        (ErrorCode::UnknownStatement, Write, Next::TryElsewhere),
+        (ErrorCode::NotPrimary, Write, Next::AwaitPrimary),
+        (ErrorCode::WrongServer, Read, Next::AwaitPrimary),
+        (ErrorCode::Failed, Read, Next::TryElsewhere),
+        (ErrorCode::TimedOut, Read, Next::TryElsewhere),
+        (ErrorCode::Failed, Write, Next::Tell(ErrorCode::Failed)),
+        (ErrorCode::TimedOut, Write, Next::Tell(ErrorCode::TimedOut)),
+        (ErrorCode::Aborted, Write, Next::Tell(ErrorCode::Aborted)),
+        (ErrorCode::InDoubt, Write, Next::Tell(ErrorCode::InDoubt)),
+        (ErrorCode::Malformed, Read, Next::Tell(ErrorCode::Malformed)),
+        (ErrorCode::TooLarge, Write, Next::Tell(ErrorCode::TooLarge)),
+    ];
+    for (code, class, expected) in cases {
+        assert_eq!(after_error(code, class), expected, "{code:?} {class:?}");
+    }
+}
+
+#[test]
+fn a_write_that_may_have_run_is_never_sent_again() {
+    assert_eq!(after_loss(Progress::Sent, Write), Next::Tell(ErrorCode::InDoubt));
+    for (progress, class) in
+        [(Progress::NotSent, Write), (Progress::NotSent, Read), (Progress::Sent, Read)]
+    {
+        assert_eq!(after_loss(progress, class), Next::TryElsewhere, "{progress:?} {class:?}");
+    }
+}
+
+#[test]
+fn only_a_commit_that_was_sent_leaves_a_transaction_in_doubt() {
+    for is_commit in [false, true] {
+        for wrote in [false, true] {
+            for progress in [Progress::NotSent, Progress::Sent] {
+                let expected = match (is_commit, wrote, progress) {
+                    (true, true, Progress::Sent) => ErrorCode::InDoubt,
+                    _ => ErrorCode::Aborted,
+                };
+                assert_eq!(transaction_after_loss(is_commit, wrote, progress), expected);
+            }
+        }
+    }
+}
+
+#[test]
+fn a_server_without_connections_left_is_alive() {
+    assert!(!speaks_against_server(&ConnectionLost::Refused(ErrorCode::TooManyConnections)));
+    assert!(speaks_against_server(&ConnectionLost::Silent));
+    assert!(speaks_against_server(&ConnectionLost::Broken("reset".to_owned())));
+}
