--- a/crates/proxy/src/serve/session.rs
+++ b/crates/proxy/src/serve/session.rs
@@ -35,6 +35,8 @@
 const CALLER_READS_WITHIN: Duration = Duration::from_secs(10);
 /// How long a new connection may take to say what it wants.
 const STARTUP_WITHIN: Duration = Duration::from_secs(10);
+/// How long a new session waits while the daemon has no configuration; callers give up after 2 s.
+const CONFIGURATION_WITHIN: Duration = Duration::from_millis(1_500);
 /// Values and prepared names that one session may hold; they are replayed and kept in memory.
 const MOST_NAMES: usize = 1_024;
 
@@ -140,6 +142,12 @@
             let _ = self.flush().await;
             return false;
         }
+        if !self.configuration_is_known().await {
+            let why = "this daemon has no configuration yet";
+            self.outgoing_error(StatementError::come_back(ErrorCode::Overloaded, why, 500));
+            let _ = self.flush().await;
+            return false;
+        }
         if !self.engine.beliefs().catalog.routes.contains_key(&database) {
             log::info!(
                 event = "unknown_database", database = &*database,
@@ -156,6 +164,13 @@
         self.flush().await.is_ok()
     }
 
+    /// Waits for the first configuration: before it, nothing can be said of any database.
+    async fn configuration_is_known(&self) -> bool {
+        let mut beliefs = self.engine.beliefs.clone();
+        let known = beliefs.wait_for(|beliefs| beliefs.is_ready());
+        matches!(tokio::time::timeout(CONFIGURATION_WITHIN, known).await, Ok(Ok(_)))
+    }
+
     async fn next_event(&mut self) -> Event {
         let mut stopping = self.engine.stopping.clone();
         loop {
