--- a/crates/proxy/src/control/beliefs.rs
+++ b/crates/proxy/src/control/beliefs.rs
@@ -3,11 +3,7 @@
 //! The control thread publishes it, the serving thread reads it. Nothing in it is believed for longer
 //! than it says: the right to use a primary ends by itself ([`Lead::valid_until`]).
 
-use std::{
-    collections::HashMap,
-    sync::Arc,
-    time::{Duration, Instant},
-};
+use std::{collections::HashMap, sync::Arc, time::Instant};
 
 use model::{Name, Term};
 use session::TermHistory;
@@ -89,18 +85,21 @@
     }
 }
 
-/// What the serving thread tells the control thread of a server.
+/// What the serving thread tells the control thread.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Observation {
-    /// The service.
-    pub service: Name,
-    /// The server.
-    pub server: Name,
-    /// Whether it answers this daemon.
-    pub reachable: bool,
-}
-
-/// A time by which an answer must be in; kept apart from [`Instant`] arithmetic that could overflow.
-pub fn deadline(now: Instant, after_ms: u64) -> Instant {
-    now + Duration::from_millis(after_ms)
+pub enum Observation {
+    /// Whether a server answers this daemon changed.
+    Reachability {
+        /// The service.
+        service: Name,
+        /// The server.
+        server: Name,
+        /// Whether it answers.
+        reachable: bool,
+    },
+    /// Reads are refused at a primary because every replica is too far behind to run them.
+    ReplicasBehind {
+        /// The service.
+        service: Name,
+    },
 }
--- a/crates/proxy/src/control/duty.rs
+++ b/crates/proxy/src/control/duty.rs
@@ -48,6 +48,14 @@
 /// How long a change may look for a majority before it is called off.
 const FENCE_WITHIN: Duration = Duration::from_secs(3);
 
+/// How long a report that replicas are behind counts.
+const BEHIND_LASTS: Duration = Duration::from_millis(600);
+/// How long the lead stays where it was moved to because replicas were behind; a move costs a gap.
+const MOVE_AGAIN_AFTER: Duration = Duration::from_secs(12);
+/// How many entries a replica may lack that is to take over without need: it receives, and gets the rest
+/// in a moment.
+const NEARLY_LEVEL: u64 = 8;
+
 /// Why a change ended without a new primary.
 #[derive(Debug)]
 enum ChangeEnd {
@@ -258,7 +266,16 @@
         let prefix = self.key(&format!("suspicions/{service}/{}/", known.record.primary));
         let suspecting = state.mirror.below(&prefix).count();
         let members = state.mirror.below(&self.key("members/")).count();
-        is_primary_lost(suspecting, members).then_some(Reason::Unreachable)
+        if is_primary_lost(suspecting, members) {
+            return Some(Reason::Unreachable);
+        }
+        let now = Instant::now();
+        let within = |at: Option<&Instant>, time| {
+            at.is_some_and(|at| now.saturating_duration_since(*at) < time)
+        };
+        let behind = within(state.replicas_behind.get(service), BEHIND_LASTS);
+        let moved = within(state.lead_moved.get(service), MOVE_AGAIN_AFTER);
+        (behind && !moved).then_some(Reason::ReplicasBehind)
     }
 
     /// Whether the primary's entry has been missing for so long, in readings of a store that answered
@@ -347,6 +364,10 @@
 
     async fn change_primary(&self, service: &Name, reason: Reason) -> Result<(), ChangeEnd> {
         let known = self.known_record(service).ok_or(ChangeEnd::Superseded)?;
+        if reason == Reason::ReplicasBehind {
+            self.state.borrow_mut().lead_moved.insert(service.clone(), Instant::now());
+            self.check_level_replica(service, &known.record).await?;
+        }
         let mut run = self.begin_change(service, known, reason).await?;
         self.step("begun", service, &run);
         let mut commands = Commands::new(self);
@@ -358,13 +379,36 @@
         let stopped = self.await_stop(service, &mut run, &mut commands).await?;
         let servers = self.entries(service).len();
         let synchronous = self.synchronous_replicas(service);
-        let Some(chosen) = choose_successor(&stopped, servers, synchronous) else {
+        let may_stay = run.reason() == Reason::ReplicasBehind.as_str();
+        let Some(chosen) = choose_successor(&stopped, servers, synchronous, may_stay) else {
             self.call_off(service, run, &mut commands).await?;
             return Err(ChangeEnd::NoSuccessor);
         };
         self.order_and_settle(service, run, chosen, &mut commands).await
     }
 
+    /// Whether some replica has received nearly all that the primary holds.
+    async fn check_level_replica(
+        &self,
+        service: &Name,
+        record: &LeadershipRecord,
+    ) -> Result<(), ChangeEnd> {
+        let entries = self.entries(service);
+        let asks =
+            entries.iter().filter(|entry| !entry.leaving || *entry.server == *record.primary);
+        let asks = asks.map(|entry| (entry.clone(), EndpointText::Status)).collect();
+        let statuses = Commands::new(self).ask_all(asks).await;
+        let leads = |entry: &Arc<ServerEntry>| *entry.server == *record.primary;
+        let primary = statuses.iter().find(|(entry, status)| leads(entry) && status.leads);
+        let (_, primary) = primary.ok_or(ChangeEnd::NoSuccessor)?;
+        let is_level = |status: &EndpointStatus| {
+            status.received.term == primary.received.term
+                && status.received.position.0 + NEARLY_LEVEL >= primary.received.position.0
+        };
+        let level = statuses.iter().any(|(entry, status)| !leads(entry) && is_level(status));
+        level.then_some(()).ok_or(ChangeEnd::NoSuccessor)
+    }
+
     fn synchronous_replicas(&self, service: &Name) -> u32 {
         let state = self.state.borrow();
         state.catalog.services.get(service).map_or(0, |rule| rule.synchronous_replicas)
@@ -624,6 +668,9 @@
     Leaving,
     /// Too many daemons can't reach the primary.
     Unreachable,
+    /// Every replica shows too old data, and the primary can't run all reads alone. A replica that has
+    /// received everything can lead at once, and the former primary then runs reads.
+    ReplicasBehind,
 }
 
 impl Reason {
@@ -634,6 +681,7 @@
             Reason::Gone => "gone",
             Reason::Leaving => "leaving",
             Reason::Unreachable => "unreachable",
+            Reason::ReplicasBehind => "replicas_behind",
         }
     }
 }
@@ -651,6 +699,10 @@
         self.record.change.as_ref().map_or("", |change| &change.id)
     }
 
+    fn reason(&self) -> &str {
+        self.record.change.as_ref().map_or("", |change| &change.reason)
+    }
+
     fn chosen(&self) -> Option<ChosenServer> {
         self.record.change.as_ref()?.chosen.clone()
     }
--- a/crates/proxy/src/control/record.rs
+++ b/crates/proxy/src/control/record.rs
@@ -72,12 +72,13 @@
 
 /// Chooses the server that holds the most; among equals one that stays.
 ///
-/// The primary that is to be replaced is chosen only if `synchronous` says that no other can be sure
-/// to hold every acknowledged write.
+/// The primary that is to be replaced is chosen only where it `may_stay` and holds more than any other,
+/// so that a change that nothing forces loses nothing.
 pub fn choose_successor(
     stopped: &[StoppedServer],
     servers: usize,
     synchronous: u32,
+    may_stay: bool,
 ) -> Option<ChosenServer> {
     // Every acknowledged write stands on the primary and `synchronous` others, so it is held by one of
     // any `servers - synchronous` servers.
@@ -85,9 +86,10 @@
     if synchronous > 0 && stopped.len() < needed {
         return None;
     }
-    let others = stopped.iter().filter(|server| !server.replaced);
-    let best = others.max_by_key(|server| {
-        (server.status.received, !server.leaving, std::cmp::Reverse(server.server.clone()))
+    let candidates = stopped.iter().filter(|server| may_stay || !server.replaced);
+    let best = candidates.max_by_key(|server| {
+        let name = std::cmp::Reverse(server.server.clone());
+        (server.status.received, !server.replaced, !server.leaving, name)
     })?;
     Some(ChosenServer { server: best.server.clone(), keeps: best.status.received.position.0 })
 }
--- a/crates/proxy/src/control/runner.rs
+++ b/crates/proxy/src/control/runner.rs
@@ -100,6 +100,10 @@
     member_put_at: Option<Instant>,
     /// Since when the recorded primary of a service has had no entry.
     pub(crate) primary_missing_since: HashMap<Name, Instant>,
+    /// When the replicas of a service were last found too far behind for the reads there are.
+    pub(crate) replicas_behind: HashMap<Name, Instant>,
+    /// When this daemon last moved the lead of a service for that reason, or tried to.
+    pub(crate) lead_moved: HashMap<Name, Instant>,
     acknowledged: HashMap<Name, String>,
     suspected: HashSet<(Name, Name)>,
     published_servers: Arc<HashMap<Name, Vec<Arc<crate::catalog::ServerEntry>>>>,
@@ -832,7 +836,15 @@
     /// Tells the other daemons which primaries this one can't reach.
     async fn observation_loop(self: Rc<Self>) {
         while let Ok(observation) = self.observations.recv_async().await {
-            let Observation { service, server, reachable } = observation;
+            let (service, server, reachable) = match observation {
+                Observation::Reachability { service, server, reachable } => {
+                    (service, server, reachable)
+                }
+                Observation::ReplicasBehind { service } => {
+                    self.state.borrow_mut().replicas_behind.insert(service, Instant::now());
+                    continue;
+                }
+            };
             let pair = (service.clone(), server.clone());
             let lease = {
                 let mut state = self.state.borrow_mut();
--- a/crates/proxy/src/serve/engine.rs
+++ b/crates/proxy/src/serve/engine.rs
@@ -32,6 +32,11 @@
 /// Reads in a hundred that may be tried at a second server while the first may still answer; more
 /// would multiply the load on servers that are slow because they are overloaded.
 const RETRY_PERCENT: u32 = 10;
+/// How long reads must have been refused for want of replicas before the control thread is told; a
+/// change of primary costs about this much.
+const STARVED_FOR: Duration = Duration::from_millis(1_000);
+/// Refusals further apart than this are not one shortage.
+const STARVED_GAP: Duration = Duration::from_millis(400);
 /// How long a new connection may take: a handshake, and a server that is busy.
 const CONNECT_WITHIN: Duration = Duration::from_millis(400);
 /// How long after a server was found to be out of reach it is asked again.
@@ -47,6 +52,8 @@
     pub samples: RefCell<StalenessSamples>,
     /// Reads that may be sent to a second server although the first may still answer.
     pub retries: RefCell<RetryBudget>,
+    /// Since when, and when last, reads were refused because every replica is behind.
+    starved: Cell<Option<(Instant, Instant)>>,
     /// Wakes reads that wait for a server which was found to be out of reach.
     pub lost_server: Notify,
     /// Servers that are being asked whether they are alive, and those that did not answer.
@@ -61,6 +68,7 @@
             pool: Rc::new(GroupPool::new(availability_zone)),
             samples: RefCell::new(StalenessSamples::new(SAMPLES_KEPT)),
             retries: RefCell::new(RetryBudget::new(RETRY_PERCENT)),
+            starved: Cell::new(None),
             lost_server: Notify::new(),
             probes: RefCell::default(),
             seen: RefCell::default(),
@@ -317,6 +325,25 @@
         matches!(opened, Ok(_) | Err(ConnectionLost::Refused(ErrorCode::TooManyConnections)))
     }
 
+    /// Takes note that a read was refused; if replicas have been behind for long, the control thread is
+    /// told.
+    pub fn note_starved(&self, group: &Group<E>, service: &Name, primary: &Name) {
+        if !group.pool.are_others_lagging(primary) {
+            return;
+        }
+        let now = Instant::now();
+        let since = match group.starved.get() {
+            Some((since, last)) if now.duration_since(last) < STARVED_GAP => since,
+            _ => now,
+        };
+        group.starved.set(Some((since, now)));
+        if now.duration_since(since) >= STARVED_FOR {
+            let observation = Observation::ReplicasBehind { service: service.clone() };
+            // A full ring means that the control thread has enough to go by.
+            let _ = self.observations.try_send(observation);
+        }
+    }
+
     /// Whether a server was found to be out of reach.
     pub fn is_unreachable(&self, group: &Group<E>, server: &Name) -> bool {
         group.probes.borrow().get(server) == Some(&ProbeState::Unreachable)
@@ -345,8 +372,11 @@
             reachable = reachable;
             "a server's reachability changed"
         );
-        let observation =
-            Observation { service: service.clone(), server: server.clone(), reachable };
+        let observation = Observation::Reachability {
+            service: service.clone(),
+            server: server.clone(),
+            reachable,
+        };
         // A full ring means that the control thread has enough to go by.
         let _ = self.observations.try_send(observation);
     }
--- a/crates/proxy/src/serve/execute.rs
+++ b/crates/proxy/src/serve/execute.rs
@@ -403,6 +403,12 @@
         error: AcquireError,
     ) -> Denied {
         let wait_ms = group.pool.expected_wait().as_millis() as u64 + 1;
+        if job.work.class() == StatementClass::Read
+            && job.route.reads != ReadRule::Primary
+            && let Some(lead) = self.beliefs().leads.get(&job.route.service)
+        {
+            self.note_starved(group, &job.route.service, &lead.server);
+        }
         match error {
             AcquireError::QueueFull => Denied::Refuse(self.refuse(
                 group,
--- a/crates/proxy/src/serve/pool.rs
+++ b/crates/proxy/src/serve/pool.rs
@@ -424,6 +424,18 @@
         Duration::from_micros(u64::from(latency_us) * rounds)
     }
 
+    /// Whether every listed server but this one lagged behind a moment ago.
+    pub fn are_others_lagging(&self, primary: &str) -> bool {
+        let now = Instant::now();
+        let state = self.state.borrow();
+        let mut others =
+            state.servers.iter().filter(|slot| slot.listed && &*slot.entry.server != primary);
+        let lags = |slot: &ServerSlot<E>| {
+            slot.lagging_until.is_some_and(|until| now < until + LAGGING_FOR)
+        };
+        others.clone().next().is_some() && others.all(lags)
+    }
+
     /// Returns a server's average answering time; zero if it is not known.
     pub fn latency_of(&self, server: &str) -> Duration {
         let us = self.with_slot(server, |slot| slot.latency.get_us()).unwrap_or(0);
--- a/crates/proxy/tests/control.rs
+++ b/crates/proxy/tests/control.rs
@@ -75,6 +75,7 @@
     let leaving = stopped("d", 9, true, false);
     let cases = [
         ("the longest log", vec![old.clone(), behind.clone(), ahead.clone()], 0, chosen("c", 9)),
+        ("even if it is shorter", vec![old.clone(), behind.clone()], 0, chosen("b", 7)),
         ("one that stays", vec![leaving.clone(), ahead.clone()], 0, chosen("c", 9)),
         ("a longer log before one that stays", vec![leaving, behind.clone()], 0, chosen("d", 9)),
         ("never the one that is replaced", vec![old.clone()], 0, None),
@@ -82,10 +83,20 @@
         ("enough of them", vec![behind, ahead], 1, chosen("c", 9)),
     ];
     for (name, servers, synchronous, expected) in cases {
-        assert_eq!(choose_successor(&servers, 3, synchronous), expected, "{name}");
+        assert_eq!(choose_successor(&servers, 3, synchronous, false), expected, "{name}");
     }
 }
 
+#[test]
+fn a_change_that_nothing_forces_leaves_the_lead_with_whoever_holds_the_most() {
+    let old = stopped("a", 9, false, true);
+    let behind = stopped("b", 8, false, false);
+    let level = stopped("c", 9, false, false);
+    let chosen = |servers: &[StoppedServer]| choose_successor(servers, 3, 0, true).unwrap().server;
+    assert_eq!(chosen(&[old.clone(), behind.clone()]), "a");
+    assert_eq!(chosen(&[old, behind, level]), "c");
+}
+
 #[test]
 fn a_settled_record_says_where_the_term_began() {
     let record =
