feat(control): planned commands get a second, replicas behind are looked at more widely

Cause: the status and step down of an overloaded primary took longer than 150 ms, so the lead stayed; another daemon's refusals were too rare to count.

--- a/crates/proxy/src/control/duty.rs
+++ b/crates/proxy/src/control/duty.rs
@@ -36,8 +36,10 @@
 const LOOK_EVERY: Duration = Duration::from_millis(200);
 /// Daemons that want the duty wait up to this long first, so that they rarely collide.
 const TAKE_JITTER: Duration = Duration::from_millis(60);
-/// How long a server may take to answer a command of a change.
+/// How long a server may take to answer a command of a change that is made because of a failure.
 const COMMAND_WITHIN: Duration = Duration::from_millis(150);
+/// The same where nothing has failed: an overloaded primary takes its time, and what it holds counts.
+const PLANNED_COMMAND_WITHIN: Duration = Duration::from_millis(1_000);
 /// How long a replica may take to receive what a stepped-down primary still holds.
 const CATCH_UP_WITHIN: Duration = Duration::from_millis(800);
 /// The pause between two questions to a server.
@@ -371,6 +373,9 @@
         let mut run = self.begin_change(service, known, reason).await?;
         self.step("begun", service, &run);
         let mut commands = Commands::new(self);
+        if matches!(reason, Reason::Leaving | Reason::ReplicasBehind) {
+            commands.within = PLANNED_COMMAND_WITHIN;
+        }
         if let Some(chosen) = run.chosen() {
             // An order may have been given before; it is repeated, and no other server is named.
             self.await_stop(service, &mut run, &mut commands).await?;
@@ -397,7 +402,9 @@
         let asks =
             entries.iter().filter(|entry| !entry.leaving || *entry.server == *record.primary);
         let asks = asks.map(|entry| (entry.clone(), EndpointText::Status)).collect();
-        let statuses = Commands::new(self).ask_all(asks).await;
+        let mut commands = Commands::new(self);
+        commands.within = PLANNED_COMMAND_WITHIN;
+        let statuses = commands.ask_all(asks).await;
         let leads = |entry: &Arc<ServerEntry>| *entry.server == *record.primary;
         let primary = statuses.iter().find(|(entry, status)| leads(entry) && status.leads);
         let (_, primary) = primary.ok_or(ChangeEnd::NoSuccessor)?;
@@ -718,11 +725,13 @@
 struct Commands<'a, M, O, F, E> {
     control: &'a Control<M, O, F, E>,
     open: HashMap<Name, EndpointConnection<E>>,
+    /// How long a server may take to answer.
+    within: Duration,
 }
 
 impl<'a, M, O, F, E: EndpointDialect> Commands<'a, M, O, F, E> {
     fn new(control: &'a Control<M, O, F, E>) -> Commands<'a, M, O, F, E> {
-        Commands { control, open: HashMap::new() }
+        Commands { control, open: HashMap::new(), within: COMMAND_WITHIN }
     }
 
     /// Gives a server a command and returns its status after it.
@@ -732,7 +741,8 @@
         text: EndpointText,
     ) -> Result<EndpointStatus, ConnectionLost> {
         let open = self.open.remove(&entry.server);
-        let (connection, status) = self.control.ask_over(open, entry.clone(), text).await?;
+        let (connection, status) =
+            self.control.ask_over(open, entry.clone(), text, self.within).await?;
         self.open.insert(entry.server.clone(), connection);
         Ok(status)
     }
@@ -742,11 +752,11 @@
         &mut self,
         asks: Vec<(Arc<ServerEntry>, EndpointText)>,
     ) -> Vec<(Arc<ServerEntry>, EndpointStatus)> {
-        let control = self.control;
+        let (control, within) = (self.control, self.within);
         let running = asks.into_iter().map(|(entry, text)| {
             let open = self.open.remove(&entry.server);
             async move {
-                let answered = control.ask_over(open, entry.clone(), text).await;
+                let answered = control.ask_over(open, entry.clone(), text, within).await;
                 (entry, answered)
             }
         });
@@ -791,13 +801,14 @@
         open: Option<EndpointConnection<E>>,
         entry: Arc<ServerEntry>,
         mut text: EndpointText,
+        within: Duration,
     ) -> Result<(EndpointConnection<E>, EndpointStatus), ConnectionLost> {
-        let deadline = Instant::now() + COMMAND_WITHIN;
+        let deadline = Instant::now() + within;
         let mut connection = match open {
             Some(connection) if connection.is_quiet() => connection,
             _ => {
                 let host = &self.settings.host;
-                EndpointConnection::open(&self.dialect, &entry, host, COMMAND_WITHIN).await?
+                EndpointConnection::open(&self.dialect, &entry, host, within).await?
             }
         };
         loop {
--- a/crates/proxy/src/serve/engine.rs
+++ b/crates/proxy/src/serve/engine.rs
@@ -36,7 +36,7 @@
 /// change of primary costs about this much.
 const STARVED_FOR: Duration = Duration::from_millis(1_000);
 /// Refusals further apart than this are not one shortage.
-const STARVED_GAP: Duration = Duration::from_millis(400);
+const STARVED_GAP: Duration = Duration::from_millis(1_000);
 /// How long a new connection may take: a handshake, and a server that is busy.
 const CONNECT_WITHIN: Duration = Duration::from_millis(400);
 /// How long after a server was found to be out of reach it is asked again.
--- a/crates/proxy/src/serve/pool.rs
+++ b/crates/proxy/src/serve/pool.rs
@@ -35,6 +35,8 @@
 const MOST_WAITING: usize = 256;
 /// How long a server that lagged behind a bounded floor is passed over.
 const LAGGING_FOR: Duration = Duration::from_millis(150);
+/// How long after that a server still counts as behind where all of a group are looked at.
+const LAGGING_RECENTLY: Duration = Duration::from_millis(500);
 /// How long a server that could not be reached is passed over, at first; it doubles with each failure.
 const FIRST_BACKOFF: Duration = Duration::from_millis(100);
 /// The longest time that a server which can't be reached is passed over.
@@ -431,7 +433,7 @@
         let mut others =
             state.servers.iter().filter(|slot| slot.listed && &*slot.entry.server != primary);
         let lags = |slot: &ServerSlot<E>| {
-            slot.lagging_until.is_some_and(|until| now < until + LAGGING_FOR)
+            slot.lagging_until.is_some_and(|until| now < until + LAGGING_RECENTLY)
         };
         others.clone().next().is_some() && others.all(lags)
     }
