feat(control): one daemon of each zone reads the store for the others; member leases of 9 s

An asker counts a reading's age from its own question, and only for records that it knows at the same revision. The duty has a lease of its own, so its holder's death still ends it after 3 s.

--- a/crates/config/src/proxy_settings.rs
+++ b/crates/config/src/proxy_settings.rs
@@ -23,6 +23,8 @@
         listen: Option<SocketAddr> = None,
         /// Where the load balancer asks whether this daemon takes new connections.
         ready_listen: Option<SocketAddr> = None,
+        /// Where other daemons ask for readings of the store; unset means that none are shared.
+        peer_listen: Option<SocketAddr> = None,
         /// Where operators read metrics; unset means nowhere.
         metrics_listen: Option<SocketAddr> = None,
         /// The time from the signal to stop until the process is killed.
@@ -45,8 +47,10 @@
         write_timeout_ms: u64 = 1_500,
         /// How long one watch waits before it is renewed; also how soon a cut is noticed.
         watch_wait_ms: u64 = 4_000,
-        /// How long a member's lease lasts without a renewal, and so the duty to promote.
-        lease_ms: u64 = 3_000,
+        /// How long a member's lease lasts without a renewal.
+        lease_ms: u64 = 9_000,
+        /// How long the duty to promote lasts without a renewal by its holder.
+        duty_lease_ms: u64 = 3_000,
     }
 }
 
--- a/crates/proxy/src/control/duty.rs
+++ b/crates/proxy/src/control/duty.rs
@@ -23,7 +23,7 @@
             ChosenServer, LeadershipRecord, PrimaryChange, RightBounds, StopProgress,
             StoppedServer, choose_successor, is_primary_lost, majority,
         },
-        runner::{Control, join_all},
+        runner::{Control, HeldLease, RENEWALS_PER_LEASE, join_all},
     },
     dialect::EndpointDialect,
     metadata::{MetadataError, MetadataStore, Revision, Transaction, TransactionOutcome},
@@ -87,7 +87,7 @@
 
 /// The duty as this daemon holds it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-struct HeldDuty {
+pub(crate) struct HeldDuty {
     fencing_token: u64,
     revision: Revision,
 }
@@ -134,10 +134,10 @@
     }
 
     /// Returns the duty if this daemon holds it by what it knows.
-    fn held_duty(&self) -> Option<HeldDuty> {
+    pub(crate) fn held_duty(&self) -> Option<HeldDuty> {
         let state = self.state.borrow();
         let item = state.mirror.get(&self.duty_key())?;
-        let lease = state.lease?;
+        let lease = state.duty_lease?;
         let ours = item.value == self.duty_value(lease.id.0) && Instant::now() < lease.valid_until;
         ours.then_some(HeldDuty { fencing_token: item.created, revision: item.revision })
     }
@@ -158,8 +158,10 @@
         }
         let part: f64 = rand::rng().random_range(0.0..1.0);
         tokio::time::sleep(TAKE_JITTER.mul_f64(part)).await;
-        let lease = self.state.borrow().lease;
-        let Some(lease) = lease.filter(|_| is_free(self)) else { return };
+        if !is_free(self) {
+            return;
+        }
+        let Some(lease) = self.duty_lease().await else { return };
         let transaction = Transaction {
             expected: vec![(self.duty_key(), 0)],
             puts: vec![(self.duty_key(), self.duty_value(lease.id.0), Some(lease.id))],
@@ -173,7 +175,7 @@
                 "this daemon promotes from now on"
             ),
             Ok(TransactionOutcome::Conflict) => {}
-            Ok(TransactionOutcome::LeaseOver) => self.state.borrow_mut().lease = None,
+            Ok(TransactionOutcome::LeaseOver) => self.state.borrow_mut().duty_lease = None,
             // If it was done after all, the next reading shows it.
             Err(error) => log::info!(
                 event = "duty_unclear", why = error.to_string().as_str();
@@ -182,6 +184,63 @@
         }
     }
 
+    /// Returns the lease that the duty stands under, shorter than a member's: while it lasts after its
+    /// holder's death, nobody promotes.
+    async fn duty_lease(&self) -> Option<HeldLease> {
+        let now = Instant::now();
+        if let Some(lease) = self.state.borrow().duty_lease.filter(|lease| now < lease.valid_until)
+        {
+            return Some(lease);
+        }
+        let lasts = Duration::from_millis(self.settings.metadata.duty_lease_ms);
+        let granted = self.store.grant(lasts, self.write_timeout()).await;
+        self.count_call("grant", &granted);
+        match granted {
+            Ok(id) => {
+                let lease = HeldLease { id, valid_until: now + lasts };
+                self.state.borrow_mut().duty_lease = Some(lease);
+                Some(lease)
+            }
+            Err(error) => {
+                log::info!(
+                    event = "store_unreachable", call = "duty_lease",
+                    why = error.to_string().as_str();
+                    "no lease was granted for the duty"
+                );
+                None
+            }
+        }
+    }
+
+    /// Renews the duty's lease while this daemon holds the duty.
+    pub(crate) async fn duty_lease_loop(self: Rc<Self>) {
+        let lasts = Duration::from_millis(self.settings.metadata.duty_lease_ms);
+        loop {
+            tokio::time::sleep(lasts / RENEWALS_PER_LEASE).await;
+            let lease = self.state.borrow().duty_lease;
+            let Some(lease) = lease.filter(|_| self.held_duty().is_some()) else { continue };
+            let sent_at = Instant::now();
+            let renewed = self.store.renew(lease.id, self.read_timeout()).await;
+            self.count_call("renew", &renewed);
+            let mut state = self.state.borrow_mut();
+            match renewed {
+                Ok(true) => {
+                    let valid_until = sent_at + lasts;
+                    state.duty_lease = Some(HeldLease { valid_until, ..lease });
+                }
+                Ok(false) => {
+                    log::info!(event = "duty_lost"; "the duty's lease was over");
+                    state.duty_lease = None;
+                }
+                Err(error) => log::info!(
+                    event = "store_unreachable", call = "duty_lease",
+                    why = error.to_string().as_str();
+                    "the duty's lease was not renewed"
+                ),
+            }
+        }
+    }
+
     /// Leaves the duty to another daemon before this one stops; a change under way is finished first.
     async fn leave_duty(&self, duty: HeldDuty) {
         if !self.changes_running.borrow().is_empty() {
--- a/crates/proxy/src/control/mod.rs
+++ b/crates/proxy/src/control/mod.rs
@@ -5,6 +5,7 @@
 pub mod duty;
 pub mod evidence;
 pub mod mirror;
+pub mod peers;
 pub mod record;
 pub mod runner;
 pub mod servers;
--- a/crates/proxy/src/control/runner.rs
+++ b/crates/proxy/src/control/runner.rs
@@ -4,6 +4,7 @@
 use std::{
     cell::{Cell, RefCell},
     collections::{BTreeSet, HashMap, HashSet},
+    net::SocketAddr,
     rc::Rc,
     sync::Arc,
     time::{Duration, Instant},
@@ -13,8 +14,12 @@
 use config::{LeadershipSettings, MetadataSettings};
 use model::{Name, Term};
 use rand::RngExt;
+use serde::{Deserialize, Serialize};
 use session::TermHistory;
-use tokio::sync::{Notify, oneshot, watch};
+use tokio::{
+    net::TcpListener,
+    sync::{Notify, oneshot, watch},
+};
 
 use crate::{
     catalog::{Catalog, CatalogFormat},
@@ -22,6 +27,7 @@
         beliefs::{Basis, Beliefs, Lead, Observation},
         evidence,
         mirror::Mirror,
+        peers::{Asker, OwnReading, ReadingAnswer, SharedReading, answer_askers, judge_answer},
         record::LeadershipRecord,
         servers::ServerList,
     },
@@ -39,8 +45,11 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(80);
 /// The longest pause after failed calls.
 const LONGEST_PAUSE: Duration = Duration::from_millis(800);
+/// How often another daemon is asked within the time between two readings of its own; an answer tells
+/// of a reading that may be that old already.
+const ASKS_PER_READING: u32 = 2;
 /// Renewals of a lease within the time that it lasts, so that one may fail.
-const RENEWALS_PER_LEASE: u32 = 3;
+pub(crate) const RENEWALS_PER_LEASE: u32 = 3;
 /// Askings for evidence within the time that it holds.
 const EVIDENCE_PER_TERM: u32 = 2;
 
@@ -75,6 +84,14 @@
     pub answer: oneshot::Sender<EndpointStatus>,
 }
 
+/// What a member says of itself in the store.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct MemberValue {
+    availability_zone: String,
+    /// Where other daemons ask it.
+    peer_address: Option<SocketAddr>,
+}
+
 /// The lease of this daemon, under which its keys stand.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct HeldLease {
@@ -92,6 +109,10 @@
     pub(crate) servers_known: bool,
     pub(crate) leads: HashMap<Name, Lead>,
     pub(crate) lease: Option<HeldLease>,
+    /// The lease of the duty to promote, while this daemon holds the duty or tries to.
+    pub(crate) duty_lease: Option<HeldLease>,
+    /// This daemon's last reading of the store, for others.
+    own_reading: Option<OwnReading>,
     /// When each other daemon was last known to be a member.
     pub(crate) members_seen: HashMap<String, Instant>,
     /// Since when members have been watched, which bounds what may have been missed.
@@ -115,6 +136,10 @@
 pub struct ControlSettings {
     /// This daemon's host.
     pub host: Name,
+    /// Its availability zone.
+    pub availability_zone: Name,
+    /// Where other daemons ask it; `None` if it shares nothing.
+    pub peer_address: Option<SocketAddr>,
     /// The store.
     pub metadata: MetadataSettings,
     /// Who leads.
@@ -143,6 +168,8 @@
     pub stopping: watch::Receiver<Option<Instant>>,
     /// Whether every caller has left: from then on nothing is needed any more.
     pub ended: watch::Receiver<bool>,
+    /// Where other daemons connect.
+    pub peer_listener: Option<std::net::TcpListener>,
     /// What is counted.
     pub metrics: ProxyMetrics,
 }
@@ -165,6 +192,7 @@
     asks: flume::Sender<Ask>,
     pub(crate) stopping: watch::Receiver<Option<Instant>>,
     refresh_now: Notify,
+    asker: Asker,
     /// Wakes the lease loop when this daemon's key is found to be gone.
     rejoin: Notify,
     writes: (flume::Sender<PendingWrite>, flume::Receiver<PendingWrite>),
@@ -200,6 +228,7 @@
         asks: parts.asks,
         stopping: parts.stopping,
         refresh_now: Notify::new(),
+        asker: Asker::default(),
         rejoin: Notify::new(),
         writes: flume::bounded(MOST_PENDING_WRITES),
     });
@@ -213,6 +242,8 @@
             control.clone().observation_loop(),
             control.clone().duty_loop(),
             control.clone().write_loop(),
+            control.clone().duty_lease_loop(),
+            control.clone().peer_loop(parts.peer_listener),
         );
     };
     tokio::select! {
@@ -297,12 +328,25 @@
         let servers = self.store.range(prefix, Consistency::Linearizable, timeout).await;
         self.count_call("range", &servers);
         let servers = servers?;
+        let own = self.read_own_keys().await?;
         for item in configuration.items.iter().filter(|item| item.key == key) {
             self.on_configuration(item);
         }
         self.on_server_snapshot(&servers);
         self.publish();
-        Ok(configuration.revision.min(servers.revision))
+        Ok(configuration.revision.min(servers.revision).min(own))
+    }
+
+    /// Reads the daemons' own keys, as the watch may have missed changes of them too.
+    async fn read_own_keys(&self) -> Result<Revision, MetadataError> {
+        let asked_at = Instant::now();
+        let (prefix, timeout) = (self.key(""), self.read_timeout());
+        let own = self.store.range(&prefix, Consistency::Linearizable, timeout).await;
+        self.count_call("range", &own);
+        let own = own?;
+        let revision = own.revision;
+        self.on_own_snapshot(own, asked_at);
+        Ok(revision)
     }
 
     fn on_server_snapshot(&self, snapshot: &Snapshot) {
@@ -448,11 +492,18 @@
 
     // --- The right to use primaries ----------------------------------------------------------------
 
-    /// Reads what daemons share again and again; each reading renews the rights.
+    /// Renews the rights again and again, by a reading of the store or of another daemon.
     async fn refresh_loop(self: Rc<Self>) {
         let every = Duration::from_millis(self.settings.leadership.refresh_ms);
         let mut pause = Pause::default();
         loop {
+            if self.refresh_by_peer().await {
+                tokio::select! {
+                    () = tokio::time::sleep(every / ASKS_PER_READING) => {}
+                    () = self.refresh_now.notified() => {}
+                }
+                continue;
+            }
             let asked_at = Instant::now();
             let prefix = self.key("");
             let timeout = self.read_timeout().min(self.right());
@@ -480,14 +531,76 @@
         }
     }
 
+    /// Asks the daemon that reads the store for this zone; `false` if the store has to be read.
+    async fn refresh_by_peer(&self) -> bool {
+        let Some(reader) = self.zone_reader() else { return false };
+        let sent_at = Instant::now();
+        let Some(answer) = self.asker.ask(reader, &self.settings.host).await else {
+            log::info!(
+                event = "peer_silent", peer = reader.to_string().as_str();
+                "the zone's reader did not answer and the store is read"
+            );
+            return false;
+        };
+        let known = self.record_revisions();
+        match judge_answer(&answer, sent_at, self.right() / 2, &known) {
+            SharedReading::Renews { asked_at, services } => {
+                self.state.borrow_mut().last_read_at = Some(Instant::now());
+                self.grant_rights(asked_at, Some(&services));
+                self.publish();
+                true
+            }
+            SharedReading::Useless => false,
+        }
+    }
+
+    /// Returns the daemon of this zone that reads the store for the others; `None` if it is this one,
+    /// which it also is while it holds the duty to promote.
+    fn zone_reader(&self) -> Option<SocketAddr> {
+        if self.held_duty().is_some() {
+            return None;
+        }
+        let now = Instant::now();
+        let prefix = self.key("members/");
+        let state = self.state.borrow();
+        let members = state.mirror.below(&prefix);
+        let mut readers = members.filter_map(|item| {
+            let value: MemberValue = serde_json::from_slice(&item.value).ok()?;
+            let same_zone = value.availability_zone == *self.settings.availability_zone;
+            let address = value.peer_address.filter(|_| same_zone)?;
+            let host = &item.key[prefix.len()..];
+            (!self.asker.is_silent(address, now)).then(|| (host.to_owned(), address))
+        });
+        // Members come in the order of their names, so that all choose the same one.
+        let (host, address) = readers.next()?;
+        (host != *self.settings.host).then_some(address)
+    }
+
+    fn record_revisions(&self) -> HashMap<Name, Revision> {
+        let prefix = self.key("groups/");
+        let state = self.state.borrow();
+        let items = state.mirror.below(&prefix);
+        items.map(|item| (Name::from(&item.key[prefix.len()..]), item.revision)).collect()
+    }
+
+    /// Returns what another daemon is told of this one's last reading.
+    fn answer_peer(&self, host: &str) -> ReadingAnswer {
+        let state = self.state.borrow();
+        let reading = state.own_reading.as_ref();
+        reading.map(|reading| reading.answer_to(host, Instant::now())).unwrap_or_default()
+    }
+
     fn on_own_snapshot(&self, snapshot: Snapshot, asked_at: Instant) {
+        let reading = self.own_reading(&snapshot, asked_at);
+        let before = self.state.borrow_mut().own_reading.replace(reading);
         let now = Instant::now();
         let is_member = snapshot.items.iter().any(|item| item.key == self.member_key());
         let changed = {
             let mut state = self.state.borrow_mut();
-            let gap = state.last_read_at.is_none_or(|at| now.duration_since(at) > self.right());
+            let gap = before.is_none_or(|it| now.duration_since(it.asked_at) > self.right());
             if gap {
-                // Members that came and went meanwhile were not seen.
+                // Members that came and went meanwhile were not seen; another's reading does not
+                // tell of them.
                 state.watching_since = Some(now);
             }
             state.last_read_at = Some(now);
@@ -495,7 +608,7 @@
         };
         self.on_own_keys(changed.iter().map(String::as_str));
         if is_member {
-            self.grant_rights(asked_at);
+            self.grant_rights(asked_at, None);
         } else if self.is_key_gone() {
             self.rejoin.notify_one();
         }
@@ -503,10 +616,27 @@
         self.publish();
     }
 
-    /// Whoever promotes waits for every member, so only a member's reading gives a right.
-    fn grant_rights(&self, asked_at: Instant) {
+    fn own_reading(&self, snapshot: &Snapshot, asked_at: Instant) -> OwnReading {
+        let (members, groups) = (self.key("members/"), self.key("groups/"));
+        let keys = snapshot.items.iter();
+        let below = |prefix: &str, item: &Item| item.key.strip_prefix(prefix).map(str::to_owned);
+        OwnReading {
+            asked_at,
+            members: keys.clone().filter_map(|item| below(&members, item)).collect(),
+            records: keys
+                .filter_map(|item| Some((Name::from(below(&groups, item)?), item.revision)))
+                .collect(),
+        }
+    }
+
+    /// Whoever promotes waits for every member, so only a member's reading gives a right. `services`
+    /// are those that the reading speaks of; `None` for all.
+    fn grant_rights(&self, asked_at: Instant, services: Option<&[Name]>) {
         let valid_until = asked_at + self.right();
         for (service, record) in self.records() {
+            if services.is_some_and(|services| !services.contains(&service)) {
+                continue;
+            }
             let mut state = self.state.borrow_mut();
             let Some(lead) = state.leads.get_mut(&service) else { continue };
             if *lead.server == *record.primary && lead.term.0 == record.term && !lead.changing {
@@ -634,6 +764,21 @@
         self.write_soon(transaction, "acknowledge_stop");
     }
 
+    /// Tells other daemons of this one's readings.
+    async fn peer_loop(self: Rc<Self>, listener: Option<std::net::TcpListener>) {
+        let Some(listener) = listener else { return };
+        match TcpListener::from_std(listener) {
+            Ok(listener) => {
+                let control = self.clone();
+                answer_askers(listener, move |host: &str| control.answer_peer(host)).await;
+            }
+            Err(error) => log::error!(
+                event = "listen_failed", why = error.to_string().as_str();
+                "other daemons can't be answered"
+            ),
+        }
+    }
+
     // --- Membership --------------------------------------------------------------------------------
 
     async fn lease_loop(self: Rc<Self>) {
@@ -688,9 +833,17 @@
         read_since && state.mirror.get(&self.member_key()).is_none()
     }
 
+    fn member_value(&self) -> Bytes {
+        let value = MemberValue {
+            availability_zone: self.settings.availability_zone.to_string(),
+            peer_address: self.settings.peer_address,
+        };
+        Bytes::from(serde_json::to_vec(&value).expect("a member's value is plain data"))
+    }
+
     async fn put_member(&self, id: LeaseId) -> Result<(), MetadataError> {
         let transaction = Transaction {
-            puts: vec![(self.member_key(), Bytes::from_static(b"{}"), Some(id))],
+            puts: vec![(self.member_key(), self.member_value(), Some(id))],
             ..Transaction::default()
         };
         let put = self.store.commit(&transaction, self.write_timeout()).await;
@@ -894,8 +1047,11 @@
 
     /// Gives up what this daemon holds, so that others need not wait for it to run out.
     async fn stop(self: Rc<Self>) {
-        let lease = self.state.borrow_mut().lease.take();
-        if let Some(lease) = lease {
+        let leases = {
+            let mut state = self.state.borrow_mut();
+            [state.duty_lease.take(), state.lease.take()]
+        };
+        for lease in leases.into_iter().flatten() {
             let ended = self.store.revoke(lease.id, self.read_timeout()).await;
             self.count_call("revoke", &ended);
             if let Err(error) = ended {
--- a/crates/proxy/src/daemon.rs
+++ b/crates/proxy/src/daemon.rs
@@ -104,12 +104,15 @@
     let (observations_out, observations) = flume::bounded(OBSERVATIONS);
     let (asks_out, asks) = flume::bounded(ASKS);
 
+    let peer_listener = settings.daemon.peer_listen.map(bind).transpose()?;
     let control = {
         let store_address = settings.metadata.address.ok_or_eyre("[metadata] address is unset")?;
         let order_address =
             settings.leadership.order_address.ok_or_eyre("[leadership] order_address is unset")?;
         let control_settings = ControlSettings {
             host: settings.daemon.host.clone(),
+            availability_zone: settings.daemon.availability_zone.clone(),
+            peer_address: peer_listener.as_ref().map(|it| it.local_addr()).transpose()?,
             metadata: settings.metadata.clone(),
             leadership: settings.leadership.clone(),
         };
@@ -128,6 +131,7 @@
                 asks: asks_out,
                 stopping,
                 ended,
+                peer_listener,
                 metrics,
             })
             .await;
