--- a/crates/proxy/src/control/duty.rs
+++ b/crates/proxy/src/control/duty.rs
@@ -15,6 +15,7 @@
 use bytes::Bytes;
 use model::{Name, Term};
 use rand::RngExt;
+use tokio::sync::oneshot;
 
 use crate::{
     catalog::{CatalogFormat, ServerEntry},
@@ -23,13 +24,13 @@
             ChosenServer, LeadershipRecord, PrimaryChange, RightBounds, StopProgress,
             StoppedServer, choose_successor, is_primary_lost, majority,
         },
-        runner::{Control, HeldLease, RENEWALS_PER_LEASE, join_all},
+        runner::{Ask, CommandAsk, Control, HeldLease, RENEWALS_PER_LEASE, join_all},
     },
     dialect::EndpointDialect,
     metadata::{MetadataError, MetadataStore, Revision, Transaction, TransactionOutcome},
     order::{OrderError, PromotionOrder, PromotionOrders},
     serve::connection::{ConnectionLost, EndpointConnection},
-    statement::{EndpointCommand, EndpointStatus, EndpointText},
+    statement::{EndpointCommand, EndpointStatus, EndpointText, ErrorCode},
 };
 
 /// How often the duty's holder looks at the groups if nothing wakes it.
@@ -801,8 +802,10 @@
     ) -> Result<EndpointStatus, ConnectionLost> {
         let open = self.open.remove(&entry.server);
         let (connection, status) =
-            self.control.ask_over(open, entry.clone(), text, self.within).await?;
-        self.open.insert(entry.server.clone(), connection);
+            self.control.command(open, entry.clone(), text, self.within).await?;
+        if let Some(connection) = connection {
+            self.open.insert(entry.server.clone(), connection);
+        }
         Ok(status)
     }
 
@@ -815,7 +818,7 @@
         let running = asks.into_iter().map(|(entry, text)| {
             let open = self.open.remove(&entry.server);
             async move {
-                let answered = control.ask_over(open, entry.clone(), text, within).await;
+                let answered = control.command(open, entry.clone(), text, within).await;
                 (entry, answered)
             }
         });
@@ -824,7 +827,9 @@
         for (entry, answer) in answered {
             match answer {
                 Ok((connection, status)) => {
-                    self.open.insert(entry.server.clone(), connection);
+                    if let Some(connection) = connection {
+                        self.open.insert(entry.server.clone(), connection);
+                    }
                     statuses.push((entry, status));
                 }
                 Err(lost) => log::info!(
@@ -854,7 +859,44 @@
     }
 }
 
+/// A server's status, with the connection that it came over if that is the control thread's own.
+type Commanded<E> = (Option<EndpointConnection<E>>, EndpointStatus);
+
 impl<M, O, F, E: EndpointDialect> Control<M, O, F, E> {
+    /// Gives a server a command over a connection of the control thread's own; where the server
+    /// grants no more of them, over those that sessions share.
+    async fn command(
+        &self,
+        open: Option<EndpointConnection<E>>,
+        entry: Arc<ServerEntry>,
+        text: EndpointText,
+        within: Duration,
+    ) -> Result<Commanded<E>, ConnectionLost> {
+        match self.ask_over(open, entry.clone(), text.clone(), within).await {
+            Ok((connection, status)) => Ok((Some(connection), status)),
+            Err(ConnectionLost::Refused(ErrorCode::TooManyConnections)) => {
+                let (answer, answered) = oneshot::channel();
+                let deadline = Instant::now() + within;
+                let ask = CommandAsk {
+                    service: entry.service.clone(),
+                    server: entry.server.clone(),
+                    text,
+                    deadline,
+                    answer,
+                };
+                // A full ring means that the serving thread is behind; the command is given again.
+                let _ = self.asks.try_send(Ask::Command(ask));
+                match tokio::time::timeout_at(deadline.into(), answered).await {
+                    Ok(Ok(status)) => Ok((None, status)),
+                    Ok(Err(_)) | Err(_) => {
+                        Err(ConnectionLost::Refused(ErrorCode::TooManyConnections))
+                    }
+                }
+            }
+            Err(lost) => Err(lost),
+        }
+    }
+
     async fn ask_over(
         &self,
         open: Option<EndpointConnection<E>>,
--- a/crates/proxy/src/control/runner.rs
+++ b/crates/proxy/src/control/runner.rs
@@ -38,7 +38,7 @@
         Transaction, TransactionOutcome,
     },
     order::PromotionOrders,
-    statement::EndpointStatus,
+    statement::{EndpointStatus, EndpointText},
 };
 
 /// The pause after a failed call, at first; it doubles with each failure, with jitter.
@@ -60,8 +60,8 @@
 /// What the control thread asks of the serving thread.
 #[derive(Debug)]
 pub enum Ask {
-    /// Ask a server for its status, over the connections that sessions share.
-    Status(StatusAsk),
+    /// Give a server a command, over the connections that sessions share.
+    Command(CommandAsk),
     /// Find out whether a server that another daemon suspects can be reached from here.
     Probe {
         /// The service.
@@ -71,13 +71,15 @@
     },
 }
 
-/// A question to a server that the serving thread asks over its own connections.
+/// A command that is answered with the server's status.
 #[derive(Debug)]
-pub struct StatusAsk {
+pub struct CommandAsk {
     /// The service.
     pub service: Name,
     /// The server.
     pub server: Name,
+    /// The command.
+    pub text: EndpointText,
     /// When the answer is of no more use.
     pub deadline: Instant,
     /// Where the answer goes; dropped when there is none.
@@ -189,7 +191,7 @@
     format: F,
     beliefs: watch::Sender<Arc<Beliefs>>,
     observations: flume::Receiver<Observation>,
-    asks: flume::Sender<Ask>,
+    pub(crate) asks: flume::Sender<Ask>,
     pub(crate) stopping: watch::Receiver<Option<Instant>>,
     refresh_now: Notify,
     asker: Asker,
@@ -955,10 +957,15 @@
         let mut waiting = Vec::new();
         for server in servers {
             let (answer, answered) = oneshot::channel();
-            let ask =
-                StatusAsk { service: service.clone(), server: server.clone(), deadline, answer };
+            let ask = CommandAsk {
+                service: service.clone(),
+                server: server.clone(),
+                text: EndpointText::Status,
+                deadline,
+                answer,
+            };
             // A full ring means that the serving thread is behind; this round goes without it.
-            if self.asks.try_send(Ask::Status(ask)).is_ok() {
+            if self.asks.try_send(Ask::Command(ask)).is_ok() {
                 waiting.push((server.clone(), answered));
             }
         }
--- a/crates/proxy/src/daemon.rs
+++ b/crates/proxy/src/daemon.rs
@@ -197,6 +197,7 @@
     let listener = TcpListener::from_std(listener).wrap_err("can't listen for callers")?;
     log::info!(event = "started", host = &*engine.settings.host; "the daemon runs");
     tokio::task::spawn_local(answer_asks(engine.clone(), asks));
+    tokio::task::spawn_local(engine.clone().end_rested_connections());
     let accepting = {
         let engine = engine.clone();
         tokio::task::spawn_local(async move {
--- a/crates/proxy/src/serve/ask.rs
+++ b/crates/proxy/src/serve/ask.rs
@@ -6,10 +6,10 @@
 use std::rc::Rc;
 
 use crate::{
-    control::runner::{Ask, StatusAsk},
+    control::runner::{Ask, CommandAsk},
     dialect::{CallerDialect, EndpointDialect},
     serve::{engine::Engine, pool::Wish, replay::SessionValues},
-    statement::{EndpointCommand, EndpointStatus, EndpointText},
+    statement::{EndpointCommand, EndpointStatus},
 };
 
 /// Answers questions until the control thread ends.
@@ -20,7 +20,7 @@
     while let Ok(ask) = asks.recv_async().await {
         let engine = engine.clone();
         let ask = match ask {
-            Ask::Status(ask) => ask,
+            Ask::Command(ask) => ask,
             Ask::Probe { service, server } => {
                 let group = engine.group(&service, &engine.beliefs());
                 engine.probe(&group, &service, &server);
@@ -28,7 +28,7 @@
             }
         };
         tokio::task::spawn_local(async move {
-            if let Some(status) = ask_status(&engine, &ask).await {
+            if let Some(status) = give_command(&engine, &ask).await {
                 // The control thread may have given the question up.
                 let _ = ask.answer.send(status);
             }
@@ -36,9 +36,9 @@
     }
 }
 
-async fn ask_status<C: CallerDialect, E: EndpointDialect>(
+async fn give_command<C: CallerDialect, E: EndpointDialect>(
     engine: &Rc<Engine<C, E>>,
-    ask: &StatusAsk,
+    ask: &CommandAsk,
 ) -> Option<EndpointStatus> {
     let beliefs = engine.beliefs();
     let group = engine.group(&ask.service, &beliefs);
@@ -53,7 +53,7 @@
     // Whatever values the connection holds do no harm to a status.
     let lent = engine.acquire(&group, wish, &SessionValues::new(), ask.deadline).await;
     let mut lent = lent.ok()?;
-    let command = EndpointCommand::own(EndpointText::Status);
+    let command = EndpointCommand::own(ask.text.clone());
     match lent.connection().ask(&command, ask.deadline).await {
         Ok(answer) => {
             lent.give_back();
--- a/crates/proxy/src/serve/engine.rs
+++ b/crates/proxy/src/serve/engine.rs
@@ -20,7 +20,7 @@
     events::ProxyMetrics,
     serve::{
         connection::{ConnectionLost, EndpointConnection},
-        pool::{GroupPool, Lent, NoConnection, Offer, Wish, share_of},
+        pool::{GroupPool, Lent, NoConnection, Offer, Share, Wish, share_of},
         replay::SessionValues,
         verdict::speaks_against_server,
     },
@@ -37,6 +37,10 @@
 const STARVED_FOR: Duration = Duration::from_millis(1_000);
 /// Refusals further apart than this are not one shortage.
 const STARVED_GAP: Duration = Duration::from_millis(1_000);
+/// How often resting connections are looked at where connections are scarce.
+const END_RESTED_EVERY: Duration = Duration::from_millis(100);
+/// How often it is looked at whether they are.
+const SCARCITY_LOOK_EVERY: Duration = Duration::from_secs(2);
 /// How long a new connection may take: a handshake, and a server that is busy.
 const CONNECT_WITHIN: Duration = Duration::from_millis(400);
 /// How long after a server was found to be out of reach it is asked again.
@@ -59,7 +63,7 @@
     /// Servers that are being asked whether they are alive, and those that did not answer.
     probes: RefCell<HashMap<Name, ProbeState>>,
     seen: RefCell<Arc<HashMap<Name, Vec<Arc<ServerEntry>>>>>,
-    seen_limit: Cell<u32>,
+    seen_share: Cell<Share>,
 }
 
 impl<E: EndpointDialect> Group<E> {
@@ -72,7 +76,7 @@
             lost_server: Notify::new(),
             probes: RefCell::default(),
             seen: RefCell::default(),
-            seen_limit: Cell::new(0),
+            seen_share: Cell::new(Share { limit: 0, is_scarce: false }),
         }
     }
 }
@@ -184,17 +188,32 @@
             .or_insert_with(|| Rc::new(Group::new(self.settings.availability_zone.clone())))
             .clone();
         let granted = beliefs.catalog.services.get(service).map_or(0, |rule| rule.connections);
-        let limit = share_of(granted, beliefs.members);
+        let share = share_of(granted, beliefs.members);
         let is_current = Arc::ptr_eq(&group.seen.borrow(), &beliefs.servers);
-        if !is_current || group.seen_limit.get() != limit {
+        if !is_current || group.seen_share.get() != share {
             *group.seen.borrow_mut() = beliefs.servers.clone();
-            group.seen_limit.set(limit);
+            group.seen_share.set(share);
             let entries = beliefs.servers.get(service).map_or(&[][..], Vec::as_slice);
-            group.pool.update(entries, limit);
+            group.pool.update(entries, share);
         }
         group
     }
 
+    /// Ends connections that rest while other daemons have none; runs as long as the daemon does.
+    pub async fn end_rested_connections(self: Rc<Self>) {
+        loop {
+            tokio::time::sleep(END_RESTED_EVERY).await;
+            let groups: Vec<Rc<Group<E>>> = self.groups.borrow().values().cloned().collect();
+            let mut is_scarce = false;
+            for group in groups {
+                is_scarce |= group.pool.end_rested();
+            }
+            if !is_scarce {
+                tokio::time::sleep(SCARCITY_LOOK_EVERY).await;
+            }
+        }
+    }
+
     /// Finds a connection that a statement with these wishes may use.
     pub async fn acquire(
         self: &Rc<Self>,
--- a/crates/proxy/src/serve/pool.rs
+++ b/crates/proxy/src/serve/pool.rs
@@ -50,10 +50,24 @@
 /// A latency that has not been confirmed for so long is forgotten, so that the server is tried again.
 const LATENCY_LASTS: Duration = Duration::from_secs(2);
 
-/// Returns how many connections to a server one of `members` daemons may have.
-pub fn share_of(granted: u32, members: u32) -> u32 {
+/// How long a connection may rest where there are more daemons than connections to a server, so that
+/// the others get their turn.
+const SCARCE_RESTS: Duration = Duration::from_millis(150);
+
+/// What one daemon may have of a server's connections.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Share {
+    /// Connections at a time.
+    pub limit: u32,
+    /// Whether there are fewer connections than daemons, so that none may be kept.
+    pub is_scarce: bool,
+}
+
+/// Returns the share of one of `members` daemons in what a server grants to all of them.
+pub fn share_of(granted: u32, members: u32) -> Share {
     let shared = granted.saturating_sub(RESERVED_CONNECTIONS);
-    (shared / members.max(1)).max(1)
+    let each = shared / members.max(1);
+    Share { limit: each.max(1), is_scarce: each == 0 }
 }
 
 /// What a statement that wants a connection asks for.
@@ -117,12 +131,13 @@
         }
     }
 
-    /// Ends connections that have rested for long, but the last.
-    fn end_spares(&mut self) {
+    /// Ends connections that have rested for long; the last only where connections are scarce.
+    fn end_spares(&mut self, is_scarce: bool) {
         let now = Instant::now();
         let others = self.in_use as usize;
-        while self.idle.len() + others > 1
-            && self.idle.first().is_some_and(|(since, _)| now.duration_since(*since) > SPARE_RESTS)
+        let (kept, rests) = if is_scarce { (0, SCARCE_RESTS) } else { (1, SPARE_RESTS) };
+        while self.idle.len() + others > kept
+            && self.idle.first().is_some_and(|(since, _)| now.duration_since(*since) > rests)
         {
             self.idle.remove(0);
         }
@@ -174,6 +189,7 @@
 }
 
 struct PoolState<E: EndpointDialect> {
+    is_scarce: bool,
     servers: Vec<ServerSlot<E>>,
     waiters: [VecDeque<Waiter<E>>; PRIORITIES],
 }
@@ -226,13 +242,16 @@
 impl<E: EndpointDialect> GroupPool<E> {
     /// Makes a pool without servers for a daemon in an availability zone.
     pub fn new(availability_zone: Name) -> GroupPool<E> {
-        let state = PoolState { servers: Vec::new(), waiters: Default::default() };
+        let state =
+            PoolState { is_scarce: false, servers: Vec::new(), waiters: Default::default() };
         GroupPool { availability_zone, state: RefCell::new(state) }
     }
 
     /// Takes over which servers there are and how many connections each may have.
-    pub fn update(self: &Rc<Self>, entries: &[Arc<ServerEntry>], limit: u32) {
+    pub fn update(self: &Rc<Self>, entries: &[Arc<ServerEntry>], share: Share) {
+        let limit = share.limit;
         let mut state = self.state.borrow_mut();
+        state.is_scarce = share.is_scarce;
         for slot in &mut state.servers {
             slot.listed = entries.iter().any(|entry| entry.server == slot.entry.server);
             if !slot.listed {
@@ -449,13 +468,26 @@
         self.with_slot(server, |slot| slot.entry.clone())
     }
 
+    /// Ends connections that nobody has needed for a while; `true` if there may be more to end.
+    pub fn end_rested(&self) -> bool {
+        let mut state = self.state.borrow_mut();
+        let is_scarce = state.is_scarce;
+        if is_scarce {
+            for slot in &mut state.servers {
+                slot.end_spares(is_scarce);
+            }
+        }
+        is_scarce
+    }
+
     fn put_idle(&self, connection: Box<EndpointConnection<E>>) {
         let server = connection.server.clone();
+        let is_scarce = self.state.borrow().is_scarce;
         self.with_slot(&server, |slot| {
             slot.leave(false);
             if slot.listed && (slot.idle.len() as u32 + slot.in_use) < slot.limit {
                 slot.idle.push((Instant::now(), connection));
-                slot.end_spares();
+                slot.end_spares(is_scarce);
             }
         });
     }
@@ -500,7 +532,7 @@
     fn next_waiter(&self, server: &str) -> Option<Waiter<E>> {
         let now = Instant::now();
         let mut state = self.state.borrow_mut();
-        let PoolState { servers, waiters } = &mut *state;
+        let PoolState { servers, waiters, .. } = &mut *state;
         let slot = servers.iter().find(|slot| &*slot.entry.server == server)?;
         if !slot.listed {
             return None;
