--- a/crates/proxy/src/control/runner.rs
+++ b/crates/proxy/src/control/runner.rs
@@ -722,13 +722,16 @@
             // A right by evidence may be of a later term than the record; it ends by itself.
             let ahead = known.is_some_and(|lead| lead.term.0 > record.term);
             if !ahead {
-                let valid_until = known.filter(|_| unchanged).map_or(now, |lead| lead.valid_until);
+                let known = known.filter(|_| unchanged);
+                let valid_until = known.map_or(now, |lead| lead.valid_until);
+                let known_since = known.map_or(now, |lead| lead.known_since);
                 let lead = Lead {
                     server: Name::from(record.primary.as_str()),
                     term: Term(record.term),
                     valid_until,
                     basis: Basis::Store,
                     changing: record.change.is_some(),
+                    known_since,
                     history: Arc::new(TermHistory::new(record.starts.clone())),
                 };
                 state.leads.insert(service.clone(), lead);
@@ -935,6 +938,7 @@
             );
         }
         let same = known.filter(|lead| lead.server == found.server && lead.term == found.term);
+        let known_since = same.map_or(asked_at, |lead| lead.known_since);
         let still = same.filter(|lead| !lead.changing).map(|lead| lead.valid_until);
         let history = known.map(|lead| lead.history.clone()).unwrap_or_default();
         let lead = Lead {
@@ -943,6 +947,7 @@
             valid_until: still.map_or(valid_until, |until| until.max(valid_until)),
             basis: Basis::Evidence,
             changing: false,
+            known_since,
             history,
         };
         state.leads.insert(service, lead);
--- a/crates/proxy/src/serve/execute.rs
+++ b/crates/proxy/src/serve/execute.rs
@@ -42,8 +42,6 @@
 /// The part of its target latency that a statement waits for a connection. Under a lasting overload
 /// every statement waits for as long as it may; with more, all of them would be late.
 const WAIT_SHARE: f64 = 0.35;
-/// The least time that a statement waits for a connection, however late it was given leave to.
-const LEAST_WAIT: Duration = Duration::from_millis(30);
 /// What a caller is told to wait where nothing better is known.
 const COME_BACK_MS: u64 = 100;
 /// What a caller is told to wait while a primary is being replaced.
@@ -121,8 +119,10 @@
     }
 
     /// Until when the statement may wait for a connection while all of them are in use.
-    fn wait_until(&self) -> Instant {
-        self.arrived + self.route.target_latency.mul_f64(WAIT_SHARE)
+    /// One that waited for a primary before has as long again, since all of them come at once then.
+    fn wait_until(&self, now: Instant) -> Instant {
+        let waits = self.route.target_latency.mul_f64(WAIT_SHARE);
+        if now < self.arrived + waits { self.arrived + waits } else { now + waits }
     }
 
     /// Until when the statement may wait for a server that can run it.
@@ -314,7 +314,8 @@
             priority: job.route.priority,
             yields: class == StatementClass::Read && job.route.reads != ReadRule::Primary,
         };
-        let wait_until = job.wait_until().max(now + LEAST_WAIT);
+        // The wait for a primary is over only now, and the wait for a connection begins.
+        let wait_until = job.wait_until(Instant::now());
         let lent = match self.acquire(group, wish, job.values, wait_until).await {
             Ok(lent) => lent,
             Err(error) => return Err(self.on_not_acquired(group, job, rounds, error).await),
@@ -382,7 +383,7 @@
         let beliefs = self.beliefs();
         let Some(lead) = beliefs.leads.get(&job.route.service) else { return false };
         let group = self.group(&job.route.service, &beliefs);
-        lead.changing || self.is_unreachable(&group, &lead.server)
+        lead.is_right_coming(Instant::now()) || self.is_unreachable(&group, &lead.server)
     }
 
     fn no_primary(&self, group: &Group<E>, job: &Job<'_>) -> StatementError {
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -4,12 +4,14 @@
 //! by the W3C trace context. `docs/OPERATIONS.md` lists the metrics and what to watch.
 
 mod bounded_log;
+mod explain;
 mod exporter;
 mod logging;
 mod metrics;
 mod trace;
 
 pub use bounded_log::{flush_logs, init_bounded_logging};
+pub use explain::explain;
 pub use exporter::{SpanExporter, SpanSink};
 pub use logging::init_logging;
 pub use metrics::Metrics;
