--- /dev/null
+++ b/crates/proxy/src/control/commands.rs
@@ -0,0 +1,184 @@
+//! Commands to servers in a change of primary, over connections of the control thread's own.
+
+use std::{
+    collections::HashMap,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use model::Name;
+use tokio::sync::oneshot;
+
+use crate::{
+    catalog::ServerEntry,
+    control::runner::{Ask, CommandAsk, Control, join_all},
+    dialect::EndpointDialect,
+    serve::connection::{ConnectionLost, EndpointConnection},
+    statement::{EndpointCommand, EndpointStatus, EndpointText, ErrorCode},
+};
+
+/// How long a server may take to answer a command of a change that is made because of a failure.
+const COMMAND_WITHIN: Duration = Duration::from_millis(150);
+/// How long a replica may take to receive what a stepped-down primary still holds.
+const CATCH_UP_WITHIN: Duration = Duration::from_millis(800);
+/// The pause between two questions to a server.
+pub(crate) const ASK_EVERY: Duration = Duration::from_millis(30);
+
+/// Connections of the control thread's own, for the commands of one change.
+pub(crate) struct Commands<'a, M, O, F, E> {
+    pub(crate) control: &'a Control<M, O, F, E>,
+    pub(crate) open: HashMap<Name, EndpointConnection<E>>,
+    /// How long a server may take to answer.
+    pub(crate) within: Duration,
+}
+
+impl<'a, M, O, F, E: EndpointDialect> Commands<'a, M, O, F, E> {
+    pub(crate) fn new(control: &'a Control<M, O, F, E>) -> Commands<'a, M, O, F, E> {
+        Commands { control, open: HashMap::new(), within: COMMAND_WITHIN }
+    }
+
+    /// Gives a server a command and returns its status after it.
+    pub(crate) async fn ask(
+        &mut self,
+        entry: &Arc<ServerEntry>,
+        text: EndpointText,
+    ) -> Result<EndpointStatus, ConnectionLost> {
+        let open = self.open.remove(&entry.server);
+        let (connection, status) =
+            self.control.command(open, entry.clone(), text, self.within).await?;
+        if let Some(connection) = connection {
+            self.open.insert(entry.server.clone(), connection);
+        }
+        Ok(status)
+    }
+
+    /// Gives several servers their commands at once; returns those that answered.
+    pub(crate) async fn ask_all(
+        &mut self,
+        asks: Vec<(Arc<ServerEntry>, EndpointText)>,
+    ) -> Vec<(Arc<ServerEntry>, EndpointStatus)> {
+        let (control, within) = (self.control, self.within);
+        let running = asks.into_iter().map(|(entry, text)| {
+            let open = self.open.remove(&entry.server);
+            async move {
+                let answered = control.command(open, entry.clone(), text, within).await;
+                (entry, answered)
+            }
+        });
+        let answered = join_all(running.collect::<Vec<_>>()).await;
+        let mut statuses = Vec::new();
+        for (entry, answer) in answered {
+            match answer {
+                Ok((connection, status)) => {
+                    if let Some(connection) = connection {
+                        self.open.insert(entry.server.clone(), connection);
+                    }
+                    statuses.push((entry, status));
+                }
+                Err(lost) => log::info!(
+                    event = "server_silent", server = &*entry.server,
+                    why = lost.to_string().as_str();
+                    "a server did not answer a command"
+                ),
+            }
+        }
+        statuses
+    }
+
+    /// Waits until some replica has received what the old primary holds.
+    pub(crate) async fn await_catch_up(
+        &mut self,
+        replicas: &[Arc<ServerEntry>],
+        old: &EndpointStatus,
+    ) {
+        let give_up_at = Instant::now() + CATCH_UP_WITHIN;
+        loop {
+            let asks = replicas.iter().map(|entry| (entry.clone(), EndpointText::Status));
+            let statuses = self.ask_all(asks.collect()).await;
+            if statuses.iter().any(|(_, status)| status.received >= old.received) {
+                return;
+            }
+            if Instant::now() >= give_up_at {
+                return;
+            }
+            tokio::time::sleep(ASK_EVERY).await;
+        }
+    }
+}
+
+/// A server's status, with the connection that it came over if that is the control thread's own.
+pub(crate) type Commanded<E> = (Option<EndpointConnection<E>>, EndpointStatus);
+
+impl<M, O, F, E: EndpointDialect> Control<M, O, F, E> {
+    /// Gives a server a command over a connection of the control thread's own; where the server
+    /// grants no more of them, over those that sessions share.
+    pub(crate) async fn command(
+        &self,
+        open: Option<EndpointConnection<E>>,
+        entry: Arc<ServerEntry>,
+        text: EndpointText,
+        within: Duration,
+    ) -> Result<Commanded<E>, ConnectionLost> {
+        match self.ask_over(open, entry.clone(), text.clone(), within).await {
+            Ok((connection, status)) => Ok((Some(connection), status)),
+            Err(ConnectionLost::Refused(ErrorCode::TooManyConnections)) => {
+                let (answer, answered) = oneshot::channel();
+                let deadline = Instant::now() + within;
+                let ask = CommandAsk {
+                    service: entry.service.clone(),
+                    server: entry.server.clone(),
+                    text,
+                    deadline,
+                    answer,
+                };
+                // A full ring means that the serving thread is behind; the command is given again.
+                let _ = self.asks.try_send(Ask::Command(ask));
+                match tokio::time::timeout_at(deadline.into(), answered).await {
+                    Ok(Ok(status)) => Ok((None, status)),
+                    Ok(Err(_)) | Err(_) => {
+                        Err(ConnectionLost::Refused(ErrorCode::TooManyConnections))
+                    }
+                }
+            }
+            Err(lost) => Err(lost),
+        }
+    }
+
+    pub(crate) async fn ask_over(
+        &self,
+        open: Option<EndpointConnection<E>>,
+        entry: Arc<ServerEntry>,
+        mut text: EndpointText,
+        within: Duration,
+    ) -> Result<(EndpointConnection<E>, EndpointStatus), ConnectionLost> {
+        let deadline = Instant::now() + within;
+        let mut connection = match open {
+            Some(connection) if connection.is_quiet() => connection,
+            _ => {
+                let host = &self.settings.host;
+                EndpointConnection::open(&self.dialect, &entry, host, within).await?
+            }
+        };
+        loop {
+            let answer = connection.ask(&EndpointCommand::own(text.clone()), deadline).await?;
+            if let Some(code) = answer.error_code() {
+                if code.was_not_run() && Instant::now() + ASK_EVERY < deadline {
+                    tokio::time::sleep(ASK_EVERY).await;
+                    continue;
+                }
+                return Err(ConnectionLost::Refused(code));
+            }
+            if text == EndpointText::Resume {
+                // Its answer holds no status.
+                text = EndpointText::Status;
+                continue;
+            }
+            let row = answer.rows.first().map_or(&[][..], |row| row);
+            let status = self
+                .dialect
+                .decode_status(row)
+                .ok_or_else(|| ConnectionLost::Garbled("a status that can't be read".to_owned()))?;
+            return Ok((connection, status));
+        }
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/control/membership.rs
@@ -0,0 +1,153 @@
+//! This daemon's lease and its key among the members.
+
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+
+use crate::{
+    catalog::CatalogFormat,
+    control::runner::{Control, HeldLease, MemberValue, Pause, RENEWALS_PER_LEASE},
+    dialect::EndpointDialect,
+    metadata::{LeaseId, MetadataError, MetadataStore, Transaction, TransactionOutcome},
+    order::PromotionOrders,
+};
+
+impl<M, O, F, E> Control<M, O, F, E>
+where
+    M: MetadataStore,
+    O: PromotionOrders,
+    F: CatalogFormat,
+    E: EndpointDialect,
+{
+    pub(crate) async fn lease_loop(self: Rc<Self>) {
+        let lasts = Duration::from_millis(self.settings.metadata.lease_ms);
+        let mut pause = Pause::default();
+        loop {
+            let held = self.state.borrow().lease;
+            let outcome = match held {
+                Some(lease) => self.renew(lease, lasts).await,
+                None => self.join(lasts).await,
+            };
+            match outcome {
+                Ok(()) => {
+                    pause.reset();
+                    tokio::select! {
+                        () = tokio::time::sleep(lasts / RENEWALS_PER_LEASE) => {}
+                        () = self.rejoin.notified() => {}
+                    }
+                }
+                Err(error) => {
+                    log::info!(
+                        event = "store_unreachable", call = "lease",
+                        why = error.to_string().as_str();
+                        "the lease was not renewed"
+                    );
+                    pause.wait().await;
+                }
+            }
+        }
+    }
+
+    pub(crate) async fn join(&self, lasts: Duration) -> Result<(), MetadataError> {
+        let sent_at = Instant::now();
+        let granted = self.store.grant(lasts, self.write_timeout()).await;
+        self.count_call("grant", &granted);
+        let id = granted?;
+        self.put_member(id).await?;
+        let mut state = self.state.borrow_mut();
+        state.lease = Some(HeldLease { id, valid_until: sent_at + lasts });
+        state.acknowledged.clear();
+        drop(state);
+        log::info!(event = "joined", lease = id.0; "this daemon is a member");
+        self.refresh_now.notify_one();
+        Ok(())
+    }
+
+    /// Whether a reading after the member key was written shows that it is gone, as when the store
+    /// took it away although the lease stands.
+    pub(crate) fn is_key_gone(&self) -> bool {
+        let state = self.state.borrow();
+        let read_since = state.last_read_at > state.member_put_at;
+        read_since && state.mirror.get(&self.member_key()).is_none()
+    }
+
+    pub(crate) fn member_value(&self) -> Bytes {
+        let value = MemberValue {
+            availability_zone: self.settings.availability_zone.to_string(),
+            peer_address: self.settings.peer_address,
+        };
+        Bytes::from(serde_json::to_vec(&value).expect("a member's value is plain data"))
+    }
+
+    pub(crate) async fn put_member(&self, id: LeaseId) -> Result<(), MetadataError> {
+        let transaction = Transaction {
+            puts: vec![(self.member_key(), self.member_value(), Some(id))],
+            ..Transaction::default()
+        };
+        let put = self.store.commit(&transaction, self.write_timeout()).await;
+        self.count_call("commit", &put);
+        match put? {
+            TransactionOutcome::Done(_) => {
+                self.state.borrow_mut().member_put_at = Some(Instant::now());
+                Ok(())
+            }
+            TransactionOutcome::Conflict | TransactionOutcome::LeaseOver => {
+                Err(MetadataError::NotDone("the lease was over at once".to_owned()))
+            }
+        }
+    }
+
+    pub(crate) async fn renew(
+        &self,
+        lease: HeldLease,
+        lasts: Duration,
+    ) -> Result<(), MetadataError> {
+        let sent_at = Instant::now();
+        let renewed = self.store.renew(lease.id, self.read_timeout()).await;
+        self.count_call("renew", &renewed);
+        match renewed {
+            Ok(true) => {
+                let lease = HeldLease { valid_until: sent_at + lasts, ..lease };
+                self.state.borrow_mut().lease = Some(lease);
+                if self.is_key_gone() {
+                    log::info!(event = "member_key_gone"; "this daemon's key is written again");
+                    self.put_member(lease.id).await?;
+                    self.refresh_now.notify_one();
+                }
+                Ok(())
+            }
+            Ok(false) => {
+                log::info!(event = "lease_lost", lease = lease.id.0; "the lease was over");
+                self.state.borrow_mut().lease = None;
+                self.join(lasts).await
+            }
+            Err(error) => {
+                if Instant::now() >= lease.valid_until {
+                    self.state.borrow_mut().lease = None;
+                }
+                Err(error)
+            }
+        }
+    }
+
+    /// Gives up what this daemon holds, so that others need not wait for it to run out.
+    pub(crate) async fn stop(self: Rc<Self>) {
+        let leases = {
+            let mut state = self.state.borrow_mut();
+            [state.duty_lease.take(), state.lease.take()]
+        };
+        for lease in leases.into_iter().flatten() {
+            let ended = self.store.revoke(lease.id, self.read_timeout()).await;
+            self.count_call("revoke", &ended);
+            if let Err(error) = ended {
+                log::info!(
+                    event = "lease_not_ended", why = error.to_string().as_str();
+                    "the lease was not ended and runs out by itself"
+                );
+            }
+        }
+    }
+}
--- a/crates/proxy/src/control/mod.rs
+++ b/crates/proxy/src/control/mod.rs
@@ -1,11 +1,19 @@
 //! What a daemon believes and how it comes to believe it: the configuration, the servers, the other
 //! daemons, who leads each group.
 
+mod asking;
 pub mod beliefs;
-pub mod duty;
+mod change;
+mod commands;
+mod duty;
 pub mod evidence;
+mod membership;
 pub mod mirror;
 pub mod peers;
 pub mod record;
+mod records;
+mod rights;
 pub mod runner;
 pub mod servers;
+mod suspicion;
+mod watching;
--- /dev/null
+++ b/crates/proxy/src/control/records.rs
@@ -0,0 +1,161 @@
+//! What changes of the daemons' shared keys mean to this daemon.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use model::{Name, Term};
+use session::TermHistory;
+
+use crate::{
+    catalog::CatalogFormat,
+    control::{
+        beliefs::{Basis, Lead},
+        record::LeadershipRecord,
+        runner::{Ask, Control},
+    },
+    dialect::EndpointDialect,
+    metadata::{MetadataStore, Transaction},
+    order::PromotionOrders,
+};
+
+/// How long a daemon counts among those that share the servers' connections after its key was last
+/// seen: one that is cut off from the store keeps its connections, and a cut may last this long.
+const MEMBER_LASTS: Duration = Duration::from_secs(20);
+
+impl<M, O, F, E> Control<M, O, F, E>
+where
+    M: MetadataStore,
+    O: PromotionOrders,
+    F: CatalogFormat,
+    E: EndpointDialect,
+{
+    pub(crate) fn note_members(&self, now: Instant) {
+        let prefix = self.key("members/");
+        let mut state = self.state.borrow_mut();
+        let hosts: Vec<String> =
+            state.mirror.below(&prefix).map(|item| item.key[prefix.len()..].to_owned()).collect();
+        for host in hosts {
+            state.members_seen.insert(host, now);
+        }
+        let lasting = MEMBER_LASTS;
+        state.members_seen.retain(|_, seen| now.duration_since(*seen) < lasting);
+    }
+
+    /// Returns every leadership record that can be read.
+    pub(crate) fn records(&self) -> Vec<(Name, LeadershipRecord)> {
+        let prefix = self.key("groups/");
+        let state = self.state.borrow();
+        let items = state.mirror.below(&prefix);
+        items
+            .filter_map(|item| {
+                let service = Name::from(&item.key[prefix.len()..]);
+                match serde_json::from_slice(&item.value) {
+                    Ok(record) => Some((service, record)),
+                    Err(error) => {
+                        log::error!(
+                            event = "record_unreadable", service = &*service,
+                            why = error.to_string().as_str();
+                            "a leadership record can't be read"
+                        );
+                        None
+                    }
+                }
+            })
+            .collect()
+    }
+
+    /// Takes over changes of the keys that daemons share.
+    pub(crate) fn on_own_keys<'a>(&self, keys: impl Iterator<Item = &'a str>) {
+        let prefix = self.key("groups/");
+        let suspicions = self.key("suspicions/");
+        let mut touched: Vec<Name> = Vec::new();
+        for key in keys {
+            if let Some(service) = key.strip_prefix(&*prefix) {
+                touched.push(Name::from(service));
+            }
+            if let Some(suspicion) = key.strip_prefix(&*suspicions) {
+                self.look_at_suspicion(key, suspicion);
+            }
+        }
+        for (service, record) in self.records() {
+            if touched.contains(&service) {
+                self.on_record(service, &record);
+            }
+        }
+        self.note_members(Instant::now());
+        self.changed.notify_waiters();
+    }
+
+    pub(crate) fn on_record(&self, service: Name, record: &LeadershipRecord) {
+        let now = Instant::now();
+        {
+            let mut state = self.state.borrow_mut();
+            let known = state.leads.get(&service);
+            let unchanged = known
+                .is_some_and(|lead| *lead.server == *record.primary && lead.term.0 == record.term);
+            // A right by evidence may be of a later term than the record; it ends by itself.
+            let ahead = known.is_some_and(|lead| lead.term.0 > record.term);
+            if !ahead {
+                let known = known.filter(|_| unchanged);
+                let valid_until = known.map_or(now, |lead| lead.valid_until);
+                let known_since = known.map_or(now, |lead| lead.known_since);
+                let lead = Lead {
+                    server: Name::from(record.primary.as_str()),
+                    term: Term(record.term),
+                    valid_until,
+                    basis: Basis::Store,
+                    changing: record.change.is_some(),
+                    known_since,
+                    history: Arc::new(TermHistory::new(record.starts.clone())),
+                };
+                state.leads.insert(service.clone(), lead);
+            }
+        }
+        log::info!(
+            event = "leadership", service = &*service, primary = record.primary.as_str(),
+            term = record.term, changing = record.change.is_some();
+            "the leadership record changed"
+        );
+        // The right is given up before the answer says so.
+        self.publish();
+        match &record.change {
+            Some(change) => self.acknowledge_stop(service, change.id.clone()),
+            None => self.refresh_now.notify_one(),
+        }
+    }
+
+    /// Tells whoever changes the primary that this daemon has stopped using the old one.
+    pub(crate) fn acknowledge_stop(&self, service: Name, change_id: String) {
+        let lease = {
+            let mut state = self.state.borrow_mut();
+            if state.acknowledged.get(&service) == Some(&change_id) {
+                return;
+            }
+            let Some(lease) = state.lease else { return };
+            state.acknowledged.insert(service.clone(), change_id.clone());
+            lease
+        };
+        let key = self.key(&format!("stopped/{service}/{}", self.settings.host));
+        let transaction = Transaction {
+            puts: vec![(key, Bytes::from(change_id), Some(lease.id))],
+            ..Transaction::default()
+        };
+        self.write_soon(transaction, "acknowledge_stop");
+    }
+
+    /// Has a server looked at that another daemon suspects: one daemon alone may be wrong, and the
+    /// others may have no reason of their own to notice.
+    pub(crate) fn look_at_suspicion(&self, key: &str, suspicion: &str) {
+        if self.state.borrow().mirror.get(key).is_none() {
+            return;
+        }
+        let mut parts = suspicion.split('/');
+        let (Some(service), Some(server)) = (parts.next(), parts.next()) else { return };
+        let ask = Ask::Probe { service: Name::from(service), server: Name::from(server) };
+        // A full ring means that the serving thread is behind; its own traffic will show it.
+        let _ = self.asks.try_send(ask);
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/control/watching.rs
@@ -0,0 +1,190 @@
+//! Following what operators, servers and daemons write into the store.
+
+use std::{
+    rc::Rc,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use crate::{
+    catalog::CatalogFormat,
+    control::runner::{Control, Pause},
+    dialect::EndpointDialect,
+    metadata::{Change, Consistency, Item, MetadataError, MetadataStore, Revision, Snapshot},
+    order::PromotionOrders,
+};
+
+impl<M, O, F, E> Control<M, O, F, E>
+where
+    M: MetadataStore,
+    O: PromotionOrders,
+    F: CatalogFormat,
+    E: EndpointDialect,
+{
+    /// Reads everything once, then follows the changes; starts over when a change may be missed.
+    pub(crate) async fn watch_loop(self: Rc<Self>) {
+        let mut pause = Pause::default();
+        loop {
+            match self.read_everything().await {
+                Ok(revision) => {
+                    pause.reset();
+                    let error = self.follow(revision).await;
+                    log::info!(
+                        event = "watch_ended", why = error.to_string().as_str();
+                        "the watch ended and everything is read again"
+                    );
+                }
+                Err(error) => log::info!(
+                    event = "store_unreachable", call = "read_everything",
+                    why = error.to_string().as_str();
+                    "the store did not answer"
+                ),
+            }
+            pause.wait().await;
+        }
+    }
+
+    pub(crate) async fn read_everything(&self) -> Result<Revision, MetadataError> {
+        let timeout = self.read_timeout();
+        // A range, for the revision at which it was read: the watch must begin there, since the
+        // configuration may change before the servers are read.
+        let key = self.format.configuration_key();
+        let configuration = self.store.range(key, Consistency::Linearizable, timeout).await;
+        self.count_call("range", &configuration);
+        let configuration = configuration?;
+        let prefix = self.format.servers_prefix();
+        let servers = self.store.range(prefix, Consistency::Linearizable, timeout).await;
+        self.count_call("range", &servers);
+        let servers = servers?;
+        let own = self.read_own_keys().await?;
+        for item in configuration.items.iter().filter(|item| item.key == key) {
+            self.on_configuration(item);
+        }
+        self.on_server_snapshot(&servers);
+        self.publish();
+        Ok(configuration.revision.min(servers.revision).min(own))
+    }
+
+    /// Reads the daemons' own keys, as the watch may have missed changes of them too.
+    pub(crate) async fn read_own_keys(&self) -> Result<Revision, MetadataError> {
+        let asked_at = Instant::now();
+        let (prefix, timeout) = (self.key(""), self.read_timeout());
+        let own = self.store.range(&prefix, Consistency::Linearizable, timeout).await;
+        self.count_call("range", &own);
+        let own = own?;
+        let revision = own.revision;
+        self.on_own_snapshot(own, asked_at);
+        Ok(revision)
+    }
+
+    pub(crate) fn on_server_snapshot(&self, snapshot: &Snapshot) {
+        let now = Instant::now();
+        {
+            let mut state = self.state.borrow_mut();
+            let present = |key: &str| snapshot.items.iter().any(|item| item.key == key);
+            if state.servers.retain(&present, now) {
+                state.servers_dirty = true;
+            }
+            state.servers_known = true;
+            // A long time without the store may have made entries lapse that servers renew now.
+            state.servers.restart_grace(now);
+        }
+        for item in &snapshot.items {
+            self.on_server(item);
+        }
+    }
+
+    /// Follows the changes until something goes wrong.
+    pub(crate) async fn follow(&self, mut revision: Revision) -> MetadataError {
+        let wait = Duration::from_millis(self.settings.metadata.watch_wait_ms);
+        loop {
+            // One watch over all keys costs one call where three prefixes would cost three.
+            let changes = self.store.watch("", revision, wait).await;
+            self.count_call("watch", &changes);
+            let changes = match changes {
+                Ok(changes) => changes,
+                Err(error) => return error,
+            };
+            revision = revision.max(changes.revision);
+            for change in changes.changes {
+                self.on_change(change);
+            }
+            self.publish();
+        }
+    }
+
+    pub(crate) fn on_change(&self, change: Change) {
+        let key = match &change {
+            Change::Put(item) => item.key.clone(),
+            Change::Removed { key, .. } => key.clone(),
+        };
+        if key.starts_with(&*self.settings.metadata.prefix) {
+            if self.state.borrow_mut().mirror.apply(change) {
+                self.on_own_keys(std::iter::once(key.as_str()));
+            }
+            return;
+        }
+        match change {
+            Change::Put(item) if key == self.format.configuration_key() => {
+                self.on_configuration(&item);
+            }
+            Change::Put(item) if key.starts_with(self.format.servers_prefix()) => {
+                self.on_server(&item);
+            }
+            Change::Removed { key, .. } if key.starts_with(self.format.servers_prefix()) => {
+                let mut state = self.state.borrow_mut();
+                if state.servers.remove(&key, Instant::now()) {
+                    state.servers_dirty = true;
+                }
+            }
+            Change::Put(_) | Change::Removed { .. } => {}
+        }
+    }
+
+    pub(crate) fn on_configuration(&self, item: &Item) {
+        let catalog = match self.format.decode_configuration(&item.value) {
+            Ok(catalog) => catalog,
+            Err(error) => {
+                log::error!(
+                    event = "configuration_unreadable", revision = item.revision,
+                    why = error.to_string().as_str();
+                    "a configuration can't be read; the present one stays in force"
+                );
+                return;
+            }
+        };
+        let mut state = self.state.borrow_mut();
+        if catalog.version <= state.catalog.version {
+            return;
+        }
+        log::info!(
+            event = "configuration", version = catalog.version, before = state.catalog.version,
+            routes = catalog.routes.len(), services = catalog.services.len();
+            "a configuration is in force"
+        );
+        state.catalog = Arc::new(catalog);
+    }
+
+    pub(crate) fn on_server(&self, item: &Item) {
+        match self.format.decode_server(&item.key, &item.value) {
+            Ok(entry) => {
+                let mut state = self.state.borrow_mut();
+                let (server, leaving, leads) =
+                    (entry.server.clone(), entry.leaving, entry.claims_lead);
+                if state.servers.put(&item.key, entry) {
+                    state.servers_dirty = true;
+                    log::info!(
+                        event = "server", server = &*server, leaving = leaving,
+                        claims_lead = leads, revision = item.revision;
+                        "a server's entry changed"
+                    );
+                }
+            }
+            Err(error) => log::warn!(
+                event = "server_unreadable", key = item.key.as_str(),
+                why = error.to_string().as_str();
+                "a server's entry can't be read and is passed over"
+            ),
+        }
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/serve/job.rs
@@ -0,0 +1,112 @@
+//! A statement with what it needs to be run, and how long it may wait.
+
+use std::{sync::Arc, time::Instant};
+
+use bytes::Bytes;
+use model::{LogPoint, StatementClass};
+
+use crate::{
+    catalog::Route,
+    dialect::EndpointDialect,
+    serve::{pool::Lent, replay::SessionValues},
+    statement::{EndpointText, PreparedShape},
+};
+
+/// The part of a statement's time after which it is refused if it could not be sent. A caller that is
+/// told early, and when to come back, has time left for another attempt.
+const HOLD_SHARE: f64 = 0.35;
+/// The same while a primary is being replaced: the gap is known to be short, so waiting serves better.
+const HOLD_SHARE_CHANGING: f64 = 0.9;
+/// The part of its target latency that a statement waits for a connection. Under a lasting overload
+/// every statement waits for as long as it may; with more, all of them would be late.
+const WAIT_SHARE: f64 = 0.35;
+
+/// A statement that only a server can run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Work {
+    /// A read.
+    Read(Bytes),
+    /// A write.
+    Write(Bytes),
+    /// A prepared statement.
+    Execute {
+        /// What was prepared.
+        shape: PreparedShape,
+        /// The caller's arguments.
+        arguments: Bytes,
+    },
+    /// The end of a transaction that keeps what it wrote.
+    Commit,
+}
+
+impl Work {
+    /// Whether it may write.
+    pub fn class(&self) -> StatementClass {
+        match self {
+            Work::Read(_) => StatementClass::Read,
+            Work::Write(_) => StatementClass::Write,
+            Work::Execute { shape, .. } => shape.class,
+            Work::Commit => StatementClass::Write,
+        }
+    }
+
+    pub(crate) fn shape(&self) -> Option<&PreparedShape> {
+        match self {
+            Work::Execute { shape, .. } => Some(shape),
+            _ => None,
+        }
+    }
+
+    /// Returns the command's text; a prepared statement is named by the connection's own number.
+    pub(crate) fn text<E: EndpointDialect>(&self, lent: &mut Lent<E>) -> Option<EndpointText> {
+        Some(match self {
+            Work::Read(body) => EndpointText::Read(body.clone()),
+            Work::Write(body) => EndpointText::Write(body.clone()),
+            Work::Commit => EndpointText::Commit,
+            Work::Execute { shape, arguments } => EndpointText::Execute {
+                number: lent.connection().environment.number_of(shape)?,
+                arguments: arguments.clone(),
+            },
+        })
+    }
+}
+
+/// A statement with what it needs to be run.
+pub struct Job<'a> {
+    /// The caller's identifier.
+    pub id: Bytes,
+    /// What is to be run.
+    pub work: Work,
+    /// The route in force for it.
+    pub route: &'a Arc<Route>,
+    /// The values of its session.
+    pub values: &'a SessionValues,
+    /// The point up to which the session's own writes reach.
+    pub own: Option<LogPoint>,
+    /// When it arrived.
+    pub arrived: Instant,
+}
+
+impl Job<'_> {
+    pub(crate) fn deadline(&self) -> Instant {
+        self.arrived + self.route.timeout
+    }
+
+    /// Until when the statement may wait for a connection while all of them are in use.
+    /// One that waited for a primary before has as long again, since all of them come at once then.
+    pub(crate) fn wait_until(&self, now: Instant) -> Instant {
+        let waits = self.route.target_latency.mul_f64(WAIT_SHARE);
+        if now < self.arrived + waits { self.arrived + waits } else { now + waits }
+    }
+
+    /// Until when the statement may wait for a server that can run it.
+    pub(crate) fn hold_until(&self, changing: bool) -> Instant {
+        let share = if changing { HOLD_SHARE_CHANGING } else { HOLD_SHARE };
+        self.arrived + self.route.timeout.mul_f64(share)
+    }
+}
+
+/// Returns a request's identifier as text for the log.
+pub fn id_text(id: &[u8]) -> String {
+    String::from_utf8_lossy(id).into_owned()
+}
--- a/crates/proxy/src/serve/session.rs
+++ b/crates/proxy/src/serve/session.rs
@@ -20,8 +20,9 @@
     serve::{
         connection::refusal,
         engine::Engine,
-        execute::{Job, Transaction, Work, id_text},
+        job::{Job, Work, id_text},
         replay::SessionValues,
+        transaction::Transaction,
     },
     statement::{
         Answer, ErrorCode, Outcome, PreparedShape, Request, Statement, StatementError,
--- /dev/null
+++ b/crates/proxy/src/serve/telling.rs
@@ -0,0 +1,118 @@
+//! What callers are told when a statement was refused or its outcome is open, and the log's line on it.
+
+use std::{rc::Rc, time::Instant};
+
+use model::{LogPoint, Name};
+
+use crate::{
+    control::beliefs::Lead,
+    dialect::{CallerDialect, EndpointDialect},
+    serve::{
+        connection::{ConnectionLost, refusal},
+        engine::{Engine, Group},
+        execute::{COME_BACK_CHANGING_MS, COME_BACK_MS},
+        job::{Job, id_text},
+    },
+    statement::{Answer, ErrorCode, StatementError, TransactionState},
+};
+
+impl<C: CallerDialect, E: EndpointDialect> Engine<C, E> {
+    pub(crate) fn no_primary(&self, group: &Group<E>, job: &Job<'_>) -> StatementError {
+        let changing = self.beliefs().is_changing(&job.route.service);
+        let (why, come_back_ms) = if changing {
+            ("the primary is being replaced", COME_BACK_CHANGING_MS)
+        } else {
+            ("no primary may be used at present", COME_BACK_MS)
+        };
+        self.refuse(group, job, ErrorCode::Overloaded, why, come_back_ms)
+    }
+
+    pub(crate) fn note_refused(
+        &self,
+        group: &Rc<Group<E>>,
+        job: &Job<'_>,
+        server: &Name,
+        code: ErrorCode,
+        floor: Option<LogPoint>,
+        answer: &Answer,
+    ) {
+        if code == ErrorCode::NotFresh {
+            log::debug!(
+                event = "not_fresh", id = id_text(&job.id).as_str(),
+                service = &*job.route.service, server = &**server,
+                floor = format!("{floor:?}").as_str(), own = format!("{:?}", job.own).as_str(),
+                shown = format!("{:?}", answer.point).as_str();
+                "a server's log lacks the point that a read must have seen"
+            );
+        }
+        match code {
+            ErrorCode::NotFresh => group.pool.on_lagging(server),
+            ErrorCode::NotPrimary | ErrorCode::WrongServer | ErrorCode::TooManyConnections => {
+                group.pool.on_failure(server);
+            }
+            _ => {}
+        }
+        self.log_server_error(job, Some(server), code);
+    }
+
+    pub(crate) fn log_server_error(&self, job: &Job<'_>, server: Option<&Name>, code: ErrorCode) {
+        log::debug!(
+            event = "server_refused", id = id_text(&job.id).as_str(),
+            service = &*job.route.service, server = server.map_or("", |server| &**server),
+            code = code.as_str();
+            "a server answered with an error"
+        );
+    }
+
+    pub(crate) fn refuse(
+        &self,
+        group: &Group<E>,
+        job: &Job<'_>,
+        code: ErrorCode,
+        why: &str,
+        retry_after_ms: u64,
+    ) -> StatementError {
+        let beliefs = self.beliefs();
+        let lead = beliefs.leads.get(&job.route.service);
+        log::info!(
+            event = "refused", id = id_text(&job.id).as_str(), service = &*job.route.service,
+            reads = job.route.reads.as_str(), code = code.as_str(), why = why,
+            primary = lead.map_or("", |lead| &*lead.server),
+            lead_valid = lead.is_some_and(|lead| lead.is_valid(Instant::now())),
+            changing = beliefs.is_changing(&job.route.service),
+            expected_wait_ms = group.pool.expected_wait().as_millis() as u64,
+            held_ms = job.arrived.elapsed().as_millis() as u64, retry_after_ms = retry_after_ms,
+            configuration = beliefs.catalog.version;
+            "a statement was refused and not run"
+        );
+        StatementError::come_back(code, why, retry_after_ms)
+    }
+
+    pub(crate) fn unknown_outcome(
+        &self,
+        job: &Job<'_>,
+        server: &Name,
+        code: ErrorCode,
+        lost: &ConnectionLost,
+    ) -> Answer {
+        log::info!(
+            event = "outcome", id = id_text(&job.id).as_str(), service = &*job.route.service,
+            server = &**server, code = code.as_str(), why = lost.to_string().as_str(),
+            held_ms = job.arrived.elapsed().as_millis() as u64;
+            "a statement's connection was lost"
+        );
+        let error = StatementError::new(code, "the connection to the server was lost");
+        refusal(error, TransactionState::Idle)
+    }
+
+    pub(crate) fn unconfirmed(&self, job: &Job<'_>, lead: &Lead) -> Answer {
+        log::info!(
+            event = "outcome", id = id_text(&job.id).as_str(), service = &*job.route.service,
+            server = &*lead.server, term = lead.term.0, code = ErrorCode::InDoubt.as_str(),
+            held_ms = job.arrived.elapsed().as_millis() as u64;
+            "a write ran, but its server may not lead any more"
+        );
+        let error = StatementError::new(ErrorCode::InDoubt, "the primary changed while it ran");
+        refusal(error, TransactionState::Idle)
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/serve/transaction.rs
@@ -0,0 +1,243 @@
+//! Statements inside transactions, which keep one connection from the first to the last.
+
+use std::{
+    rc::Rc,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use model::StatementClass;
+
+use crate::{
+    catalog::Route,
+    control::beliefs::Lead,
+    dialect::{CallerDialect, EndpointDialect},
+    serve::{
+        connection::refusal,
+        engine::{Engine, Group},
+        execute::{Denied, ROUND_PAUSE, Rounds},
+        job::{Job, Work},
+        pool::Lent,
+        verdict::{Next, after_error, transaction_after_loss},
+    },
+    statement::{Answer, EndpointCommand, EndpointText, ErrorCode, Outcome, TransactionState},
+};
+
+/// How long a server may take to open or roll back a transaction, which takes none of its slots.
+const BEGIN_WITHIN: Duration = Duration::from_millis(300);
+
+/// A transaction as this daemon knows it.
+pub struct Transaction<E: EndpointDialect> {
+    /// The route in force when it began.
+    pub route: Arc<Route>,
+    /// Whether it only reads.
+    pub read_only: bool,
+    /// Its connection; none before the first statement that a server has to run.
+    pub lent: Option<Lent<E>>,
+    /// The right under which it began, where it runs at the primary.
+    pub(crate) lead: Option<Lead>,
+    /// Whether it may have written.
+    pub wrote: bool,
+    /// Whether it failed and waits for its end.
+    pub failed: bool,
+}
+
+impl<E: EndpointDialect> Transaction<E> {
+    /// A transaction of which no server knows yet.
+    pub fn new(route: Arc<Route>, read_only: bool) -> Transaction<E> {
+        Transaction { route, read_only, lent: None, lead: None, wrote: false, failed: false }
+    }
+}
+
+pub(crate) enum InTransaction {
+    /// The caller gets this answer.
+    Deliver,
+    /// The server ran nothing and the transaction still stands: ask again.
+    SameConnection,
+    /// Nothing of the transaction has run: open it anew.
+    Restart,
+}
+
+impl<C: CallerDialect, E: EndpointDialect> Engine<C, E> {
+    /// Runs a statement inside a transaction, which gets its connection with the first one.
+    pub async fn run_in_transaction(
+        self: &Rc<Self>,
+        job: &Job<'_>,
+        transaction: &mut Transaction<E>,
+    ) -> Answer {
+        let group = self.group(&job.route.service, &self.beliefs());
+        let mut rounds = Rounds::default();
+        loop {
+            let is_first = transaction.lent.is_none();
+            if is_first
+                && let Some(answer) =
+                    self.open_transaction(&group, job, transaction, &mut rounds).await
+            {
+                transaction.failed = true;
+                return answer;
+            }
+            let Some(lent) = transaction.lent.as_mut() else { continue };
+            let server = lent.server().clone();
+            let sent_at = Instant::now();
+            match self.send(&group, job, lent, None, false).await {
+                Ok(answer) => {
+                    let took = sent_at.elapsed();
+                    self.note_answer(&group, &job.route.service, &server, answer.point, took);
+                    match self.judge_in_transaction(&answer, is_first, job) {
+                        InTransaction::Deliver => {
+                            return self.finish_in_transaction(job, transaction, answer).await;
+                        }
+                        InTransaction::SameConnection => tokio::time::sleep(ROUND_PAUSE).await,
+                        InTransaction::Restart => {
+                            if let Some(lent) = transaction.lent.take() {
+                                self.roll_back(lent);
+                            }
+                            tokio::time::sleep(ROUND_PAUSE).await;
+                        }
+                    }
+                }
+                Err((progress, lost)) => {
+                    transaction.lent = None;
+                    transaction.failed = true;
+                    self.note_loss(&group, &job.route.service, &server, &lost);
+                    let is_commit = job.work == Work::Commit;
+                    let code = transaction_after_loss(is_commit, transaction.wrote, progress);
+                    let mut answer = self.unknown_outcome(job, &server, code, &lost);
+                    if !is_commit {
+                        answer.state = TransactionState::Failed;
+                    }
+                    return answer;
+                }
+            }
+        }
+    }
+
+    /// Rolls a transaction back behind the caller's back and gives its connection to others.
+    pub fn roll_back(self: &Rc<Self>, mut lent: Lent<E>) {
+        tokio::task::spawn_local(async move {
+            let command = EndpointCommand::own(EndpointText::Rollback);
+            let deadline = Instant::now() + BEGIN_WITHIN;
+            match lent.connection().ask(&command, deadline).await {
+                Ok(answer) if answer.state == TransactionState::Idle => lent.give_back(),
+                // Closing the connection rolls back too.
+                Ok(_) | Err(_) => drop(lent),
+            }
+        });
+    }
+
+    /// Opens the transaction on a server; an answer is what its first statement is told instead.
+    pub(crate) async fn open_transaction(
+        self: &Rc<Self>,
+        group: &Rc<Group<E>>,
+        job: &Job<'_>,
+        transaction: &mut Transaction<E>,
+        rounds: &mut Rounds,
+    ) -> Option<Answer> {
+        let class =
+            if transaction.read_only { StatementClass::Read } else { StatementClass::Write };
+        loop {
+            let mut granted = match self.grant(group, job, class, rounds).await {
+                Ok(granted) => granted,
+                Err(Denied::Refuse(error)) => {
+                    return Some(refusal(error, TransactionState::Failed));
+                }
+                Err(Denied::Again) => continue,
+            };
+            let text = EndpointText::Begin { read_only: transaction.read_only };
+            let begin = EndpointCommand { id: None, floor: granted.floor, text };
+            let sent_at = Instant::now();
+            let deadline = job.deadline().min(sent_at + BEGIN_WITHIN);
+            let begun = granted.lent.connection().ask(&begin, deadline).await;
+            let server = granted.lent.server().clone();
+            let next = match begun {
+                Ok(answer) => match answer.error_code() {
+                    None => {
+                        if let Some(lead) = &granted.lead {
+                            self.add_sample(group, &job.route.service, lead, sent_at, answer.point);
+                        }
+                        transaction.lent = Some(granted.lent);
+                        transaction.lead = granted.lead;
+                        return None;
+                    }
+                    Some(code) => {
+                        self.note_refused(group, job, &server, code, granted.floor, &answer);
+                        rounds.last_error = Some(code);
+                        match answer.state {
+                            TransactionState::Idle => granted.lent.give_back(),
+                            _ => self.roll_back(granted.lent),
+                        }
+                        match after_error(code, StatementClass::Read) {
+                            Next::Tell(_) => Next::TryElsewhere,
+                            next => next,
+                        }
+                    }
+                },
+                Err(lost) => {
+                    drop(granted);
+                    self.note_loss(group, &job.route.service, &server, &lost);
+                    Next::TryElsewhere
+                }
+            };
+            if let Some(error) = self.prepare_next_round(rounds, job, next, server).await {
+                return Some(refusal(error, TransactionState::Failed));
+            }
+        }
+    }
+
+    pub(crate) fn judge_in_transaction(
+        &self,
+        answer: &Answer,
+        is_first: bool,
+        job: &Job<'_>,
+    ) -> InTransaction {
+        let Some(code) = answer.error_code() else { return InTransaction::Deliver };
+        let in_time = Instant::now() + ROUND_PAUSE < job.hold_until(false);
+        if !code.was_not_run() || !in_time {
+            return InTransaction::Deliver;
+        }
+        match answer.state {
+            TransactionState::Open if code == ErrorCode::Overloaded => {
+                InTransaction::SameConnection
+            }
+            TransactionState::Failed | TransactionState::Idle if is_first => InTransaction::Restart,
+            _ => InTransaction::Deliver,
+        }
+    }
+
+    pub(crate) async fn finish_in_transaction(
+        self: &Rc<Self>,
+        job: &Job<'_>,
+        transaction: &mut Transaction<E>,
+        answer: Answer,
+    ) -> Answer {
+        if let Some(code) = answer.error_code() {
+            self.log_server_error(job, transaction.lent.as_ref().map(Lent::server), code);
+        }
+        match answer.state {
+            TransactionState::Open => {
+                transaction.wrote |= job.work.class() == StatementClass::Write;
+                return answer;
+            }
+            TransactionState::Failed => {
+                transaction.failed = true;
+                if let Some(lent) = transaction.lent.take() {
+                    self.roll_back(lent);
+                }
+                return answer;
+            }
+            TransactionState::Idle => {}
+        }
+        if let Some(lent) = transaction.lent.take() {
+            lent.give_back();
+        }
+        let Some(lead) = transaction.lead.clone() else { return answer };
+        let committed = matches!(answer.outcome, Outcome::Complete(_)) && job.work == Work::Commit;
+        if committed
+            && transaction.wrote
+            && !self.confirm(&job.route.service, &lead, answer.point, job.deadline()).await
+        {
+            return self.unconfirmed(job, &lead);
+        }
+        answer
+    }
+}
