--- a/crates/config/src/option_value.rs
+++ b/crates/config/src/option_value.rs
@@ -190,6 +190,19 @@
     }
 }
 
+impl LogLevel {
+    /// Returns the filter that lets records of this level and graver ones through.
+    pub fn filter(self) -> log::LevelFilter {
+        match self {
+            LogLevel::Error => log::LevelFilter::Error,
+            LogLevel::Warn => log::LevelFilter::Warn,
+            LogLevel::Info => log::LevelFilter::Info,
+            LogLevel::Debug => log::LevelFilter::Debug,
+            LogLevel::Trace => log::LevelFilter::Trace,
+        }
+    }
+}
+
 /// How many daemons hold connections to a group.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum OwnerCount {
--- a/crates/wardtiller/src/commands/run.rs
+++ b/crates/wardtiller/src/commands/run.rs
@@ -2,10 +2,9 @@
 
 use std::{sync::Arc, time::Duration};
 
-use config::{HostSettings, LogLevel};
+use config::HostSettings;
 use daemon::Daemon;
 use eyre::OptionExt;
-use log::LevelFilter;
 use store::ConsulClient;
 
 use super::{EXIT_DONE, EXIT_FAILED, read_file, signals::wait_for_stop, write_error};
@@ -21,7 +20,7 @@
             return Ok(EXIT_FAILED);
         }
     };
-    telemetry::init_logging(level_filter(settings.log.level));
+    telemetry::init_logging(settings.log.level.filter());
     let address = settings.platform.address.ok_or_eyre("[platform] address must be set")?;
     let timeout = Duration::from_millis(settings.platform.call_timeout_ms);
     let store = Arc::new(ConsulClient::new(address, timeout));
@@ -36,13 +35,3 @@
     log::info!("a planned stop begins");
     Ok(if daemon.stop() { EXIT_DONE } else { EXIT_FAILED })
 }
-
-fn level_filter(level: LogLevel) -> LevelFilter {
-    match level {
-        LogLevel::Error => LevelFilter::Error,
-        LogLevel::Warn => LevelFilter::Warn,
-        LogLevel::Info => LevelFilter::Info,
-        LogLevel::Debug => LevelFilter::Debug,
-        LogLevel::Trace => LevelFilter::Trace,
-    }
-}
