fix(proxy): a read at the primary goes without its floor only by what is believed when it is sent

Found reading the diff: the right that was looked at before the wait for a connection decided, so a daemon that had given it up meanwhile could still read at the old primary without a floor. Also: a field that nothing set is gone, and moved methods say what they are for.

--- a/crates/proxy/src/control/asking.rs
+++ b/crates/proxy/src/control/asking.rs
@@ -52,6 +52,7 @@
         }
     }
 
+    /// Asks one group's servers, and takes the right to a primary that a majority shows.
     pub(crate) async fn ask_for_evidence(&self, service: Name) {
         let asked_at = Instant::now();
         let deadline = asked_at + self.evidence().mul_f64(0.75);
@@ -89,6 +90,7 @@
         state.leads.insert(service, lead);
     }
 
+    /// Asks servers over the connections that sessions share; returns the answers in time.
     pub(crate) async fn ask_statuses(
         &self,
         service: &Name,
--- a/crates/proxy/src/control/change.rs
+++ b/crates/proxy/src/control/change.rs
@@ -29,7 +29,8 @@
     statement::{EndpointStatus, EndpointText},
 };
 
-/// The same where nothing has failed: an overloaded primary takes its time, and what it holds counts.
+/// How long a server may take to answer a command where nothing has failed: an overloaded primary takes
+/// its time, and what it holds counts.
 const PLANNED_COMMAND_WITHIN: Duration = Duration::from_millis(1_000);
 /// An order must leave within this time after the store confirmed the duty; a new holder waits longer
 /// than this before its first order.
@@ -140,6 +141,7 @@
     F: CatalogFormat,
     E: EndpointDialect,
 {
+    /// Changes a group's primary and tells the log how that ended.
     pub(crate) async fn change_and_log(&self, service: &Name, reason: Reason) {
         let began = Instant::now();
         let ended = match reason {
@@ -198,6 +200,7 @@
         }
     }
 
+    /// Carries a change out, or goes on with one that another daemon left.
     pub(crate) async fn change_primary(
         &self,
         service: &Name,
@@ -254,6 +257,7 @@
         level.then_some(()).ok_or(ChangeEnd::NoSuccessor)
     }
 
+    /// Returns how many replicas receive a write before it is acknowledged.
     pub(crate) fn synchronous_replicas(&self, service: &Name) -> u32 {
         let state = self.state.borrow();
         state.catalog.services.get(service).map_or(0, |rule| rule.synchronous_replicas)
@@ -280,6 +284,7 @@
         Ok(ChangeRun { record, revision, recorded_at: Instant::now() })
     }
 
+    /// Tells the log and the metrics of a step.
     pub(crate) fn step(&self, step: &'static str, service: &Name, run: &ChangeRun) {
         self.metrics.promotion_steps.with_label_values(&[step]).inc();
         log::info!(
@@ -317,6 +322,7 @@
         }
     }
 
+    /// Steps the old primary down and pauses the replicas; returns those that answered.
     pub(crate) async fn stop_servers(
         &self,
         entries: &[Arc<ServerEntry>],
@@ -366,6 +372,7 @@
         }
     }
 
+    /// Whether every daemon that may hold a right has said that it stopped.
     pub(crate) fn all_answered(&self, service: &Name, run: &ChangeRun) -> bool {
         let state = self.state.borrow();
         // A daemon that vanished before this one began to watch may still hold a right.
@@ -488,6 +495,7 @@
         None
     }
 
+    /// Lets the other servers receive again.
     pub(crate) async fn resume_others(
         &self,
         service: &Name,
--- a/crates/proxy/src/control/duty.rs
+++ b/crates/proxy/src/control/duty.rs
@@ -49,10 +49,12 @@
     F: CatalogFormat,
     E: EndpointDialect,
 {
+    /// Returns the key of the duty.
     pub(crate) fn duty_key(&self) -> String {
         self.key("duty")
     }
 
+    /// Returns the key of a group's record.
     pub(crate) fn record_key(&self, service: &Name) -> String {
         self.key(&format!("groups/{service}"))
     }
@@ -90,6 +92,7 @@
         Bytes::from(format!("{} {lease}", self.settings.host))
     }
 
+    /// Takes the duty if nobody has it.
     pub(crate) async fn take_duty(&self) {
         let is_free = |control: &Self| {
             let state = control.state.borrow();
@@ -224,6 +227,7 @@
         }
     }
 
+    /// Says why a group's primary has to be changed; `None` if it need not be.
     pub(crate) fn reason_to_change(&self, service: &Name) -> Option<Reason> {
         let Some(known) = self.known_record(service) else {
             return (!self.entries(service).is_empty()).then_some(Reason::Unknown);
@@ -271,6 +275,7 @@
         now.saturating_duration_since(since.max(watching_since)) >= grace
     }
 
+    /// Returns a group's record as this daemon knows it.
     pub(crate) fn known_record(&self, service: &Name) -> Option<VersionedRecord> {
         let state = self.state.borrow();
         let item = state.mirror.get(&self.record_key(service))?;
@@ -279,6 +284,7 @@
         Some(VersionedRecord { record, revision: item.revision })
     }
 
+    /// Returns a group's servers.
     pub(crate) fn entries(&self, service: &Name) -> Vec<Arc<ServerEntry>> {
         self.state.borrow().servers.by_service().remove(service).unwrap_or_default()
     }
--- a/crates/proxy/src/control/membership.rs
+++ b/crates/proxy/src/control/membership.rs
@@ -22,6 +22,7 @@
     F: CatalogFormat,
     E: EndpointDialect,
 {
+    /// Keeps this daemon a member: takes a lease, renews it, takes another when it is over.
     pub(crate) async fn lease_loop(self: Rc<Self>) {
         let lasts = Duration::from_millis(self.settings.metadata.lease_ms);
         let mut pause = Pause::default();
@@ -51,6 +52,7 @@
         }
     }
 
+    /// Takes a lease and writes the member key under it.
     pub(crate) async fn join(&self, lasts: Duration) -> Result<(), MetadataError> {
         let sent_at = Instant::now();
         let granted = self.store.grant(lasts, self.write_timeout()).await;
@@ -74,6 +76,7 @@
         read_since && state.mirror.get(&self.member_key()).is_none()
     }
 
+    /// Returns what the member key holds.
     pub(crate) fn member_value(&self) -> Bytes {
         let value = MemberValue {
             availability_zone: self.settings.availability_zone.to_string(),
@@ -82,6 +85,7 @@
         Bytes::from(serde_json::to_vec(&value).expect("a member's value is plain data"))
     }
 
+    /// Writes the member key.
     pub(crate) async fn put_member(&self, id: LeaseId) -> Result<(), MetadataError> {
         let transaction = Transaction {
             puts: vec![(self.member_key(), self.member_value(), Some(id))],
@@ -100,6 +104,7 @@
         }
     }
 
+    /// Renews the lease, and writes the member key again where it is gone.
     pub(crate) async fn renew(
         &self,
         lease: HeldLease,
--- a/crates/proxy/src/control/records.rs
+++ b/crates/proxy/src/control/records.rs
@@ -32,6 +32,7 @@
     F: CatalogFormat,
     E: EndpointDialect,
 {
+    /// Notes when each member was last seen.
     pub(crate) fn note_members(&self, now: Instant) {
         let prefix = self.key("members/");
         let mut state = self.state.borrow_mut();
@@ -89,6 +90,7 @@
         self.changed.notify_waiters();
     }
 
+    /// Takes over a changed leadership record; the right by the store ends with the change it tells of.
     pub(crate) fn on_record(&self, service: Name, record: &LeadershipRecord) {
         let now = Instant::now();
         {
--- a/crates/proxy/src/control/rights.rs
+++ b/crates/proxy/src/control/rights.rs
@@ -117,6 +117,7 @@
         (host != *self.settings.host).then_some(address)
     }
 
+    /// Returns the leadership records that this daemon knows, by revision.
     pub(crate) fn record_revisions(&self) -> HashMap<Name, Revision> {
         let prefix = self.key("groups/");
         let state = self.state.borrow();
@@ -131,6 +132,7 @@
         reading.map(|reading| reading.answer_to(host, Instant::now())).unwrap_or_default()
     }
 
+    /// Takes over a reading of the daemons' own keys that was asked for at `asked_at`.
     pub(crate) fn on_own_snapshot(&self, snapshot: Snapshot, asked_at: Instant) {
         let reading = self.own_reading(&snapshot, asked_at);
         let before = self.state.borrow_mut().own_reading.replace(reading);
@@ -157,6 +159,7 @@
         self.publish();
     }
 
+    /// Returns the part of a reading that other daemons are told of.
     pub(crate) fn own_reading(&self, snapshot: &Snapshot, asked_at: Instant) -> OwnReading {
         let (members, groups) = (self.key("members/"), self.key("groups/"));
         let keys = snapshot.items.iter();
--- a/crates/proxy/src/control/watching.rs
+++ b/crates/proxy/src/control/watching.rs
@@ -44,6 +44,7 @@
         }
     }
 
+    /// Reads all that the watch follows; returns the revision that it follows from.
     pub(crate) async fn read_everything(&self) -> Result<Revision, MetadataError> {
         let timeout = self.read_timeout();
         // A range, for the revision at which it was read: the watch must begin there, since the
@@ -77,6 +78,7 @@
         Ok(revision)
     }
 
+    /// Takes over a whole reading of the servers' entries.
     pub(crate) fn on_server_snapshot(&self, snapshot: &Snapshot) {
         let now = Instant::now();
         {
@@ -113,6 +115,7 @@
         }
     }
 
+    /// Takes over one change.
     pub(crate) fn on_change(&self, change: Change) {
         let key = match &change {
             Change::Put(item) => item.key.clone(),
@@ -141,6 +144,7 @@
         }
     }
 
+    /// Puts a configuration in force, unless a later one is or it can't be read.
     pub(crate) fn on_configuration(&self, item: &Item) {
         let catalog = match self.format.decode_configuration(&item.value) {
             Ok(catalog) => catalog,
@@ -165,6 +169,7 @@
         state.catalog = Arc::new(catalog);
     }
 
+    /// Takes over a server's entry.
     pub(crate) fn on_server(&self, item: &Item) {
         match self.format.decode_server(&item.key, &item.value) {
             Ok(entry) => {
--- a/crates/proxy/src/serve/execute.rs
+++ b/crates/proxy/src/serve/execute.rs
@@ -110,8 +110,8 @@
         let place =
             place_for(job.route.reads, class, job.own, &group.samples.borrow(), &history, now);
         let floor = match place {
-            Place::AtLeast(floor) if !rounds.primary_only => Some(floor),
-            _ => None,
+            Place::AtLeast(floor) => Some(floor),
+            Place::Primary => None,
         };
         let lead = match floor {
             Some(_) => beliefs.lead_in_force(service, now).cloned(),
@@ -137,8 +137,11 @@
             lent.give_back();
             return Err(Denied::Again);
         }
-        // A read at the primary needs no floor: under a valid lead it shows every write.
-        let lead = lead.filter(|lead| lead.server == *lent.server() && lead.is_valid(now));
+        // A read at the primary needs no floor while the right to it holds, by what is believed now: the
+        // right may have been given up while the statement waited for its connection.
+        let lead = lead.filter(|lead| {
+            lead.server == *lent.server() && self.may_still_use(service, Some(lead), now)
+        });
         let floor = if lead.is_some() { None } else { floor };
         self.count_sent(&lent, group, lead.is_some());
         Ok(Granted { lent, lead, floor })
@@ -409,6 +412,5 @@
 #[derive(Default)]
 pub(crate) struct Rounds {
     pub(crate) avoid: Vec<Name>,
-    pub(crate) primary_only: bool,
     pub(crate) last_error: Option<ErrorCode>,
 }
