fix(control): a planned change leaves the old primary to lead until the order

Now the old primary leads until the order, pauses end when the store is lost, and a chosen server's position is read anew when a change goes on.

--- a/crates/proxy/src/control/asking.rs
+++ b/crates/proxy/src/control/asking.rs
@@ -64,7 +64,14 @@
         let statuses = self.ask_statuses(&service, &servers, deadline).await;
         let mut state = self.state.borrow_mut();
         let known_term = state.leads.get(&service).map_or(Term(0), |lead| lead.term);
-        let Some(found) = evidence::judge(&statuses, servers.len(), known_term) else { return };
+        let Some(found) = evidence::judge(&statuses, servers.len(), known_term) else {
+            log::debug!(
+                event = "no_evidence", service = &*service, known_term = known_term.0,
+                servers = servers.len(), statuses = format!("{statuses:?}").as_str();
+                "the servers' answers do not show who leads"
+            );
+            return;
+        };
         let valid_until = asked_at + self.evidence();
         let known = state.leads.get(&service);
         if known.is_none_or(|lead| !lead.is_valid(asked_at)) {
--- a/crates/proxy/src/control/change.rs
+++ b/crates/proxy/src/control/change.rs
@@ -35,6 +35,8 @@
 /// An order must leave within this time after the store confirmed the duty; a new holder waits longer
 /// than this before its first order.
 const ORDER_WITHIN: Duration = Duration::from_millis(400);
+/// How long a planned change waits for daemons to stop before it pauses the replicas.
+const ANSWERS_WITHIN: Duration = Duration::from_millis(300);
 /// How long a change may look for a majority before it is called off.
 const FENCE_WITHIN: Duration = Duration::from_secs(3);
 /// How many entries a replica may lack that is to take over without need: it receives, and gets the rest
@@ -106,6 +108,13 @@
     }
 }
 
+/// Servers that answered while the group was stopped.
+pub(crate) struct Fence {
+    servers: Vec<StoppedServer>,
+    /// Those of them that show to any daemon that asks that the old primary may not be used.
+    fenced: usize,
+}
+
 /// A change that this daemon carries out.
 #[derive(Clone, Debug)]
 pub(crate) struct ChangeRun {
@@ -123,6 +132,11 @@
         self.record.change.as_ref().map_or("", |change| &change.reason)
     }
 
+    /// Whether nothing has failed, so that the old primary can lead until the order.
+    pub(crate) fn is_planned(&self) -> bool {
+        [Reason::Leaving, Reason::ReplicasBehind].iter().any(|it| it.as_str() == self.reason())
+    }
+
     pub(crate) fn chosen(&self) -> Option<ChosenServer> {
         self.record.change.as_ref()?.chosen.clone()
     }
@@ -211,26 +225,49 @@
             self.state.borrow_mut().lead_moved.insert(service.clone(), Instant::now());
             self.check_level_replica(service, &known.record).await?;
         }
-        let mut run = self.begin_change(service, known, reason).await?;
+        let run = self.begin_change(service, known, reason).await?;
         self.step("begun", service, &run);
         let mut commands = Commands::new(self);
         if matches!(reason, Reason::Leaving | Reason::ReplicasBehind) {
             commands.within = PLANNED_COMMAND_WITHIN;
         }
-        if let Some(chosen) = run.chosen() {
-            // An order may have been given before; it is repeated, and no other server is named.
-            self.await_stop(service, &mut run, &mut commands).await?;
-            return self.order_and_settle(service, run, chosen, &mut commands).await;
+        let ended = self.carry_out(service, run, &mut commands).await;
+        if let Err(ChangeEnd::Store(_)) = &ended {
+            // Nobody can go on without the store; until it is back the old primary is used by evidence,
+            // which takes servers that are not paused. Whoever goes on stops them again.
+            let entries = self.entries(service).into_iter();
+            commands.ask_all(entries.map(|entry| (entry, EndpointText::Resume)).collect()).await;
+        }
+        ended
+    }
+
+    async fn carry_out(
+        &self,
+        service: &Name,
+        mut run: ChangeRun,
+        commands: &mut Commands<'_, M, O, F, E>,
+    ) -> Result<(), ChangeEnd> {
+        let stopped = self.await_stop(service, &mut run, commands).await?;
+        if let Some(mut chosen) = run.chosen() {
+            // An order may have been given before; it is repeated, and no other server is named. If it
+            // does not lead yet, it may have received more since it was chosen.
+            let now = stopped.iter().find(|server| server.server == chosen.server);
+            if let Some(now) = now.filter(|now| now.status.term.0 == run.record.term) {
+                chosen.keeps = now.status.received.position.0;
+            }
+            return self.order_and_settle(service, run, chosen, commands).await;
         }
-        let stopped = self.await_stop(service, &mut run, &mut commands).await?;
         let servers = self.entries(service).len();
         let synchronous = self.synchronous_replicas(service);
         let may_stay = run.reason() == Reason::ReplicasBehind.as_str();
-        let Some(chosen) = choose_successor(&stopped, servers, synchronous, may_stay) else {
-            self.call_off(service, run, &mut commands).await?;
-            return Err(ChangeEnd::NoSuccessor);
-        };
-        self.order_and_settle(service, run, chosen, &mut commands).await
+        let chosen = choose_successor(&stopped, servers, synchronous, may_stay);
+        match chosen.filter(|chosen| chosen.server != run.record.primary || !leads_on(&stopped)) {
+            Some(chosen) => self.order_and_settle(service, run, chosen, commands).await,
+            None => {
+                self.call_off(service, run, commands).await?;
+                Err(ChangeEnd::NoSuccessor)
+            }
+        }
     }
 
     /// Whether some replica has received nearly all that the primary holds.
@@ -305,12 +342,12 @@
         let give_up_at = Instant::now() + FENCE_WITHIN;
         loop {
             let entries = self.entries(service);
-            let stopped = self.stop_servers(&entries, run, commands).await;
-            if stopped.len() >= majority(entries.len()) {
+            let stopped = self.stop_servers(service, &entries, run, commands).await;
+            if stopped.fenced >= majority(entries.len()) {
                 self.step("fenced", service, run);
                 self.await_daemons(service, run, Instant::now()).await;
                 self.step("stopped", service, run);
-                return Ok(stopped);
+                return Ok(stopped.servers);
             }
             if Instant::now() >= give_up_at {
                 if run.chosen().is_none() {
@@ -325,21 +362,36 @@
     /// Steps the old primary down and pauses the replicas; returns those that answered.
     pub(crate) async fn stop_servers(
         &self,
+        service: &Name,
         entries: &[Arc<ServerEntry>],
         run: &ChangeRun,
         commands: &mut Commands<'_, M, O, F, E>,
-    ) -> Vec<StoppedServer> {
+    ) -> Fence {
         let term = Term(run.record.term + 1);
         let (old, replicas): (Vec<_>, Vec<_>) =
             entries.iter().cloned().partition(|entry| *entry.server == *run.record.primary);
         let step_down = |entry| (entry, EndpointText::StepDown { term });
-        let stepped_down = commands.ask_all(old.into_iter().map(step_down).collect()).await;
-        if let Some((_, status)) = stepped_down.first() {
+        let planned = run.is_planned();
+        let mut primary = if planned {
+            // It leads on until the order, so that nothing is lost if the change can't go on.
+            self.await_answers(service, run).await;
+            let ask = |entry| (entry, EndpointText::Status);
+            commands.ask_all(old.iter().cloned().map(ask).collect()).await
+        } else {
+            commands.ask_all(old.iter().cloned().map(step_down).collect()).await
+        };
+        if let Some((_, status)) = primary.first() {
             // What it still holds was acknowledged to callers: a replica gets the time to receive it.
             commands.await_catch_up(&replicas, status).await;
         }
         let pause = |entry| (entry, EndpointText::Pause { term });
         let paused = commands.ask_all(replicas.into_iter().map(pause).collect()).await;
+        let needs_primary = paused.len() < majority(entries.len());
+        if planned && needs_primary {
+            primary = commands.ask_all(old.into_iter().map(step_down).collect()).await;
+        }
+        // A primary that was not stepped down is no part of the majority.
+        let fenced = paused.len() + if planned && !needs_primary { 0 } else { primary.len() };
         let stopped = |replaced: bool| {
             move |(entry, status): (Arc<ServerEntry>, EndpointStatus)| StoppedServer {
                 server: entry.server.to_string(),
@@ -348,8 +400,21 @@
                 replaced,
             }
         };
-        let stepped_down = stepped_down.into_iter().map(stopped(true));
-        stepped_down.chain(paused.into_iter().map(stopped(false))).collect()
+        let primary = primary.into_iter().map(stopped(true));
+        let servers = primary.chain(paused.into_iter().map(stopped(false))).collect();
+        Fence { servers, fenced }
+    }
+
+    /// Waits a moment for the daemons to say that they stopped, so that a replica can receive the last
+    /// writes before it is paused.
+    async fn await_answers(&self, service: &Name, run: &ChangeRun) {
+        let until = run.recorded_at + ANSWERS_WITHIN;
+        while !self.all_answered(service, run) && Instant::now() < until {
+            tokio::select! {
+                () = tokio::time::sleep_until(until.into()) => {}
+                () = self.changed.notified() => {}
+            }
+        }
     }
 
     /// Waits until every daemon that may hold a right has said that it stopped, or the rights ended.
@@ -424,7 +489,8 @@
                 let record = run.record.settled(&chosen, term);
                 self.write_record(service, &record, run.revision).await?;
                 self.step("settled", service, &run);
-                self.resume_others(service, &chosen, commands).await;
+                let old = run.record.primary.as_str();
+                self.resume_others(service, &chosen, old, Term(term), commands).await;
                 return Ok(());
             }
         }
@@ -500,11 +566,18 @@
         &self,
         service: &Name,
         chosen: &ChosenServer,
+        old_primary: &str,
+        term: Term,
         commands: &mut Commands<'_, M, O, F, E>,
     ) {
         let others = self.entries(service).into_iter();
         let others = others.filter(|entry| *entry.server != *chosen.server);
-        commands.ask_all(others.map(|entry| (entry, EndpointText::Resume)).collect()).await;
+        let asks = others.map(|entry| match *entry.server == *old_primary {
+            // It becomes a replica at once instead of when it hears of the new primary.
+            true => (entry, EndpointText::StepDown { term }),
+            false => (entry, EndpointText::Resume),
+        });
+        commands.ask_all(asks.collect()).await;
     }
 
     /// Writes the record of a group that has none: whoever leads leads.
@@ -532,3 +605,8 @@
         Ok(())
     }
 }
+
+/// Whether the old primary was left to lead.
+fn leads_on(stopped: &[StoppedServer]) -> bool {
+    stopped.iter().any(|server| server.replaced && server.status.leads)
+}
