fix(control): a primary that comes back under another identity leads on

Now a chosen server that leads in the term in force, and is not the recorded primary, is taken over without a new term.

--- a/crates/proxy/src/control/change.rs
+++ b/crates/proxy/src/control/change.rs
@@ -551,8 +551,7 @@
             let entry = entries.into_iter().find(|entry| *entry.server == *chosen.server)?;
             let status = commands.ask(&entry, EndpointText::Status).await;
             if let Ok(status) = status
-                && status.leads
-                && status.term.0 > run.record.term
+                && has_taken_over(&run.record, chosen, &status)
             {
                 return Some(status.term.0);
             }
@@ -610,3 +609,14 @@
 fn leads_on(stopped: &[StoppedServer]) -> bool {
     stopped.iter().any(|server| server.replaced && server.status.leads)
 }
+
+/// Whether the chosen server leads, and not just still. One that leads in the term that was in force
+/// is the former primary, started anew under another identity: nobody else has led since.
+fn has_taken_over(
+    record: &LeadershipRecord,
+    chosen: &ChosenServer,
+    status: &EndpointStatus,
+) -> bool {
+    let is_another = chosen.server != record.primary;
+    status.leads && (status.term.0 > record.term || (is_another && status.term.0 == record.term))
+}
--- a/crates/proxy/src/control/record.rs
+++ b/crates/proxy/src/control/record.rs
@@ -50,7 +50,11 @@
     /// Returns the record once the chosen server leads in `term`.
     pub fn settled(&self, chosen: &ChosenServer, term: u64) -> LeadershipRecord {
         let mut starts = self.starts.clone();
-        starts.push(TermStart { term: model::Term(term), start: model::Position(chosen.keeps) });
+        // A primary that only started anew goes on in its term.
+        if term > self.term {
+            let start = model::Position(chosen.keeps);
+            starts.push(TermStart { term: model::Term(term), start });
+        }
         let surplus = starts.len().saturating_sub(KEPT_STARTS);
         starts.drain(..surplus);
         LeadershipRecord { term, primary: chosen.server.clone(), starts, change: None }
--- a/crates/proxy/tests/control.rs
+++ b/crates/proxy/tests/control.rs
@@ -106,6 +106,10 @@
     assert_eq!(settled.change, None);
     assert_eq!(settled.starts[0].term, Term(4));
     assert_eq!(settled.starts[0].start.0, 17);
+    // The primary started anew under another identity: no term began.
+    let renamed = record.settled(&ChosenServer { server: "c".to_owned(), keeps: 17 }, 3);
+    assert_eq!((renamed.term, renamed.primary.as_str()), (3, "c"));
+    assert!(renamed.starts.is_empty());
 }
 
 #[test]
