fix(proxy): a write of an ended term is acknowledged only by a history that knows where the term ended

Found by following a write from its caller to the acknowledgement: a daemon without the store learns of a promotion from the servers alone, and keeps the history from before. If a write's answer came after its right had ended, that history said 'kept' of a write of the ended term, although the promotion may have rolled it back. The table test fails without the condition. Also: the log no longer says 'not run' of a read that ran and failed.

--- a/crates/proxy/src/serve/execute.rs
+++ b/crates/proxy/src/serve/execute.rs
@@ -6,7 +6,6 @@
 };
 
 use model::{LogPoint, Name, StatementClass};
-use session::Standing;
 
 use crate::{
     catalog::ReadRule,
@@ -18,7 +17,7 @@
         floor::{Place, place_for},
         job::Job,
         pool::{Lent, Wish},
-        verdict::{Next, Progress, after_error, after_loss},
+        verdict::{Next, Progress, after_error, after_loss, write_stands},
     },
     statement::{Answer, EndpointCommand, ErrorCode, StatementError, TransactionState},
 };
@@ -372,7 +371,7 @@
                 if known.server == lead.server && known.term == lead.term {
                     return true;
                 }
-                return point.is_some_and(|point| known.history.standing(point) == Standing::Kept);
+                return write_stands(point, known.term, &known.history);
             }
             match tokio::time::timeout_at(deadline.into(), beliefs.changed()).await {
                 Ok(Ok(())) => {}
@@ -392,7 +391,7 @@
         if Instant::now() + ROUND_PAUSE >= job.hold_until(self.is_gap_short(job)) {
             let code = rounds.last_error.unwrap_or(ErrorCode::Overloaded);
             let group = self.group(&job.route.service, &self.beliefs());
-            return Some(self.refuse(&group, job, code, "no server could run it", COME_BACK_MS));
+            return Some(self.refuse(&group, job, code, "no server gave an answer", COME_BACK_MS));
         }
         let reads_anywhere = job.route.reads != ReadRule::Primary;
         match next {
--- a/crates/proxy/src/serve/telling.rs
+++ b/crates/proxy/src/serve/telling.rs
@@ -83,7 +83,7 @@
             expected_wait_ms = group.pool.expected_wait().as_millis() as u64,
             held_ms = job.arrived.elapsed().as_millis() as u64, retry_after_ms = retry_after_ms,
             configuration = beliefs.catalog.version;
-            "a statement was refused and not run"
+            "a statement was refused"
         );
         StatementError::come_back(code, why, retry_after_ms)
     }
--- a/crates/proxy/src/serve/verdict.rs
+++ b/crates/proxy/src/serve/verdict.rs
@@ -2,7 +2,8 @@
 //!
 //! The table in `docs/PLATFORM.md`, "Verdicts", lists every case; `tests/verdict.rs` compares them.
 
-use model::StatementClass;
+use model::{LogPoint, StatementClass, Term};
+use session::{Standing, TermHistory};
 
 use crate::{serve::connection::ConnectionLost, statement::ErrorCode};
 
@@ -59,6 +60,15 @@
     }
 }
 
+/// Whether a write at `point` is known to stand in the history of the server that leads in `term`.
+///
+/// A history that does not reach up to that term, as after a promotion that only the servers told of,
+/// says nothing of where the write's own term ended.
+pub fn write_stands(point: Option<LogPoint>, term: Term, history: &TermHistory) -> bool {
+    history.latest() == Some(term)
+        && point.is_some_and(|point| history.standing(point) == Standing::Kept)
+}
+
 /// Whether a lost connection speaks against the server itself.
 pub fn speaks_against_server(lost: &ConnectionLost) -> bool {
     !matches!(lost, ConnectionLost::Refused(ErrorCode::TooManyConnections))
--- a/crates/proxy/tests/verdict.rs
+++ b/crates/proxy/tests/verdict.rs
@@ -1,15 +1,21 @@
 //! What may be done and said after each way in which an attempt ends.
 
-use model::StatementClass::{self, Read, Write};
+use model::{
+    LogPoint, Position,
+    StatementClass::{self, Read, Write},
+    Term, TermStart,
+};
 use proxy::{
     serve::{
         connection::ConnectionLost,
         verdict::{
             Next, Progress, after_error, after_loss, speaks_against_server, transaction_after_loss,
+            write_stands,
         },
     },
     statement::ErrorCode,
 };
+use session::TermHistory;
 
 #[test]
 fn errors_of_servers() {
@@ -65,3 +71,23 @@
     assert!(speaks_against_server(&ConnectionLost::Silent));
     assert!(speaks_against_server(&ConnectionLost::Broken("reset".to_owned())));
 }
+
+#[test]
+fn a_write_of_an_ended_term_is_acknowledged_only_by_a_history_that_knows_its_end() {
+    let start = |term, position| TermStart { term: Term(term), start: Position(position) };
+    let known = TermHistory::new(vec![start(2, 5), start(3, 20)]);
+    // What a daemon knows that was told of term 3 by the servers alone.
+    let behind = TermHistory::new(vec![start(2, 5)]);
+    let none = TermHistory::default();
+    let at = |term, position| Some(LogPoint::new(term, position));
+    let cases = [
+        ("kept", at(2, 20), &known, true),
+        ("rolled back", at(2, 21), &known, false),
+        ("the end of its term is not known", at(2, 20), &behind, false),
+        ("nothing is known", at(2, 20), &none, false),
+        ("no point was told", None, &known, false),
+    ];
+    for (name, point, history, expected) in cases {
+        assert_eq!(write_stands(point, Term(3), history), expected, "{name}");
+    }
+}
