--- a/crates/proxy/src/control/asking.rs
+++ b/crates/proxy/src/control/asking.rs
@@ -5,6 +5,7 @@
     time::{Duration, Instant},
 };
 
+use futures::{StreamExt, stream::FuturesUnordered};
 use model::{Name, Term};
 use tokio::sync::oneshot;
 
@@ -12,7 +13,8 @@
     catalog::CatalogFormat,
     control::{
         beliefs::{Basis, Lead},
-        evidence,
+        evidence::{self, LeadByEvidence},
+        peers::OwnEvidence,
         runner::{Ask, CommandAsk, Control, join_all},
     },
     dialect::EndpointDialect,
@@ -23,6 +25,9 @@
 
 /// Askings for evidence within the time that it holds.
 const EVIDENCE_PER_TERM: u32 = 2;
+/// How long an answer that might speak against a majority is waited for once there is one; a round trip
+/// between availability zones and the server's own work.
+const LAST_WORD_WITHIN: Duration = Duration::from_millis(40);
 
 impl<M, O, F, E> Control<M, O, F, E>
 where
@@ -36,24 +41,41 @@
         let every = self.evidence() / EVIDENCE_PER_TERM;
         loop {
             tokio::time::sleep(every).await;
-            let silent = {
-                let state = self.state.borrow();
-                let patience = Duration::from_millis(self.settings.leadership.refresh_ms) * 2;
-                state.last_read_at.is_none_or(|at| at.elapsed() > patience)
-            };
-            if !silent {
+            if !self.state.borrow().is_store_silent(self.patience()) {
+                self.state.borrow_mut().own_evidence.clear();
                 continue;
             }
-            let services: Vec<Name> =
-                self.state.borrow().published_servers.keys().cloned().collect();
-            let asked = services.into_iter().map(|service| self.ask_for_evidence(service));
-            join_all(asked).await;
+            let asked = self.services_to_ask(every).into_iter();
+            let found = join_all(asked.map(|service| self.ask_for_evidence(service))).await;
+            let found: Vec<OwnEvidence> = found.into_iter().flatten().collect();
+            for evidence in &found {
+                self.take_evidence(evidence);
+            }
+            let mut state = self.state.borrow_mut();
+            state.own_evidence = found;
+            state.evidence_number += 1;
+            drop(state);
+            self.news.notify_waiters();
             self.publish();
         }
     }
 
-    /// Asks one group's servers, and takes the right to a primary that a majority shows.
-    pub(crate) async fn ask_for_evidence(&self, service: Name) {
+    /// Returns the services whose servers this daemon asks itself. One that follows another daemon
+    /// leaves out those that the other's word is enough for, so that servers are not asked by everyone.
+    fn services_to_ask(&self, every: Duration) -> Vec<Name> {
+        let follows = self.zone_reader().is_some();
+        let enough_until = Instant::now() + every;
+        let state = self.state.borrow();
+        let is_known = |service: &Name| {
+            let lead = state.leads.get(service);
+            lead.is_some_and(|lead| !lead.changing && lead.valid_until > enough_until)
+        };
+        let services = state.published_servers.keys();
+        services.filter(|service| !(follows && is_known(service))).cloned().collect()
+    }
+
+    /// Asks one group's servers which primary a majority shows.
+    pub(crate) async fn ask_for_evidence(&self, service: Name) -> Option<OwnEvidence> {
         let asked_at = Instant::now();
         let deadline = asked_at + self.evidence().mul_f64(0.75);
         let servers: Vec<Name> = {
@@ -61,32 +83,50 @@
             let entries = state.published_servers.get(&service);
             entries.into_iter().flatten().map(|entry| entry.server.clone()).collect()
         };
-        let statuses = self.ask_statuses(&service, &servers, deadline).await;
-        let mut state = self.state.borrow_mut();
-        let known_term = state.leads.get(&service).map_or(Term(0), |lead| lead.term);
-        let Some(found) = evidence::judge(&statuses, servers.len(), known_term) else {
+        let known_term = self.known_term(&service);
+        let judge = |statuses: &[_]| evidence::judge(statuses, servers.len(), known_term);
+        let statuses = self.ask_statuses(&service, &servers, deadline, &judge).await;
+        let Some(found) = judge(&statuses) else {
             log::debug!(
                 event = "no_evidence", service = &*service, known_term = known_term.0,
                 servers = servers.len(), statuses = format!("{statuses:?}").as_str();
                 "the servers' answers do not show who leads"
             );
-            return;
+            return None;
         };
-        let valid_until = asked_at + self.evidence();
-        let known = state.leads.get(&service);
-        if known.is_none_or(|lead| !lead.is_valid(asked_at)) {
+        Some(OwnEvidence { service, server: found.server, term: found.term, asked_at })
+    }
+
+    fn known_term(&self, service: &Name) -> Term {
+        self.state.borrow().leads.get(service).map_or(Term(0), |lead| lead.term)
+    }
+
+    /// Takes the right to a primary that a majority showed, to this daemon or to another one.
+    pub(crate) fn take_evidence(&self, found: &OwnEvidence) {
+        let service = &found.service;
+        if found.term < self.known_term(service) {
+            return;
+        }
+        let valid_until = found.asked_at + self.evidence();
+        if valid_until <= Instant::now() {
+            return;
+        }
+        let mut state = self.state.borrow_mut();
+        let known = state.leads.get(service);
+        if known.is_none_or(|lead| !lead.is_valid(found.asked_at)) {
             log::info!(
-                event = "right_gained", service = &*service, server = &*found.server,
-                term = found.term.0, basis = Basis::Evidence.as_str(), answers = statuses.len();
+                event = "right_gained", service = &**service, server = &*found.server,
+                term = found.term.0, basis = Basis::Evidence.as_str(),
+                age_ms = found.asked_at.elapsed().as_millis() as u64;
                 "a primary may be used by the word of a majority"
             );
         }
         let same = known.filter(|lead| lead.server == found.server && lead.term == found.term);
-        let known_since = same.map_or(asked_at, |lead| lead.known_since);
+        let known_since = same.map_or(found.asked_at, |lead| lead.known_since);
         let still = same.filter(|lead| !lead.changing).map(|lead| lead.valid_until);
         let history = known.map(|lead| lead.history.clone()).unwrap_or_default();
         let lead = Lead {
-            server: found.server,
+            server: found.server.clone(),
             term: found.term,
             valid_until: still.map_or(valid_until, |until| until.max(valid_until)),
             basis: Basis::Evidence,
@@ -94,17 +134,20 @@
             known_since,
             history,
         };
-        state.leads.insert(service, lead);
+        state.leads.insert(service.clone(), lead);
     }
 
-    /// Asks servers over the connections that sessions share; returns the answers in time.
-    pub(crate) async fn ask_statuses(
+    /// Asks servers over the connections that sessions share; returns the answers in time. Once they are
+    /// enough, the others get only a moment more: what one of them might say against is heard, and a
+    /// dead server does not use up the time that the answers hold.
+    async fn ask_statuses(
         &self,
         service: &Name,
         servers: &[Name],
         deadline: Instant,
+        judge: &impl Fn(&[(Name, EndpointStatus)]) -> Option<LeadByEvidence>,
     ) -> Vec<(Name, EndpointStatus)> {
-        let mut waiting = Vec::new();
+        let mut waiting = FuturesUnordered::new();
         for server in servers {
             let (answer, answered) = oneshot::channel();
             let ask = CommandAsk {
@@ -116,13 +159,16 @@
             };
             // A full ring means that the serving thread is behind; this round goes without it.
             if self.asks.try_send(Ask::Command(ask)).is_ok() {
-                waiting.push((server.clone(), answered));
+                let server = server.clone();
+                waiting.push(async move { answered.await.ok().map(|status| (server, status)) });
             }
         }
         let mut statuses = Vec::new();
-        for (server, answered) in waiting {
-            if let Ok(Ok(status)) = tokio::time::timeout_at(deadline.into(), answered).await {
-                statuses.push((server, status));
+        let mut until = deadline;
+        while let Ok(Some(answered)) = tokio::time::timeout_at(until.into(), waiting.next()).await {
+            statuses.extend(answered);
+            if judge(&statuses).is_some() {
+                until = until.min(Instant::now() + LAST_WORD_WITHIN);
             }
         }
         statuses
--- a/crates/proxy/src/control/mirror.rs
+++ b/crates/proxy/src/control/mirror.rs
@@ -1,19 +1,36 @@
-//! A copy of the keys that daemons share, kept by watches and whole readings.
+//! A copy of what the store holds, kept by watches, whole readings and other daemons' words.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet, HashSet};
 
 use crate::metadata::{Change, Item, Revision, Snapshot};
 
-/// The keys below one prefix, as last heard.
+/// Removals that are remembered; who has heard of less than the oldest of them is told everything.
+const MOST_REMOVED: usize = 1_024;
+
+/// The keys of the store, as last heard, and what was removed lately.
 #[derive(Default)]
 pub struct Mirror {
     items: BTreeMap<String, Item>,
     /// Keys that were removed, so that an older reading can't bring them back.
     removed_at: BTreeMap<String, Revision>,
+    /// The same keys and those of the items by the revision of their last change.
+    by_revision: BTreeSet<(Revision, String)>,
+    /// Removals up to here may be forgotten.
+    forgotten_to: Revision,
+    /// Every change up to here is known.
+    followed_to: Revision,
 }
 
-/// Removals that are remembered; a whole reading forgets the older ones.
-const MOST_REMOVED: usize = 1_024;
+/// What another daemon has not heard of yet.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct News {
+    /// The changes, oldest first.
+    pub changes: Vec<Change>,
+    /// Whether these are all keys that there are, so that every other key is gone.
+    pub is_whole: bool,
+    /// Every change up to here is among them.
+    pub followed_to: Revision,
+}
 
 impl Mirror {
     /// Takes over a change, unless a later one of its key is known.
@@ -24,29 +41,50 @@
         }
     }
 
-    /// Takes over a whole reading; returns the keys that changed.
-    pub fn replace(&mut self, snapshot: Snapshot) -> Vec<String> {
-        let mut changed = Vec::new();
-        let missing: Vec<String> = self
-            .items
-            .values()
-            .filter(|item| item.revision <= snapshot.revision)
-            .filter(|item| !snapshot.items.iter().any(|read| read.key == item.key))
-            .map(|item| item.key.clone())
-            .collect();
-        for key in missing {
-            if self.remove(&key, snapshot.revision) {
-                changed.push(key);
-            }
-        }
-        self.removed_at.retain(|_, revision| *revision > snapshot.revision);
-        for item in snapshot.items {
-            let key = item.key.clone();
-            if self.put(item) {
-                changed.push(key);
-            }
-        }
-        changed
+    /// Returns the changes that turn the keys below `prefix` into those of a whole reading.
+    pub fn changes_to(&self, prefix: &str, snapshot: Snapshot) -> Vec<Change> {
+        let read: HashSet<&str> = snapshot.items.iter().map(|item| item.key.as_str()).collect();
+        let missing = self
+            .below(prefix)
+            .filter(|item| item.revision <= snapshot.revision && !read.contains(&*item.key))
+            .map(|item| Change::Removed { key: item.key.clone(), revision: snapshot.revision });
+        let mut changes: Vec<Change> = missing.collect();
+        changes.extend(snapshot.items.into_iter().map(Change::Put));
+        changes
+    }
+
+    /// Notes that every change up to a revision is known.
+    pub fn note_followed(&mut self, revision: Revision) {
+        self.followed_to = self.followed_to.max(revision);
+    }
+
+    /// Returns the revision up to which every change is known; 0 before the first whole reading.
+    pub fn followed_to(&self) -> Revision {
+        self.followed_to
+    }
+
+    /// Returns the revision of the latest change that is known.
+    pub fn last_revision(&self) -> Revision {
+        self.by_revision.last().map_or(0, |(revision, _)| *revision)
+    }
+
+    /// Whether something was heard that somebody who knows everything up to `after` has not.
+    pub fn has_news(&self, after: Revision) -> bool {
+        self.last_revision() > after
+    }
+
+    /// Returns what somebody has not heard who knows everything up to `after`.
+    pub fn news_since(&self, after: Revision) -> News {
+        let is_whole = after < self.forgotten_to;
+        let from = if is_whole { 0 } else { after.saturating_add(1) };
+        let changes = self.by_revision.range((from, String::new())..).filter_map(
+            |(revision, key)| match self.items.get(key) {
+                Some(item) => Some(Change::Put(item.clone())),
+                None if is_whole => None,
+                None => Some(Change::Removed { key: key.clone(), revision: *revision }),
+            },
+        );
+        News { changes: changes.collect(), is_whole, followed_to: self.followed_to }
     }
 
     /// Returns an item.
@@ -61,23 +99,47 @@
     }
 
     fn put(&mut self, item: Item) -> bool {
-        let known = self.items.get(&item.key).map_or(0, |known| known.revision);
-        let removed = self.removed_at.get(&item.key).copied().unwrap_or(0);
-        if item.revision <= known.max(removed) {
+        if item.revision <= self.last_change_of(&item.key) {
             return false;
         }
+        self.forget_place_of(&item.key);
         self.removed_at.remove(&item.key);
+        self.by_revision.insert((item.revision, item.key.clone()));
         self.items.insert(item.key.clone(), item);
         true
     }
 
     fn remove(&mut self, key: &str, revision: Revision) -> bool {
-        if self.items.get(key).is_some_and(|item| item.revision > revision) {
+        if revision < self.last_change_of(key) {
             return false;
         }
-        if self.removed_at.len() < MOST_REMOVED {
-            self.removed_at.insert(key.to_owned(), revision);
+        self.forget_place_of(key);
+        self.by_revision.insert((revision, key.to_owned()));
+        self.removed_at.insert(key.to_owned(), revision);
+        let was_there = self.items.remove(key).is_some();
+        if self.removed_at.len() > MOST_REMOVED {
+            self.forget_oldest_removal();
         }
-        self.items.remove(key).is_some()
+        was_there
+    }
+
+    fn last_change_of(&self, key: &str) -> Revision {
+        let put = self.items.get(key).map_or(0, |item| item.revision);
+        put.max(self.removed_at.get(key).copied().unwrap_or(0))
+    }
+
+    fn forget_place_of(&mut self, key: &str) {
+        let revision = self.last_change_of(key);
+        self.by_revision.remove(&(revision, key.to_owned()));
+    }
+
+    fn forget_oldest_removal(&mut self) {
+        let oldest = self.removed_at.iter().min_by_key(|(_, revision)| **revision);
+        let Some((key, revision)) = oldest.map(|(key, revision)| (key.clone(), *revision)) else {
+            return;
+        };
+        self.removed_at.remove(&key);
+        self.by_revision.remove(&(revision, key));
+        self.forgotten_to = self.forgotten_to.max(revision);
     }
 }
--- /dev/null
+++ b/crates/proxy/src/control/peer_link.rs
@@ -0,0 +1,118 @@
+//! The connections over which daemons ask each other; what passes stands in [`super::peers`].
+
+use std::{
+    cell::RefCell,
+    collections::HashMap,
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use bytes::{Bytes, BytesMut};
+use futures::{SinkExt, StreamExt};
+use prost::Message;
+use tokio::net::{TcpListener, TcpStream};
+use tokio_util::codec::{Framed, LengthDelimitedCodec};
+
+use crate::control::peers::{FollowAnswer, FollowRequest};
+
+/// How long another daemon may take to answer beyond the time that the question may wait there; a
+/// round trip within a zone and the scheduling of a busy host.
+const ANSWER_WITHIN: Duration = Duration::from_millis(120);
+/// How long a daemon that did not answer is not asked.
+const SILENT_FOR: Duration = Duration::from_secs(3);
+/// The largest frame: everything that the store holds for a large installation.
+const LONGEST_FRAME_BYTES: usize = 16 * 1024 * 1024;
+
+type Frames = Framed<TcpStream, LengthDelimitedCodec>;
+
+fn framed(stream: TcpStream) -> Frames {
+    // Without it messages only go out a little later.
+    let _ = stream.set_nodelay(true);
+    LengthDelimitedCodec::builder().max_frame_length(LONGEST_FRAME_BYTES).new_framed(stream)
+}
+
+/// Answers askers for as long as the daemon runs.
+pub(crate) async fn answer_askers(
+    listener: TcpListener,
+    answer: impl AsyncFn(FollowRequest) -> FollowAnswer + Clone + 'static,
+) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let answer = answer.clone();
+                tokio::task::spawn_local(answer_asker(stream, answer));
+            }
+            Err(error) => {
+                log::warn!(
+                    event = "accept_failed", why = error.to_string().as_str();
+                    "another daemon could not be accepted"
+                );
+                tokio::time::sleep(ANSWER_WITHIN).await;
+            }
+        }
+    }
+}
+
+/// Answers one asker's questions in turn, until it leaves.
+async fn answer_asker(stream: TcpStream, answer: impl AsyncFn(FollowRequest) -> FollowAnswer) {
+    let mut frames = framed(stream);
+    while let Some(Ok(frame)) = frames.next().await {
+        let Ok(request) = FollowRequest::decode(frame) else {
+            log::warn!(event = "peer_garbled"; "another daemon's question can't be understood");
+            return;
+        };
+        let answer = Bytes::from(answer(request).await.encode_to_vec());
+        if frames.send(answer).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Asks other daemons, over connections that are kept.
+#[derive(Clone, Default)]
+pub(crate) struct Asker {
+    open: Rc<RefCell<HashMap<SocketAddr, Frames>>>,
+    silent_until: Rc<RefCell<HashMap<SocketAddr, Instant>>>,
+}
+
+impl Asker {
+    /// Whether a daemon did not answer a moment ago.
+    pub(crate) fn is_silent(&self, address: SocketAddr, now: Instant) -> bool {
+        self.silent_until.borrow().get(&address).is_some_and(|until| now < *until)
+    }
+
+    /// Passes a daemon over for a while.
+    pub(crate) fn pass_over(&self, address: SocketAddr, now: Instant) {
+        self.silent_until.borrow_mut().insert(address, now + SILENT_FOR);
+    }
+
+    /// Asks a daemon; `None` if it does not answer soon after the time that the question may wait. One
+    /// that does not is passed over for a while.
+    pub(crate) async fn ask(
+        &self,
+        address: SocketAddr,
+        request: &FollowRequest,
+    ) -> Option<FollowAnswer> {
+        let within = Duration::from_millis(request.wait_ms) + ANSWER_WITHIN;
+        let asked = tokio::time::timeout(within, self.exchange(address, request)).await;
+        let answer = asked.ok().flatten();
+        if answer.is_none() {
+            self.pass_over(address, Instant::now());
+        }
+        answer
+    }
+
+    async fn exchange(&self, address: SocketAddr, request: &FollowRequest) -> Option<FollowAnswer> {
+        let open = self.open.borrow_mut().remove(&address);
+        let mut frames = match open {
+            Some(frames) => frames,
+            None => framed(TcpStream::connect(address).await.ok()?),
+        };
+        frames.send(Bytes::from(request.encode_to_vec())).await.ok()?;
+        let frame: BytesMut = frames.next().await?.ok()?;
+        let answer = FollowAnswer::decode(frame).ok()?;
+        self.open.borrow_mut().insert(address, frames);
+        Some(answer)
+    }
+}
--- a/crates/proxy/src/control/peers.rs
+++ b/crates/proxy/src/control/peers.rs
@@ -1,49 +1,208 @@
-//! Readings of the leadership records that daemons of an availability zone share.
+//! What daemons of an availability zone tell each other of the store.
 //!
-//! One daemon of each zone reads the store; the others ask it how old its last reading is. The asker
-//! counts the age from when it *asked*, so a late answer only makes the right shorter. An answer
-//! counts only if the reader saw the asker's member key, and only for records that the asker knows at
-//! the same revision. Nothing is passed on: only a reading of one's own is told. See
-//! `docs/PLATFORM.md`, "Who leads".
+//! One daemon of each zone watches and reads the store; the others ask it for what has changed and how
+//! old its last reading is. The question waits until there is something to tell. Changes are passed on,
+//! also those that were heard from another daemon; of readings and evidence only one's own are told.
+//!
+//! An answer counts from the moment at which it was made at the earliest, which is when the question
+//! was sent and the time that it waited: a late answer only makes the right shorter. A reading counts
+//! only if the reader saw the asker's member key, and only for records that the asker knows at the same
+//! revision. See `docs/PLATFORM.md`, "Who leads" and "Following the store".
 
 use std::{
-    cell::RefCell,
     collections::HashMap,
-    net::SocketAddr,
-    rc::Rc,
     time::{Duration, Instant},
 };
 
-use bytes::{Bytes, BytesMut};
-use futures::{SinkExt, StreamExt};
-use model::Name;
+use bytes::Bytes;
+use model::{Name, Term};
 use prost::Message;
-use tokio::net::{TcpListener, TcpStream};
-use tokio_util::codec::{Framed, LengthDelimitedCodec};
-
-use crate::metadata::Revision;
 
-/// How long another daemon may take to answer; the store is asked instead after it.
-const ANSWER_WITHIN: Duration = Duration::from_millis(120);
-/// How long a daemon that did not answer is not asked.
-const SILENT_FOR: Duration = Duration::from_secs(3);
-/// The largest frame: a record's name and revision for each service of a large installation.
-const LONGEST_FRAME_BYTES: usize = 4 * 1024 * 1024;
+use crate::{
+    control::mirror::News,
+    metadata::{Change, Item, Revision},
+};
 
-/// How old is your last reading?
+/// What have you heard, and how old is your last reading?
 #[derive(Clone, PartialEq, Message)]
-pub struct ReadingRequest {
+pub struct FollowRequest {
     /// The asking daemon's host.
     #[prost(string, tag = "1")]
     pub host: String,
+    /// The asker knows every change up to this revision.
+    #[prost(uint64, tag = "2")]
+    pub followed_to: Revision,
+    /// The latest change that this daemon told the asker of; what is later is news.
+    #[prost(uint64, tag = "3")]
+    pub heard_to: Revision,
+    /// The number of the last reading that the asker was told of.
+    #[prost(uint64, tag = "4")]
+    pub reading_number: u64,
+    /// The number of the last round of evidence that the asker was told of.
+    #[prost(uint64, tag = "5")]
+    pub evidence_number: u64,
+    /// How long the answer may wait for something to tell, in milliseconds.
+    #[prost(uint64, tag = "6")]
+    pub wait_ms: u64,
+}
+
+/// What there is to tell.
+#[derive(Clone, PartialEq, Message)]
+pub struct FollowAnswer {
+    /// How long the question waited here, in milliseconds, rounded down.
+    #[prost(uint64, tag = "1")]
+    pub held_ms: u64,
+    /// The last reading by the answering daemon itself.
+    #[prost(message, optional, tag = "2")]
+    pub reading: Option<ReadingAnswer>,
+    /// Changes that the asker may not have heard of, oldest first.
+    #[prost(message, repeated, tag = "3")]
+    pub changes: Vec<ChangeMessage>,
+    /// Whether the changes are all keys that there are.
+    #[prost(bool, tag = "4")]
+    pub is_whole: bool,
+    /// Every change up to this revision is known to the answering daemon.
+    #[prost(uint64, tag = "5")]
+    pub followed_to: Revision,
+    /// The latest change that it knows of.
+    #[prost(uint64, tag = "6")]
+    pub heard_to: Revision,
+    /// Who leads by the word of a majority of the servers, as the answering daemon itself found out.
+    #[prost(message, repeated, tag = "7")]
+    pub evidence: Vec<EvidenceMessage>,
+    /// The number of the round in which it did.
+    #[prost(uint64, tag = "8")]
+    pub evidence_number: u64,
+}
+
+/// A change of one key.
+#[derive(Clone, PartialEq, Message)]
+pub struct ChangeMessage {
+    /// The key.
+    #[prost(string, tag = "1")]
+    pub key: String,
+    /// The revision of the change.
+    #[prost(uint64, tag = "2")]
+    pub revision: Revision,
+    /// The revision at which the key was created.
+    #[prost(uint64, tag = "3")]
+    pub created: Revision,
+    /// The value; none if the key was removed.
+    #[prost(bytes = "bytes", optional, tag = "4")]
+    pub value: Option<Bytes>,
+}
+
+impl From<Change> for ChangeMessage {
+    fn from(change: Change) -> ChangeMessage {
+        match change {
+            Change::Put(Item { key, value, revision, created }) => {
+                ChangeMessage { key, revision, created, value: Some(value) }
+            }
+            Change::Removed { key, revision } => {
+                ChangeMessage { key, revision, created: 0, value: None }
+            }
+        }
+    }
+}
+
+impl From<ChangeMessage> for Change {
+    fn from(message: ChangeMessage) -> Change {
+        let ChangeMessage { key, revision, created, value } = message;
+        match value {
+            Some(value) => Change::Put(Item { key, value, revision, created }),
+            None => Change::Removed { key, revision },
+        }
+    }
+}
+
+/// Who leads a service by the word of a majority.
+#[derive(Clone, PartialEq, Message)]
+pub struct EvidenceMessage {
+    /// The service.
+    #[prost(string, tag = "1")]
+    pub service: String,
+    /// The server that leads.
+    #[prost(string, tag = "2")]
+    pub server: String,
+    /// Its term.
+    #[prost(uint64, tag = "3")]
+    pub term: u64,
+    /// How long ago the servers were asked, in milliseconds, as the answer is sent; rounded up.
+    #[prost(uint64, tag = "4")]
+    pub age_ms: u64,
+}
+
+/// Who leads a service by the word of a majority, and when the servers were asked.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct OwnEvidence {
+    /// The service.
+    pub service: Name,
+    /// The server that leads.
+    pub server: Name,
+    /// Its term.
+    pub term: Term,
+    /// When the servers were asked.
+    pub asked_at: Instant,
+}
+
+impl OwnEvidence {
+    /// Returns what an asker is told at `now`.
+    pub fn told_at(&self, now: Instant) -> EvidenceMessage {
+        EvidenceMessage {
+            service: self.service.to_string(),
+            server: self.server.to_string(),
+            term: self.term.0,
+            age_ms: age_ms(self.asked_at, now),
+        }
+    }
+}
+
+/// What an answer tells besides its reading, taken apart.
+pub struct Told {
+    /// Changes, or everything that there is.
+    pub news: News,
+    /// Evidence, each with the latest moment at which the servers can have been asked.
+    pub evidence: Vec<OwnEvidence>,
+}
+
+impl FollowAnswer {
+    /// Returns the earliest moment at which the answer to a question sent at `sent_at` was made.
+    pub fn made_at(&self, sent_at: Instant) -> Instant {
+        sent_at + Duration::from_millis(self.held_ms)
+    }
+
+    /// Takes the changes and the evidence out.
+    pub fn take_told(&mut self, sent_at: Instant) -> Told {
+        let made_at = self.made_at(sent_at);
+        let changes = std::mem::take(&mut self.changes).into_iter().map(Change::from);
+        let news = News {
+            changes: changes.collect(),
+            is_whole: self.is_whole,
+            followed_to: self.followed_to,
+        };
+        let evidence = std::mem::take(&mut self.evidence).into_iter().filter_map(|it| {
+            Some(OwnEvidence {
+                service: Name::from(it.service.as_str()),
+                server: Name::from(it.server.as_str()),
+                term: Term(it.term),
+                asked_at: made_at.checked_sub(Duration::from_millis(it.age_ms))?,
+            })
+        });
+        Told { news, evidence: evidence.collect() }
+    }
+}
+
+/// Returns an age in milliseconds, rounded up, so that nothing seems younger than it is.
+fn age_ms(since: Instant, now: Instant) -> u64 {
+    now.saturating_duration_since(since).as_millis() as u64 + 1
 }
 
 /// The last reading.
 #[derive(Clone, PartialEq, Message)]
 pub struct ReadingAnswer {
-    /// Whether there is one.
-    #[prost(bool, tag = "1")]
-    pub is_known: bool,
+    /// Its number in the life of the answering daemon, from 1 on.
+    #[prost(uint64, tag = "1")]
+    pub number: u64,
     /// How long ago it was asked for, in milliseconds, as the answer is sent.
     #[prost(uint64, tag = "2")]
     pub age_ms: u64,
@@ -69,6 +228,8 @@
 /// A reading of the store by this daemon itself.
 #[derive(Clone, Debug)]
 pub struct OwnReading {
+    /// Its number, from 1 on.
+    pub number: u64,
     /// When it was asked for.
     pub asked_at: Instant,
     /// The members that it showed.
@@ -80,15 +241,13 @@
 impl OwnReading {
     /// Returns what an asker is told.
     pub fn answer_to(&self, host: &str, now: Instant) -> ReadingAnswer {
-        let age = now.saturating_duration_since(self.asked_at);
         let records = self.records.iter().map(|(service, revision)| RecordRevision {
             service: service.to_string(),
             revision: *revision,
         });
         ReadingAnswer {
-            is_known: true,
-            // Rounded up, so that the reading never seems younger than it is.
-            age_ms: age.as_millis() as u64 + 1,
+            number: self.number,
+            age_ms: age_ms(self.asked_at, now),
             shows_asker: self.members.iter().any(|member| member == host),
             records: records.collect(),
         }
@@ -109,15 +268,15 @@
     Useless,
 }
 
-/// Judges an answer to a question that was sent at `sent_at`; `known` are the asker's own records.
-pub fn judge_answer(
+/// Judges a reading that was told at `made_at` at the earliest; `known` are the asker's own records.
+pub fn judge_reading(
     answer: &ReadingAnswer,
-    sent_at: Instant,
+    made_at: Instant,
     useful_for: Duration,
     known: &HashMap<Name, Revision>,
 ) -> SharedReading {
     let age = Duration::from_millis(answer.age_ms);
-    if !answer.is_known || !answer.shows_asker || age > useful_for {
+    if !answer.shows_asker || age > useful_for {
         return SharedReading::Useless;
     }
     let mut services = Vec::new();
@@ -132,93 +291,8 @@
             Some(_) | None => return SharedReading::Useless,
         }
     }
-    match sent_at.checked_sub(age) {
+    match made_at.checked_sub(age) {
         Some(asked_at) => SharedReading::Renews { asked_at, services },
         None => SharedReading::Useless,
     }
 }
-
-type Frames = Framed<TcpStream, LengthDelimitedCodec>;
-
-fn framed(stream: TcpStream) -> Frames {
-    LengthDelimitedCodec::builder().max_frame_length(LONGEST_FRAME_BYTES).new_framed(stream)
-}
-
-/// Answers askers for as long as the daemon runs.
-pub async fn answer_askers(
-    listener: TcpListener,
-    answer: impl Fn(&str) -> ReadingAnswer + Clone + 'static,
-) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                // Without it answers only come a little later.
-                let _ = stream.set_nodelay(true);
-                let answer = answer.clone();
-                tokio::task::spawn_local(async move {
-                    let mut frames = framed(stream);
-                    while let Some(Ok(frame)) = frames.next().await {
-                        let Ok(request) = ReadingRequest::decode(frame) else { return };
-                        let answer = Bytes::from(answer(&request.host).encode_to_vec());
-                        if frames.send(answer).await.is_err() {
-                            return;
-                        }
-                    }
-                });
-            }
-            Err(error) => {
-                log::warn!(
-                    event = "accept_failed", why = error.to_string().as_str();
-                    "another daemon could not be accepted"
-                );
-                tokio::time::sleep(ANSWER_WITHIN).await;
-            }
-        }
-    }
-}
-
-/// Asks other daemons, over connections that are kept.
-#[derive(Clone, Default)]
-pub struct Asker {
-    open: Rc<RefCell<HashMap<SocketAddr, Frames>>>,
-    silent_until: Rc<RefCell<HashMap<SocketAddr, Instant>>>,
-}
-
-impl Asker {
-    /// Whether a daemon did not answer a moment ago.
-    pub fn is_silent(&self, address: SocketAddr, now: Instant) -> bool {
-        self.silent_until.borrow().get(&address).is_some_and(|until| now < *until)
-    }
-
-    /// Asks a daemon for its last reading; `None` if it does not answer in time.
-    pub async fn ask(&self, address: SocketAddr, host: &str) -> Option<ReadingAnswer> {
-        let asked = tokio::time::timeout(ANSWER_WITHIN, self.exchange(address, host)).await;
-        match asked {
-            Ok(Some(answer)) => Some(answer),
-            Ok(None) | Err(_) => {
-                let until = Instant::now() + SILENT_FOR;
-                self.silent_until.borrow_mut().insert(address, until);
-                None
-            }
-        }
-    }
-
-    async fn exchange(&self, address: SocketAddr, host: &str) -> Option<ReadingAnswer> {
-        let open = self.open.borrow_mut().remove(&address);
-        let mut frames = match open {
-            Some(frames) => frames,
-            None => {
-                let stream = TcpStream::connect(address).await.ok()?;
-                // Without it the question only goes out a little later.
-                let _ = stream.set_nodelay(true);
-                framed(stream)
-            }
-        };
-        let request = ReadingRequest { host: host.to_owned() };
-        frames.send(Bytes::from(request.encode_to_vec())).await.ok()?;
-        let frame: BytesMut = frames.next().await?.ok()?;
-        let answer = ReadingAnswer::decode(frame).ok()?;
-        self.open.borrow_mut().insert(address, frames);
-        Some(answer)
-    }
-}
--- a/crates/proxy/src/control/records.rs
+++ b/crates/proxy/src/control/records.rs
@@ -68,26 +68,16 @@
             .collect()
     }
 
-    /// Takes over changes of the keys that daemons share.
-    pub(crate) fn on_own_keys<'a>(&self, keys: impl Iterator<Item = &'a str>) {
-        let prefix = self.key("groups/");
-        let suspicions = self.key("suspicions/");
-        let mut touched: Vec<Name> = Vec::new();
-        for key in keys {
-            if let Some(service) = key.strip_prefix(&*prefix) {
-                touched.push(Name::from(service));
-            }
-            if let Some(suspicion) = key.strip_prefix(&*suspicions) {
-                self.look_at_suspicion(key, suspicion);
-            }
-        }
-        for (service, record) in self.records() {
-            if touched.contains(&service) {
-                self.on_record(service, &record);
+    /// Takes over a change of a key that daemons share.
+    pub(crate) fn on_own_key(&self, key: &str) {
+        if let Some(service) = key.strip_prefix(&*self.key("groups/")) {
+            let service = Name::from(service);
+            if let Some(known) = self.known_record(&service) {
+                self.on_record(service, &known.record);
             }
+        } else if let Some(suspicion) = key.strip_prefix(&*self.key("suspicions/")) {
+            self.look_at_suspicion(key, suspicion);
         }
-        self.note_members(Instant::now());
-        self.changed.notify_waiters();
     }
 
     /// Takes over a changed leadership record; the right by the store ends with the change it tells of.
--- a/crates/proxy/src/control/rights.rs
+++ b/crates/proxy/src/control/rights.rs
@@ -2,29 +2,26 @@
 
 use std::{
     collections::HashMap,
-    net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
 };
 
-use model::Name;
-use tokio::net::TcpListener;
-
 use crate::{
     catalog::CatalogFormat,
     control::{
         beliefs::Basis,
-        peers::{OwnReading, ReadingAnswer, SharedReading, answer_askers, judge_answer},
-        runner::{Control, MemberValue, Pause},
+        peers::OwnReading,
+        runner::{Control, Pause},
     },
     dialect::EndpointDialect,
     metadata::{Consistency, Item, MetadataStore, Revision, Snapshot},
     order::PromotionOrders,
 };
+use model::Name;
 
-/// How often another daemon is asked within the time between two readings of its own; an answer tells
-/// of a reading that may be that old already.
-const ASKS_PER_READING: u32 = 2;
+/// How often it is looked whether another daemon's reading has become too old, within the time between
+/// two readings.
+const LOOKS_PER_READING: u32 = 4;
 
 impl<M, O, F, E> Control<M, O, F, E>
 where
@@ -38,9 +35,9 @@
         let every = Duration::from_millis(self.settings.leadership.refresh_ms);
         let mut pause = Pause::default();
         loop {
-            if self.refresh_by_peer().await {
+            if self.is_reading_shared() {
                 tokio::select! {
-                    () = tokio::time::sleep(every / ASKS_PER_READING) => {}
+                    () = tokio::time::sleep(every / LOOKS_PER_READING) => {}
                     () = self.refresh_now.notified() => {}
                 }
                 continue;
@@ -54,6 +51,7 @@
                 Ok(snapshot) => {
                     pause.reset();
                     self.on_own_snapshot(snapshot, asked_at);
+                    self.doubt_reader();
                     let rest = every.saturating_sub(asked_at.elapsed());
                     tokio::select! {
                         () = tokio::time::sleep(rest) => {}
@@ -72,51 +70,6 @@
         }
     }
 
-    /// Asks the daemon that reads the store for this zone; `false` if the store has to be read.
-    pub(crate) async fn refresh_by_peer(&self) -> bool {
-        let Some(reader) = self.zone_reader() else { return false };
-        let sent_at = Instant::now();
-        let Some(answer) = self.asker.ask(reader, &self.settings.host).await else {
-            log::info!(
-                event = "peer_silent", peer = reader.to_string().as_str();
-                "the zone's reader did not answer and the store is read"
-            );
-            return false;
-        };
-        let known = self.record_revisions();
-        match judge_answer(&answer, sent_at, self.right() / 2, &known) {
-            SharedReading::Renews { asked_at, services } => {
-                self.state.borrow_mut().last_read_at = Some(Instant::now());
-                self.grant_rights(asked_at, Some(&services));
-                self.publish();
-                true
-            }
-            SharedReading::Useless => false,
-        }
-    }
-
-    /// Returns the daemon of this zone that reads the store for the others; `None` if it is this one,
-    /// which it also is while it holds the duty to promote.
-    pub(crate) fn zone_reader(&self) -> Option<SocketAddr> {
-        if self.held_duty().is_some() {
-            return None;
-        }
-        let now = Instant::now();
-        let prefix = self.key("members/");
-        let state = self.state.borrow();
-        let members = state.mirror.below(&prefix);
-        let mut readers = members.filter_map(|item| {
-            let value: MemberValue = serde_json::from_slice(&item.value).ok()?;
-            let same_zone = value.availability_zone == *self.settings.availability_zone;
-            let address = value.peer_address.filter(|_| same_zone)?;
-            let host = &item.key[prefix.len()..];
-            (!self.asker.is_silent(address, now)).then(|| (host.to_owned(), address))
-        });
-        // Members come in the order of their names, so that all choose the same one.
-        let (host, address) = readers.next()?;
-        (host != *self.settings.host).then_some(address)
-    }
-
     /// Returns the leadership records that this daemon knows, by revision.
     pub(crate) fn record_revisions(&self) -> HashMap<Name, Revision> {
         let prefix = self.key("groups/");
@@ -125,20 +78,13 @@
         items.map(|item| (Name::from(&item.key[prefix.len()..]), item.revision)).collect()
     }
 
-    /// Returns what another daemon is told of this one's last reading.
-    pub(crate) fn answer_peer(&self, host: &str) -> ReadingAnswer {
-        let state = self.state.borrow();
-        let reading = state.own_reading.as_ref();
-        reading.map(|reading| reading.answer_to(host, Instant::now())).unwrap_or_default()
-    }
-
     /// Takes over a reading of the daemons' own keys that was asked for at `asked_at`.
     pub(crate) fn on_own_snapshot(&self, snapshot: Snapshot, asked_at: Instant) {
         let reading = self.own_reading(&snapshot, asked_at);
         let before = self.state.borrow_mut().own_reading.replace(reading);
         let now = Instant::now();
         let is_member = snapshot.items.iter().any(|item| item.key == self.member_key());
-        let changed = {
+        let changes = {
             let mut state = self.state.borrow_mut();
             let gap = before.is_none_or(|it| now.duration_since(it.asked_at) > self.right());
             if gap {
@@ -147,9 +93,9 @@
                 state.watching_since = Some(now);
             }
             state.last_read_at = Some(now);
-            state.mirror.replace(snapshot)
+            state.mirror.changes_to(&self.key(""), snapshot)
         };
-        self.on_own_keys(changed.iter().map(String::as_str));
+        self.take_over(changes);
         if is_member {
             self.grant_rights(asked_at, None);
         } else if self.is_key_gone() {
@@ -162,9 +108,12 @@
     /// Returns the part of a reading that other daemons are told of.
     pub(crate) fn own_reading(&self, snapshot: &Snapshot, asked_at: Instant) -> OwnReading {
         let (members, groups) = (self.key("members/"), self.key("groups/"));
+        let number =
+            self.state.borrow().own_reading.as_ref().map_or(0, |reading| reading.number) + 1;
         let keys = snapshot.items.iter();
         let below = |prefix: &str, item: &Item| item.key.strip_prefix(prefix).map(str::to_owned);
         OwnReading {
+            number,
             asked_at,
             members: keys.clone().filter_map(|item| below(&members, item)).collect(),
             records: keys
@@ -181,6 +130,10 @@
             if services.is_some_and(|services| !services.contains(&service)) {
                 continue;
             }
+            // The lead may not say so any more: evidence from before the change overrules it.
+            if record.change.is_some() {
+                continue;
+            }
             let mut state = self.state.borrow_mut();
             let Some(lead) = state.leads.get_mut(&service) else { continue };
             if *lead.server == *record.primary && lead.term.0 == record.term && !lead.changing {
@@ -196,19 +149,4 @@
             }
         }
     }
-
-    /// Tells other daemons of this one's readings.
-    pub(crate) async fn peer_loop(self: Rc<Self>, listener: Option<std::net::TcpListener>) {
-        let Some(listener) = listener else { return };
-        match TcpListener::from_std(listener) {
-            Ok(listener) => {
-                let control = self.clone();
-                answer_askers(listener, move |host: &str| control.answer_peer(host)).await;
-            }
-            Err(error) => log::error!(
-                event = "listen_failed", why = error.to_string().as_str();
-                "other daemons can't be answered"
-            ),
-        }
-    }
 }
--- a/crates/proxy/src/control/runner.rs
+++ b/crates/proxy/src/control/runner.rs
@@ -20,8 +20,10 @@
     catalog::{Catalog, CatalogFormat},
     control::{
         beliefs::{Beliefs, Lead, Observation},
+        following::HeardOf,
         mirror::Mirror,
-        peers::{Asker, OwnReading},
+        peer_link::Asker,
+        peers::{OwnEvidence, OwnReading},
         servers::ServerList,
     },
     dialect::EndpointDialect,
@@ -96,6 +98,13 @@
     pub(crate) duty_lease: Option<HeldLease>,
     /// This daemon's last reading of the store, for others.
     pub(crate) own_reading: Option<OwnReading>,
+    /// What this daemon found out from the servers themselves in the last round, for others.
+    pub(crate) own_evidence: Vec<OwnEvidence>,
+    /// The number of that round.
+    pub(crate) evidence_number: u64,
+    /// When the zone's reader asked for the last reading that was of use here.
+    pub(crate) shared_reading_at: Option<Instant>,
+    pub(crate) heard_of: HeardOf,
     /// When each other daemon was last known to be a member.
     pub(crate) members_seen: HashMap<String, Instant>,
     /// Since when members have been watched, which bounds what may have been missed.
@@ -114,6 +123,13 @@
     pub(crate) servers_dirty: bool,
 }
 
+impl State {
+    /// Whether no reading of the store has come for so long.
+    pub(crate) fn is_store_silent(&self, patience: Duration) -> bool {
+        self.last_read_at.is_none_or(|at| at.elapsed() > patience)
+    }
+}
+
 /// The settings of the control thread.
 #[derive(Clone, Debug)]
 pub struct ControlSettings {
@@ -167,6 +183,8 @@
     pub(crate) state: RefCell<State>,
     /// Wakes whoever decides by the mirror.
     pub(crate) changed: Notify,
+    /// Wakes the answers to daemons that follow the store through this one.
+    pub(crate) news: Notify,
     pub(crate) changes_running: RefCell<BTreeSet<Name>>,
     pub(crate) change_count: Cell<u64>,
     pub(crate) format: F,
@@ -203,6 +221,7 @@
         metrics: parts.metrics,
         state: RefCell::default(),
         changed: Notify::new(),
+        news: Notify::new(),
         changes_running: RefCell::default(),
         change_count: Cell::new(0),
         format: parts.format,
@@ -265,6 +284,11 @@
         Duration::from_millis(self.settings.leadership.right_ms)
     }
 
+    /// How long no reading may come before the store counts as silent.
+    pub(crate) fn patience(&self) -> Duration {
+        Duration::from_millis(self.settings.leadership.refresh_ms) * 2
+    }
+
     pub(crate) fn evidence(&self) -> Duration {
         Duration::from_millis(self.settings.leadership.evidence_ms)
     }
@@ -279,6 +303,10 @@
         let now = Instant::now();
         let mut state = self.state.borrow_mut();
         let grace = Duration::from_millis(self.settings.leadership.lapse_grace_ms);
+        if state.is_store_silent(self.patience()) {
+            // Servers can't renew their entries either, as far as is known here.
+            state.servers.restart_grace(now);
+        }
         for server in state.servers.expire(grace, now) {
             log::info!(event = "server_gone", server = &*server; "a server's entry stayed away");
             state.servers_dirty = true;
--- a/crates/proxy/src/control/servers.rs
+++ b/crates/proxy/src/control/servers.rs
@@ -54,16 +54,6 @@
         false
     }
 
-    /// Keeps only entries with these keys, as a whole reading of the store shows them.
-    pub fn retain(&mut self, present: &dyn Fn(&str) -> bool, now: Instant) -> bool {
-        let missing: Vec<String> = self.known.keys().filter(|key| !present(key)).cloned().collect();
-        let mut changed = false;
-        for key in missing {
-            changed |= self.remove(&key, now);
-        }
-        changed
-    }
-
     /// Drops servers whose entry has been gone for longer than `grace`; returns those dropped.
     pub fn expire(&mut self, grace: Duration, now: Instant) -> Vec<Name> {
         let over = |known: &Known| {
--- a/crates/proxy/src/control/watching.rs
+++ b/crates/proxy/src/control/watching.rs
@@ -28,7 +28,8 @@
             match self.read_everything().await {
                 Ok(revision) => {
                     pause.reset();
-                    let error = self.follow(revision).await;
+                    self.state.borrow_mut().mirror.note_followed(revision);
+                    let error = self.follow().await;
                     log::info!(
                         event = "watch_ended", why = error.to_string().as_str();
                         "the watch ended and everything is read again"
@@ -58,12 +59,12 @@
         self.count_call("range", &servers);
         let servers = servers?;
         let own = self.read_own_keys().await?;
-        for item in configuration.items.iter().filter(|item| item.key == key) {
-            self.on_configuration(item);
-        }
-        self.on_server_snapshot(&servers);
+        let revision = configuration.revision.min(servers.revision).min(own);
+        let changes = self.state.borrow().mirror.changes_to(key, configuration);
+        self.take_over(changes);
+        self.on_server_snapshot(servers);
         self.publish();
-        Ok(configuration.revision.min(servers.revision).min(own))
+        Ok(revision)
     }
 
     /// Reads the daemons' own keys, as the watch may have missed changes of them too.
@@ -79,59 +80,68 @@
     }
 
     /// Takes over a whole reading of the servers' entries.
-    pub(crate) fn on_server_snapshot(&self, snapshot: &Snapshot) {
-        let now = Instant::now();
-        {
-            let mut state = self.state.borrow_mut();
-            let present = |key: &str| snapshot.items.iter().any(|item| item.key == key);
-            if state.servers.retain(&present, now) {
-                state.servers_dirty = true;
-            }
-            state.servers_known = true;
-            // A long time without the store may have made entries lapse that servers renew now.
-            state.servers.restart_grace(now);
-        }
-        for item in &snapshot.items {
-            self.on_server(item);
-        }
+    pub(crate) fn on_server_snapshot(&self, snapshot: Snapshot) {
+        let prefix = self.format.servers_prefix();
+        let changes = self.state.borrow().mirror.changes_to(prefix, snapshot);
+        self.take_over(changes);
+        let mut state = self.state.borrow_mut();
+        state.servers_known = true;
+        // A long time without the store may have made entries lapse that servers renew now.
+        state.servers.restart_grace(Instant::now());
     }
 
-    /// Follows the changes until something goes wrong.
-    pub(crate) async fn follow(&self, mut revision: Revision) -> MetadataError {
+    /// Follows the changes, through the zone's reader where there is one, until something goes wrong.
+    pub(crate) async fn follow(&self) -> MetadataError {
         let wait = Duration::from_millis(self.settings.metadata.watch_wait_ms);
         loop {
+            if let Some(reader) = self.zone_reader() {
+                self.follow_reader(reader).await;
+                continue;
+            }
             // One watch over all keys costs one call where three prefixes would cost three.
-            let changes = self.store.watch("", revision, wait).await;
+            let after = self.state.borrow().mirror.followed_to();
+            let changes = self.store.watch("", after, wait).await;
             self.count_call("watch", &changes);
-            let changes = match changes {
-                Ok(changes) => changes,
+            match changes {
+                Ok(changes) => {
+                    self.take_over(changes.changes);
+                    self.state.borrow_mut().mirror.note_followed(changes.revision);
+                    self.note_members(Instant::now());
+                    self.publish();
+                }
                 Err(error) => return error,
-            };
-            revision = revision.max(changes.revision);
-            for change in changes.changes {
-                self.on_change(change);
             }
-            self.publish();
         }
     }
 
-    /// Takes over one change.
-    pub(crate) fn on_change(&self, change: Change) {
-        let key = match &change {
-            Change::Put(item) => item.key.clone(),
-            Change::Removed { key, .. } => key.clone(),
-        };
-        if key.starts_with(&*self.settings.metadata.prefix) {
-            if self.state.borrow_mut().mirror.apply(change) {
-                self.on_own_keys(std::iter::once(key.as_str()));
+    /// Takes over changes, from wherever they were heard, and wakes whoever waits for them.
+    pub(crate) fn take_over(&self, changes: Vec<Change>) {
+        let mut own_changed = false;
+        for change in changes {
+            let key = change.key().to_owned();
+            if !self.state.borrow_mut().mirror.apply(change.clone()) {
+                continue;
+            }
+            if key.starts_with(&*self.settings.metadata.prefix) {
+                own_changed = true;
+                self.on_own_key(&key);
+            } else {
+                self.on_foreign_change(change);
             }
-            return;
         }
+        if own_changed {
+            self.changed.notify_waiters();
+        }
+        self.news.notify_waiters();
+    }
+
+    /// Takes over a change of what operators and servers write.
+    fn on_foreign_change(&self, change: Change) {
         match change {
-            Change::Put(item) if key == self.format.configuration_key() => {
+            Change::Put(item) if item.key == self.format.configuration_key() => {
                 self.on_configuration(&item);
             }
-            Change::Put(item) if key.starts_with(self.format.servers_prefix()) => {
+            Change::Put(item) if item.key.starts_with(self.format.servers_prefix()) => {
                 self.on_server(&item);
             }
             Change::Removed { key, .. } if key.starts_with(self.format.servers_prefix()) => {
--- a/crates/proxy/src/metadata.rs
+++ b/crates/proxy/src/metadata.rs
@@ -47,6 +47,16 @@
     },
 }
 
+impl Change {
+    /// Returns the key that changed.
+    pub fn key(&self) -> &str {
+        match self {
+            Change::Put(item) => &item.key,
+            Change::Removed { key, .. } => key,
+        }
+    }
+}
+
 /// What a watch brought.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Changes {
--- a/crates/proxy/tests/control.rs
+++ b/crates/proxy/tests/control.rs
@@ -8,7 +8,7 @@
     catalog::ServerEntry,
     control::{
         evidence::{LeadByEvidence, judge},
-        mirror::Mirror,
+        mirror::{Mirror, News},
         record::{
             ChosenServer, LeadershipRecord, RightBounds, StopProgress, StoppedServer,
             choose_successor, is_primary_lost,
@@ -195,7 +195,64 @@
     assert!(mirror.apply(Change::Put(item("p/b", 9))));
     // A reading at revision 8 says nothing of what came later.
     let snapshot = Snapshot { items: vec![item("p/c", 8)], revision: 8 };
-    assert_eq!(mirror.replace(snapshot), ["p/a", "p/c"]);
+    let changes = mirror.changes_to("p/", snapshot);
+    let keys: Vec<&str> = changes.iter().map(Change::key).collect();
+    assert_eq!(keys, ["p/a", "p/c"]);
+    for change in changes {
+        assert!(mirror.apply(change));
+    }
     let keys: Vec<&str> = mirror.below("p/").map(|item| item.key.as_str()).collect();
     assert_eq!(keys, ["p/b", "p/c"]);
 }
+
+#[test]
+fn a_reading_says_nothing_of_keys_outside_its_prefix() {
+    let mut mirror = Mirror::default();
+    mirror.apply(Change::Put(item("p/a", 5)));
+    mirror.apply(Change::Put(item("q/a", 6)));
+    let changes = mirror.changes_to("p/", Snapshot { items: Vec::new(), revision: 9 });
+    assert_eq!(changes, [Change::Removed { key: "p/a".to_owned(), revision: 9 }]);
+}
+
+#[test]
+fn whoever_follows_hears_what_is_new_in_order_and_each_key_once() {
+    let mut mirror = Mirror::default();
+    let removed = |key: &str, revision| Change::Removed { key: key.to_owned(), revision };
+    for change in [
+        Change::Put(item("p/a", 3)),
+        Change::Put(item("p/b", 4)),
+        Change::Put(item("p/a", 6)),
+        removed("p/b", 7),
+    ] {
+        mirror.apply(change);
+    }
+    mirror.note_followed(7);
+    let cases = [
+        ("everything", 0, vec![Change::Put(item("p/a", 6)), removed("p/b", 7)]),
+        ("what it was told last", 6, vec![removed("p/b", 7)]),
+        ("nothing", 7, Vec::new()),
+        ("nothing, as it knows more", 9, Vec::new()),
+    ];
+    for (name, after, expected) in cases {
+        let news = mirror.news_since(after);
+        assert_eq!(news, News { changes: expected, is_whole: false, followed_to: 7 }, "{name}");
+        assert_eq!(mirror.has_news(after), !news.changes.is_empty(), "{name}");
+    }
+}
+
+#[test]
+fn whoever_missed_a_removal_that_is_forgotten_is_told_everything() {
+    let mut mirror = Mirror::default();
+    mirror.apply(Change::Put(item("kept", 1)));
+    for number in 0..2_000 {
+        let key = format!("gone/{number}");
+        mirror.apply(Change::Put(item(&key, 2 + 2 * number)));
+        mirror.apply(Change::Removed { key, revision: 3 + 2 * number });
+    }
+    let news = mirror.news_since(5);
+    assert!(news.is_whole);
+    assert_eq!(news.changes, [Change::Put(item("kept", 1))]);
+    let late = mirror.news_since(3_999);
+    assert!(!late.is_whole);
+    assert_eq!(late.changes.len(), 1);
+}
--- a/crates/proxy/tests/peers.rs
+++ b/crates/proxy/tests/peers.rs
@@ -5,8 +5,14 @@
     time::{Duration, Instant},
 };
 
-use model::Name;
-use proxy::control::peers::{OwnReading, ReadingAnswer, SharedReading, judge_answer};
+use model::{Name, Term};
+use prost::Message;
+use proxy::{
+    control::peers::{
+        FollowAnswer, OwnEvidence, OwnReading, ReadingAnswer, SharedReading, judge_reading,
+    },
+    metadata::{Change, Item},
+};
 
 const USEFUL: Duration = Duration::from_millis(700);
 
@@ -22,13 +28,14 @@
 fn an_answer_renews_what_both_know_alike_and_counts_from_the_question() {
     let base = Instant::now() + ms(10_000);
     let reading = OwnReading {
+        number: 1,
         asked_at: base,
         members: vec!["me".to_owned()],
         records: known(&[("a", 5), ("b", 6)]),
     };
     let told = reading.answer_to("me", base + ms(300));
     let judge = |answer: &ReadingAnswer, records: &[(&str, u64)]| {
-        judge_answer(answer, base + ms(290), USEFUL, &known(records))
+        judge_reading(answer, base + ms(290), USEFUL, &known(records))
     };
     let renews = |services: &[&str]| {
         // The question was sent 10 ms before the answer: the right is 10 ms shorter than it might be.
@@ -66,3 +73,64 @@
         assert_eq!(sorted(judge(&answer, records)), expected, "{name}");
     }
 }
+
+#[test]
+fn a_question_that_waited_counts_from_when_the_answer_was_made_and_never_later() {
+    let base = Instant::now() + ms(10_000);
+    // Sent at 0, received at 40 after a slow way, answered at 540, back at any later time.
+    let (sent_at, received_at, made_at) = (base, base + ms(40), base + ms(540));
+    let servers_asked_at = base + ms(500);
+    let own = OwnEvidence {
+        service: Name::from("a"),
+        server: Name::from("s1"),
+        term: Term(3),
+        asked_at: servers_asked_at,
+    };
+    let reading = OwnReading {
+        number: 4,
+        asked_at: base + ms(300),
+        members: vec!["me".to_owned()],
+        records: known(&[("a", 5)]),
+    };
+    let mut answer = FollowAnswer {
+        held_ms: made_at.duration_since(received_at).as_millis() as u64,
+        reading: Some(reading.answer_to("me", made_at)),
+        evidence: vec![own.told_at(made_at)],
+        ..FollowAnswer::default()
+    };
+    let told = answer.take_told(sent_at);
+    assert_eq!(told.evidence.len(), 1);
+    let heard = &told.evidence[0];
+    assert_eq!((&*heard.server, heard.term), ("s1", Term(3)));
+    assert!(heard.asked_at <= servers_asked_at, "evidence seems older than it is, never younger");
+    assert!(heard.asked_at >= servers_asked_at - ms(42), "by the way of the question at the most");
+    let reading_told = answer.reading.clone().unwrap();
+    let judged = judge_reading(&reading_told, answer.made_at(sent_at), USEFUL, &known(&[("a", 5)]));
+    let SharedReading::Renews { asked_at, .. } = judged else { panic!("{judged:?}") };
+    assert!(asked_at <= reading.asked_at && asked_at >= reading.asked_at - ms(42));
+}
+
+#[test]
+fn changes_pass_between_daemons_unaltered() {
+    let put = Change::Put(Item {
+        key: "k".to_owned(),
+        value: vec![0, 255, 7].into(),
+        revision: 9,
+        created: 4,
+    });
+    let empty = Change::Put(Item {
+        key: "e".to_owned(),
+        value: Vec::new().into(),
+        revision: 10,
+        created: 10,
+    });
+    let removed = Change::Removed { key: "r".to_owned(), revision: 11 };
+    let sent = vec![put, empty, removed];
+    let message = FollowAnswer {
+        changes: sent.iter().cloned().map(Into::into).collect(),
+        followed_to: 11,
+        ..FollowAnswer::default()
+    };
+    let mut received = FollowAnswer::decode(&*message.encode_to_vec()).unwrap();
+    assert_eq!(received.take_told(Instant::now()).news.changes, sent);
+}
