feat(proxy): where connections are scarce, each daemon keeps one to the servers of its own zone

A zone has 24 daemons and a server grants 53, so the daemons of its zone can keep one each and half of them are left for the other zones' turns.

--- a/crates/proxy/src/control/beliefs.rs
+++ b/crates/proxy/src/control/beliefs.rs
@@ -8,7 +8,10 @@
 use model::{Name, Term};
 use session::TermHistory;
 
-use crate::catalog::{Catalog, ServerEntry};
+use crate::{
+    catalog::{Catalog, ServerEntry},
+    serve::pool::Sharers,
+};
 
 /// What gives the right to use a primary; see `docs/PLATFORM.md`, "Who leads".
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -73,8 +76,8 @@
     pub servers: Arc<HashMap<Name, Vec<Arc<ServerEntry>>>>,
     /// Who leads, by service.
     pub leads: Arc<HashMap<Name, Lead>>,
-    /// Daemons that share the servers' connections, this one included.
-    pub members: u32,
+    /// Daemons that share the servers' connections.
+    pub sharers: Sharers,
     /// Whether the servers' entries have been read at least once.
     pub servers_known: bool,
 }
--- a/crates/proxy/src/control/change.rs
+++ b/crates/proxy/src/control/change.rs
@@ -21,7 +21,7 @@
             ChosenServer, LeadershipRecord, PrimaryChange, RightBounds, StopProgress,
             StoppedServer, choose_successor, majority,
         },
-        runner::Control,
+        runner::{Control, SeenMember},
     },
     dialect::EndpointDialect,
     metadata::{MetadataError, MetadataStore, Revision, Transaction, TransactionOutcome},
@@ -445,10 +445,11 @@
         let watched = state
             .watching_since
             .is_some_and(|since| run.recorded_at.saturating_duration_since(since) > lasting);
-        let within =
-            |seen: &Instant| run.recorded_at.checked_sub(lasting).is_none_or(|from| *seen >= from);
+        let may_hold = |member: &SeenMember| {
+            run.recorded_at.checked_sub(lasting).is_none_or(|from| member.seen_at >= from)
+        };
         watched
-            && state.members_seen.iter().filter(|(_, seen)| within(seen)).all(|(host, _)| {
+            && state.members_seen.iter().filter(|(_, member)| may_hold(member)).all(|(host, _)| {
                 let key = self.key(&format!("stopped/{service}/{host}"));
                 state.mirror.get(&key).is_some_and(|item| item.value == run.id().as_bytes())
             })
--- a/crates/proxy/src/control/records.rs
+++ b/crates/proxy/src/control/records.rs
@@ -14,7 +14,7 @@
     control::{
         beliefs::{Basis, Lead},
         record::LeadershipRecord,
-        runner::{Ask, Control},
+        runner::{Ask, Control, MemberValue, SeenMember},
     },
     dialect::EndpointDialect,
     metadata::{MetadataStore, Transaction},
@@ -36,13 +36,20 @@
     pub(crate) fn note_members(&self, now: Instant) {
         let prefix = self.key("members/");
         let mut state = self.state.borrow_mut();
-        let hosts: Vec<String> =
-            state.mirror.below(&prefix).map(|item| item.key[prefix.len()..].to_owned()).collect();
-        for host in hosts {
-            state.members_seen.insert(host, now);
-        }
-        let lasting = MEMBER_LASTS;
-        state.members_seen.retain(|_, seen| now.duration_since(*seen) < lasting);
+        let own_zone = &*self.settings.availability_zone;
+        let members: Vec<(String, SeenMember)> = state
+            .mirror
+            .below(&prefix)
+            .map(|item| {
+                let host = item.key[prefix.len()..].to_owned();
+                // A value that can't be read still counts as a member, of whatever zone.
+                let value = serde_json::from_slice::<MemberValue>(&item.value).ok();
+                let is_near = value.is_some_and(|value| value.availability_zone == own_zone);
+                (host, SeenMember { seen_at: now, is_near })
+            })
+            .collect();
+        state.members_seen.extend(members);
+        state.members_seen.retain(|_, member| now.duration_since(member.seen_at) < MEMBER_LASTS);
     }
 
     /// Returns every leadership record that can be read.
--- a/crates/proxy/src/control/runner.rs
+++ b/crates/proxy/src/control/runner.rs
@@ -30,6 +30,7 @@
     events::ProxyMetrics,
     metadata::{LeaseId, MetadataError, MetadataStore, Transaction},
     order::PromotionOrders,
+    serve::pool::Sharers,
     statement::{EndpointStatus, EndpointText},
 };
 
@@ -77,6 +78,14 @@
     pub(crate) peer_address: Option<SocketAddr>,
 }
 
+/// Another daemon, as it was last seen.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct SeenMember {
+    pub(crate) seen_at: Instant,
+    /// Whether it stands in this daemon's zone.
+    pub(crate) is_near: bool,
+}
+
 /// The lease of this daemon, under which its keys stand.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct HeldLease {
@@ -106,7 +115,7 @@
     pub(crate) shared_reading_at: Option<Instant>,
     pub(crate) heard_of: HeardOf,
     /// When each other daemon was last known to be a member.
-    pub(crate) members_seen: HashMap<String, Instant>,
+    pub(crate) members_seen: HashMap<String, SeenMember>,
     /// Since when members have been watched, which bounds what may have been missed.
     pub(crate) watching_since: Option<Instant>,
     pub(crate) last_read_at: Option<Instant>,
@@ -315,8 +324,12 @@
             state.published_servers = Arc::new(state.servers.by_service());
             state.servers_dirty = false;
         }
-        let members = state.members_seen.len().max(1);
-        self.metrics.now.with_label_values(&["members"]).set(members as i64);
+        let sharers = Sharers {
+            daemons: state.members_seen.len().max(1) as u32,
+            in_zone: state.members_seen.values().filter(|member| member.is_near).count().max(1)
+                as u32,
+        };
+        self.metrics.now.with_label_values(&["members"]).set(i64::from(sharers.daemons));
         self.metrics
             .now
             .with_label_values(&["configuration_version"])
@@ -325,7 +338,7 @@
             catalog: state.catalog.clone(),
             servers: state.published_servers.clone(),
             leads: Arc::new(state.leads.clone()),
-            members: members as u32,
+            sharers,
             servers_known: state.servers_known,
         };
         drop(state);
--- a/crates/proxy/src/serve/engine.rs
+++ b/crates/proxy/src/serve/engine.rs
@@ -20,7 +20,7 @@
     events::ProxyMetrics,
     serve::{
         connection::{ConnectionLost, EndpointConnection},
-        pool::{GroupPool, Lent, NoConnection, Offer, Share, Wish, share_of},
+        pool::{GroupPool, Keep, Lent, NoConnection, Offer, Share, Wish, share_of},
         replay::SessionValues,
         verdict::speaks_against_server,
     },
@@ -76,7 +76,7 @@
             lost_server: Notify::new(),
             probes: RefCell::default(),
             seen: RefCell::default(),
-            seen_share: Cell::new(Share { limit: 0, is_scarce: false }),
+            seen_share: Cell::new(Share { limit: 0, keep: Keep::One }),
         }
     }
 }
@@ -188,7 +188,7 @@
             .or_insert_with(|| Rc::new(Group::new(self.settings.availability_zone.clone())))
             .clone();
         let granted = beliefs.catalog.services.get(service).map_or(0, |rule| rule.connections);
-        let share = share_of(granted, beliefs.members);
+        let share = share_of(granted, beliefs.sharers);
         let is_current = Arc::ptr_eq(&group.seen.borrow(), &beliefs.servers);
         if !is_current || group.seen_share.get() != share {
             *group.seen.borrow_mut() = beliefs.servers.clone();
--- a/crates/proxy/src/serve/pool.rs
+++ b/crates/proxy/src/serve/pool.rs
@@ -54,20 +54,49 @@
 /// the others get their turn.
 const SCARCE_RESTS: Duration = Duration::from_millis(150);
 
+/// Daemons that share the connections of the servers, as one of them sees them.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Sharers {
+    /// All of them, this one included.
+    pub daemons: u32,
+    /// Those of this one's availability zone, this one included.
+    pub in_zone: u32,
+}
+
+/// How long a daemon may keep connections that it does not need at the moment.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Keep {
+    /// One for good, and more for a moment.
+    One,
+    /// One to servers of the same zone; none to others, where there are more daemons than connections.
+    OneNear,
+    /// None.
+    Nothing,
+}
+
 /// What one daemon may have of a server's connections.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Share {
     /// Connections at a time.
     pub limit: u32,
-    /// Whether there are fewer connections than daemons, so that none may be kept.
-    pub is_scarce: bool,
+    /// Which of them may be kept.
+    pub keep: Keep,
 }
 
-/// Returns the share of one of `members` daemons in what a server grants to all of them.
-pub fn share_of(granted: u32, members: u32) -> Share {
+/// One part in so many of a server's connections may be kept by the daemons of its zone where there are
+/// more daemons than connections; the others take turns at the rest.
+const KEPT_NEAR_PART: u32 = 2;
+
+/// Returns the share of one daemon in what a server grants to all of them.
+pub fn share_of(granted: u32, sharers: Sharers) -> Share {
     let shared = granted.saturating_sub(RESERVED_CONNECTIONS);
-    let each = shared / members.max(1);
-    Share { limit: each.max(1), is_scarce: each == 0 }
+    let each = shared / sharers.daemons.max(1);
+    let keep = match each {
+        0 if sharers.in_zone.max(1) * KEPT_NEAR_PART <= shared => Keep::OneNear,
+        0 => Keep::Nothing,
+        _ => Keep::One,
+    };
+    Share { limit: each.max(1), keep }
 }
 
 /// What a statement that wants a connection asks for.
@@ -100,6 +129,8 @@
     /// Those in use by statements that leave room for others.
     yielding: u32,
     limit: u32,
+    /// Whether one connection may rest for good.
+    keeps_one: bool,
     latency: LatencyAverage,
     latency_at: Option<Instant>,
     point: Option<LogPoint>,
@@ -120,6 +151,7 @@
             in_use: 0,
             yielding: 0,
             limit: 1,
+            keeps_one: true,
             latency: LatencyAverage::default(),
             latency_at: None,
             point: None,
@@ -131,11 +163,11 @@
         }
     }
 
-    /// Ends connections that have rested for long; the last only where connections are scarce.
-    fn end_spares(&mut self, is_scarce: bool) {
+    /// Ends connections that have rested for long; the last only where none may be kept.
+    fn end_spares(&mut self) {
         let now = Instant::now();
         let others = self.in_use as usize;
-        let (kept, rests) = if is_scarce { (0, SCARCE_RESTS) } else { (1, SPARE_RESTS) };
+        let (kept, rests) = if self.keeps_one { (1, SPARE_RESTS) } else { (0, SCARCE_RESTS) };
         while self.idle.len() + others > kept
             && self.idle.first().is_some_and(|(since, _)| now.duration_since(*since) > rests)
         {
@@ -189,7 +221,7 @@
 }
 
 struct PoolState<E: EndpointDialect> {
-    is_scarce: bool,
+    keep: Keep,
     servers: Vec<ServerSlot<E>>,
     waiters: [VecDeque<Waiter<E>>; PRIORITIES],
 }
@@ -242,8 +274,7 @@
 impl<E: EndpointDialect> GroupPool<E> {
     /// Makes a pool without servers for a daemon in an availability zone.
     pub fn new(availability_zone: Name) -> GroupPool<E> {
-        let state =
-            PoolState { is_scarce: false, servers: Vec::new(), waiters: Default::default() };
+        let state = PoolState { keep: Keep::One, servers: Vec::new(), waiters: Default::default() };
         GroupPool { availability_zone, state: RefCell::new(state) }
     }
 
@@ -251,7 +282,7 @@
     pub fn update(self: &Rc<Self>, entries: &[Arc<ServerEntry>], share: Share) {
         let limit = share.limit;
         let mut state = self.state.borrow_mut();
-        state.is_scarce = share.is_scarce;
+        state.keep = share.keep;
         for slot in &mut state.servers {
             slot.listed = entries.iter().any(|entry| entry.server == slot.entry.server);
             if !slot.listed {
@@ -267,6 +298,11 @@
         }
         for slot in &mut state.servers {
             slot.limit = limit;
+            slot.keeps_one = match share.keep {
+                Keep::One => true,
+                Keep::OneNear => slot.entry.availability_zone == self.availability_zone,
+                Keep::Nothing => false,
+            };
             let surplus = (slot.idle.len() as u32 + slot.in_use).saturating_sub(limit) as usize;
             let kept = slot.idle.len().saturating_sub(surplus);
             slot.idle.truncate(kept);
@@ -471,10 +507,10 @@
     /// Ends connections that nobody has needed for a while; `true` if there may be more to end.
     pub fn end_rested(&self) -> bool {
         let mut state = self.state.borrow_mut();
-        let is_scarce = state.is_scarce;
+        let is_scarce = state.keep != Keep::One;
         if is_scarce {
             for slot in &mut state.servers {
-                slot.end_spares(is_scarce);
+                slot.end_spares();
             }
         }
         is_scarce
@@ -482,12 +518,11 @@
 
     fn put_idle(&self, connection: Box<EndpointConnection<E>>) {
         let server = connection.server.clone();
-        let is_scarce = self.state.borrow().is_scarce;
         self.with_slot(&server, |slot| {
             slot.leave(false);
             if slot.listed && (slot.idle.len() as u32 + slot.in_use) < slot.limit {
                 slot.idle.push((Instant::now(), connection));
-                slot.end_spares(is_scarce);
+                slot.end_spares();
             }
         });
     }
--- a/crates/proxy/tests/shares.rs
+++ b/crates/proxy/tests/shares.rs
@@ -1,24 +1,29 @@
 //! How the connections of a server are divided.
 
-use proxy::serve::pool::{Share, share_of};
+use proxy::serve::pool::{Keep, Share, Sharers, share_of};
 
 #[test]
 fn shares_never_add_up_to_more_than_is_granted_unless_they_are_scarce() {
-    let share = |limit, is_scarce| Share { limit, is_scarce };
+    let share = |limit, keep| Share { limit, keep };
     let cases = [
-        (23, 9, share(2, false)),
-        (38, 8, share(4, false)),
-        (23, 1, share(20, false)),
-        (23, 20, share(1, false)),
-        (23, 21, share(1, true)),
-        (53, 71, share(1, true)),
-        (0, 5, share(1, true)),
-        (23, 0, share(20, false)),
+        (23, 9, 3, share(2, Keep::One)),
+        (38, 8, 3, share(4, Keep::One)),
+        (23, 1, 1, share(20, Keep::One)),
+        (23, 20, 7, share(1, Keep::One)),
+        (23, 21, 7, share(1, Keep::OneNear)),
+        (53, 71, 25, share(1, Keep::OneNear)),
+        (53, 71, 26, share(1, Keep::Nothing)),
+        (0, 5, 2, share(1, Keep::Nothing)),
+        (23, 0, 0, share(20, Keep::One)),
     ];
-    for (granted, members, expected) in cases {
-        assert_eq!(share_of(granted, members), expected, "{granted} among {members}");
-        if !expected.is_scarce {
-            assert!(expected.limit * members.max(1) + 3 <= granted);
-        }
+    for (granted, daemons, in_zone, expected) in cases {
+        let sharers = Sharers { daemons, in_zone };
+        assert_eq!(share_of(granted, sharers), expected, "{granted} among {daemons}");
+        let kept = match expected.keep {
+            Keep::One => expected.limit * daemons.max(1),
+            Keep::OneNear => in_zone * 2,
+            Keep::Nothing => 0,
+        };
+        assert!(kept == 0 || kept + 3 <= granted, "{granted} among {daemons}");
     }
 }
