--- a/crates/proxy/src/control/rights.rs
+++ b/crates/proxy/src/control/rights.rs
@@ -34,6 +34,10 @@
     pub(crate) async fn refresh_loop(self: Rc<Self>) {
         let every = Duration::from_millis(self.settings.leadership.refresh_ms);
         let mut pause = Pause::default();
+        // The first reading is that of everything, which brings what the rights are about.
+        while !self.state.borrow().servers_known {
+            self.refresh_now.notified().await;
+        }
         loop {
             if self.is_reading_shared() {
                 tokio::select! {
--- a/crates/proxy/src/control/watching.rs
+++ b/crates/proxy/src/control/watching.rs
@@ -45,51 +45,30 @@
         }
     }
 
-    /// Reads all that the watch follows; returns the revision that it follows from.
+    /// Reads all that the watch follows, at once: the watch must begin where the configuration, the
+    /// servers and the daemons' own keys were all read. Returns the revision that it follows from.
     pub(crate) async fn read_everything(&self) -> Result<Revision, MetadataError> {
-        let timeout = self.read_timeout();
-        // A range, for the revision at which it was read: the watch must begin there, since the
-        // configuration may change before the servers are read.
-        let key = self.format.configuration_key();
-        let configuration = self.store.range(key, Consistency::Linearizable, timeout).await;
-        self.count_call("range", &configuration);
-        let configuration = configuration?;
-        let prefix = self.format.servers_prefix();
-        let servers = self.store.range(prefix, Consistency::Linearizable, timeout).await;
-        self.count_call("range", &servers);
-        let servers = servers?;
-        let own = self.read_own_keys().await?;
-        let revision = configuration.revision.min(servers.revision).min(own);
-        let changes = self.state.borrow().mirror.changes_to(key, configuration);
-        self.take_over(changes);
-        self.on_server_snapshot(servers);
-        self.publish();
-        Ok(revision)
-    }
-
-    /// Reads the daemons' own keys, as the watch may have missed changes of them too.
-    pub(crate) async fn read_own_keys(&self) -> Result<Revision, MetadataError> {
         let asked_at = Instant::now();
-        let (prefix, timeout) = (self.key(""), self.read_timeout());
-        let own = self.store.range(&prefix, Consistency::Linearizable, timeout).await;
-        self.count_call("range", &own);
-        let own = own?;
-        let revision = own.revision;
+        let read = self.store.range("", Consistency::Linearizable, self.read_timeout()).await;
+        self.count_call("range", &read);
+        let everything = read?;
+        let revision = everything.revision;
+        let own_prefix = self.key("");
+        let own_items = everything.items.iter().filter(|item| item.key.starts_with(&own_prefix));
+        let own = Snapshot { items: own_items.cloned().collect(), revision };
+        let changes = self.state.borrow().mirror.changes_to("", everything);
+        self.take_over(changes);
+        {
+            let mut state = self.state.borrow_mut();
+            state.servers_known = true;
+            // A long time without the store may have made entries lapse that servers renew now.
+            state.servers.restart_grace(Instant::now());
+        }
         self.on_own_snapshot(own, asked_at);
+        self.refresh_now.notify_one();
         Ok(revision)
     }
 
-    /// Takes over a whole reading of the servers' entries.
-    pub(crate) fn on_server_snapshot(&self, snapshot: Snapshot) {
-        let prefix = self.format.servers_prefix();
-        let changes = self.state.borrow().mirror.changes_to(prefix, snapshot);
-        self.take_over(changes);
-        let mut state = self.state.borrow_mut();
-        state.servers_known = true;
-        // A long time without the store may have made entries lapse that servers renew now.
-        state.servers.restart_grace(Instant::now());
-    }
-
     /// Follows the changes, through the zone's reader where there is one, until something goes wrong.
     pub(crate) async fn follow(&self) -> MetadataError {
         let wait = Duration::from_millis(self.settings.metadata.watch_wait_ms);
