--- a/crates/proxy/src/serve/pool.rs
+++ b/crates/proxy/src/serve/pool.rs
@@ -52,7 +52,7 @@
 
 /// How long a connection may rest where there are more daemons than connections to a server, so that
 /// the others get their turn.
-const SCARCE_RESTS: Duration = Duration::from_millis(150);
+const SCARCE_RESTS: Duration = Duration::from_millis(300);
 
 /// Daemons that share the connections of the servers, as one of them sees them.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
