feat(control): daemons of a zone share samples of where the primaries' logs stand

Change: a daemon's samples go to the zone's reader with its next question and come back with answers. Clocks of two daemons have nothing in common, so a sample is told by its age in an answer, and in a question by how long after the last answer it was taken; either way it never seems younger than it is (tests/peers.rs follows one up and down).

--- a/crates/proxy/src/control/beliefs.rs
+++ b/crates/proxy/src/control/beliefs.rs
@@ -10,6 +10,7 @@
 
 use crate::{
     catalog::{Catalog, ServerEntry},
+    control::peers::PrimarySample,
     serve::pool::Sharers,
 };
 
@@ -78,6 +79,8 @@
     pub leads: Arc<HashMap<Name, Lead>>,
     /// Daemons that share the servers' connections.
     pub sharers: Sharers,
+    /// Where primaries' logs stood, as other daemons of the zone saw it.
+    pub samples: Arc<HashMap<Name, PrimarySample>>,
     /// Whether the servers' entries have been read at least once.
     pub servers_known: bool,
 }
@@ -111,6 +114,13 @@
         /// Whether it answers.
         reachable: bool,
     },
+    /// Where a primary's log stood while this daemon might use it.
+    PrimarySampled {
+        /// The service.
+        service: Name,
+        /// The sample.
+        sample: PrimarySample,
+    },
     /// Reads are refused at a primary because every replica is too far behind to run them.
     ReplicasBehind {
         /// The service.
--- a/crates/proxy/src/control/following.rs
+++ b/crates/proxy/src/control/following.rs
@@ -6,9 +6,11 @@
 use std::{
     net::SocketAddr,
     rc::Rc,
+    sync::Arc,
     time::{Duration, Instant},
 };
 
+use model::Name;
 use tokio::net::TcpListener;
 
 use crate::{
@@ -16,7 +18,10 @@
     control::{
         mirror::News,
         peer_link::answer_askers,
-        peers::{FollowAnswer, FollowRequest, SharedReading, judge_reading},
+        peers::{
+            ClockMessage, FollowAnswer, FollowRequest, PrimarySample, SampleMessage, SharedReading,
+            judge_reading,
+        },
         runner::{Control, MemberValue},
     },
     dialect::EndpointDialect,
@@ -42,8 +47,13 @@
     pub(crate) evidence_number: u64,
     /// Whether the reader's last reading was too old to be of use.
     pub(crate) reading_is_old: bool,
+    /// The reader's clock in its last answer, and when that came.
+    pub(crate) clock: Option<(ClockMessage, Instant)>,
 }
 
+/// Samples older than this are not told; no configuration asks for fresher data than that by far.
+const SAMPLES_TOLD_FOR: Duration = Duration::from_secs(3);
+
 impl<M, O, F, E> Control<M, O, F, E>
 where
     M: MetadataStore,
@@ -109,14 +119,38 @@
             reading_number: heard_of.reading_number,
             evidence_number: heard_of.evidence_number,
             wait_ms: NEWS_WAIT.as_millis() as u64,
+            heard: heard_of.clock.map(|(clock, _)| clock),
+            samples: self.samples_since(heard_of.clock.map(|(_, heard_at)| heard_at)),
         };
         let sent_at = Instant::now();
         match self.asker.ask(reader, &request).await {
             Some(answer) => self.take_answer(answer, sent_at),
-            None => log::info!(
-                event = "peer_silent", peer = reader.to_string().as_str();
-                "the zone's reader did not answer and is passed over"
-            ),
+            None => {
+                log::info!(
+                    event = "peer_silent", peer = reader.to_string().as_str();
+                    "the zone's reader did not answer and is passed over"
+                );
+                self.state.borrow_mut().heard_of = HeardOf::default();
+            }
+        }
+    }
+
+    /// Returns the samples that were taken after the reader's last answer came.
+    fn samples_since(&self, heard_at: Option<Instant>) -> Vec<SampleMessage> {
+        let Some(heard_at) = heard_at else { return Vec::new() };
+        let state = self.state.borrow();
+        let samples = state.samples.iter();
+        samples.filter_map(|(service, sample)| sample.told_since(service, heard_at)).collect()
+    }
+
+    /// Keeps the latest sample of each primary's log.
+    pub(crate) fn take_samples(&self, samples: impl IntoIterator<Item = (Name, PrimarySample)>) {
+        let mut state = self.state.borrow_mut();
+        for (service, sample) in samples {
+            let known = state.samples.get(&service);
+            if known.is_none_or(|known| known.asked_at < sample.asked_at) {
+                Arc::make_mut(&mut state.samples).insert(service, sample);
+            }
         }
     }
 
@@ -127,6 +161,7 @@
             let mut state = self.state.borrow_mut();
             state.heard_of.heard_to = answer.heard_to;
             state.heard_of.evidence_number = answer.evidence_number;
+            state.heard_of.clock = answer.clock.map(|clock| (clock, Instant::now()));
         }
         self.take_over_news(told.news);
         let useful_for = self.right().mul_f64(USEFUL_PART);
@@ -150,6 +185,7 @@
         for evidence in told.evidence {
             self.take_evidence(&evidence);
         }
+        self.take_samples(told.samples);
         self.note_members(Instant::now());
         self.publish();
     }
@@ -173,6 +209,7 @@
     /// Answers a daemon that follows the store through this one, as soon as there is news for it.
     pub(crate) async fn answer_follower(&self, request: FollowRequest) -> FollowAnswer {
         let received_at = Instant::now();
+        self.take_samples(request.samples_here(self.life, self.epoch, received_at));
         let until = received_at + Duration::from_millis(request.wait_ms).min(NEWS_WAIT);
         loop {
             let news = self.news.notified();
@@ -211,6 +248,16 @@
             heard_to: state.mirror.last_revision(),
             evidence: state.own_evidence.iter().map(|it| it.told_at(now)).collect(),
             evidence_number: state.evidence_number,
+            clock: Some(ClockMessage {
+                life: self.life,
+                at_ms: now.duration_since(self.epoch).as_millis() as u64,
+            }),
+            samples: state
+                .samples
+                .iter()
+                .filter(|(_, sample)| now.duration_since(sample.asked_at) < SAMPLES_TOLD_FOR)
+                .map(|(service, sample)| sample.told_at(service, now))
+                .collect(),
         }
     }
 
--- a/crates/proxy/src/control/peers.rs
+++ b/crates/proxy/src/control/peers.rs
@@ -15,7 +15,7 @@
 };
 
 use bytes::Bytes;
-use model::{Name, Term};
+use model::{LogPoint, Name, Position, Term};
 use prost::Message;
 
 use crate::{
@@ -44,6 +44,93 @@
     /// How long the answer may wait for something to tell, in milliseconds.
     #[prost(uint64, tag = "6")]
     pub wait_ms: u64,
+    /// The life and the clock of the last answer that the asker had from this daemon.
+    #[prost(message, optional, tag = "7")]
+    pub heard: Option<ClockMessage>,
+    /// Samples that the asker took since it had that answer, one for each service at the most.
+    #[prost(message, repeated, tag = "8")]
+    pub samples: Vec<SampleMessage>,
+}
+
+/// A daemon's steady clock.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub struct ClockMessage {
+    /// A number of this life of the daemon; clocks of two lives have nothing in common.
+    #[prost(uint64, tag = "1")]
+    pub life: u64,
+    /// Milliseconds since it began, rounded down.
+    #[prost(uint64, tag = "2")]
+    pub at_ms: u64,
+}
+
+/// Where a primary's log stood.
+#[derive(Clone, PartialEq, Message)]
+pub struct SampleMessage {
+    /// The service.
+    #[prost(string, tag = "1")]
+    pub service: String,
+    /// The primary's term.
+    #[prost(uint64, tag = "2")]
+    pub term: u64,
+    /// The position that it showed.
+    #[prost(uint64, tag = "3")]
+    pub position: u64,
+    /// In an answer, how long ago the primary was asked, rounded up. In a question, how long after the
+    /// answer that it names, rounded down. Either way the sample never seems younger than it is.
+    #[prost(uint64, tag = "4")]
+    pub ms: u64,
+}
+
+/// Where a primary's log stood when it was asked, or later.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PrimarySample {
+    /// When it was asked, or before.
+    pub asked_at: Instant,
+    /// What it showed.
+    pub point: LogPoint,
+}
+
+impl PrimarySample {
+    /// Returns what an asker is told at `now`.
+    pub fn told_at(&self, service: &Name, now: Instant) -> SampleMessage {
+        self.message(service, age_ms(self.asked_at, now))
+    }
+
+    /// Returns what the daemon is told whose answer came at `heard_at`; nothing if the sample is from
+    /// before, since the other's clock then says nothing of it.
+    pub fn told_since(&self, service: &Name, heard_at: Instant) -> Option<SampleMessage> {
+        let after = self.asked_at.checked_duration_since(heard_at)?;
+        Some(self.message(service, after.as_millis() as u64))
+    }
+
+    fn message(&self, service: &Name, ms: u64) -> SampleMessage {
+        let LogPoint { term, position } = self.point;
+        SampleMessage { service: service.to_string(), term: term.0, position: position.0, ms }
+    }
+}
+
+impl SampleMessage {
+    fn sample(&self, asked_at: Instant) -> (Name, PrimarySample) {
+        let point = LogPoint { term: Term(self.term), position: Position(self.position) };
+        (Name::from(self.service.as_str()), PrimarySample { asked_at, point })
+    }
+}
+
+impl FollowRequest {
+    /// Returns the samples by this daemon's clock, which counts from `epoch` in this `life`; none if the
+    /// asker's last answer was from another life, or claims to be from a time that has not come.
+    pub fn samples_here(
+        &self,
+        life: u64,
+        epoch: Instant,
+        now: Instant,
+    ) -> Vec<(Name, PrimarySample)> {
+        let Some(heard) = self.heard.filter(|heard| heard.life == life) else { return Vec::new() };
+        let heard_at = epoch + Duration::from_millis(heard.at_ms);
+        let samples = self.samples.iter();
+        let samples = samples.map(|it| it.sample(heard_at + Duration::from_millis(it.ms)));
+        samples.filter(|(_, sample)| sample.asked_at <= now).collect()
+    }
 }
 
 /// What there is to tell.
@@ -73,6 +160,12 @@
     /// The number of the round in which it did.
     #[prost(uint64, tag = "8")]
     pub evidence_number: u64,
+    /// The answering daemon's clock as it made the answer.
+    #[prost(message, optional, tag = "9")]
+    pub clock: Option<ClockMessage>,
+    /// Where primaries' logs stood, as the daemons of the zone saw last.
+    #[prost(message, repeated, tag = "10")]
+    pub samples: Vec<SampleMessage>,
 }
 
 /// A change of one key.
@@ -163,6 +256,8 @@
     pub news: News,
     /// Evidence, each with the latest moment at which the servers can have been asked.
     pub evidence: Vec<OwnEvidence>,
+    /// Samples by service.
+    pub samples: Vec<(Name, PrimarySample)>,
 }
 
 impl FollowAnswer {
@@ -188,7 +283,11 @@
                 asked_at: made_at.checked_sub(Duration::from_millis(it.age_ms))?,
             })
         });
-        Told { news, evidence: evidence.collect() }
+        let samples = self
+            .samples
+            .iter()
+            .filter_map(|it| Some(it.sample(made_at.checked_sub(Duration::from_millis(it.ms))?)));
+        Told { news, evidence: evidence.collect(), samples: samples.collect() }
     }
 }
 
--- a/crates/proxy/src/control/runner.rs
+++ b/crates/proxy/src/control/runner.rs
@@ -23,7 +23,7 @@
         following::HeardOf,
         mirror::Mirror,
         peer_link::Asker,
-        peers::{OwnEvidence, OwnReading},
+        peers::{OwnEvidence, OwnReading, PrimarySample},
         servers::ServerList,
     },
     dialect::EndpointDialect,
@@ -114,6 +114,8 @@
     /// When the zone's reader asked for the last reading that was of use here.
     pub(crate) shared_reading_at: Option<Instant>,
     pub(crate) heard_of: HeardOf,
+    /// The latest sample of each primary's log that a daemon of the zone took.
+    pub(crate) samples: Arc<HashMap<Name, PrimarySample>>,
     /// When each other daemon was last known to be a member.
     pub(crate) members_seen: HashMap<String, SeenMember>,
     /// Since when members have been watched, which bounds what may have been missed.
@@ -203,6 +205,9 @@
     pub(crate) stopping: watch::Receiver<Option<Instant>>,
     pub(crate) refresh_now: Notify,
     pub(crate) asker: Asker,
+    /// A number of this life of the daemon, and when it began.
+    pub(crate) life: u64,
+    pub(crate) epoch: Instant,
     /// Wakes the lease loop when this daemon's key is found to be gone.
     pub(crate) rejoin: Notify,
     pub(crate) writes: (flume::Sender<PendingWrite>, flume::Receiver<PendingWrite>),
@@ -240,6 +245,8 @@
         stopping: parts.stopping,
         refresh_now: Notify::new(),
         asker: Asker::default(),
+        life: rand::rng().random(),
+        epoch: Instant::now(),
         rejoin: Notify::new(),
         writes: flume::bounded(MOST_PENDING_WRITES),
     });
@@ -339,6 +346,7 @@
             servers: state.published_servers.clone(),
             leads: Arc::new(state.leads.clone()),
             sharers,
+            samples: state.samples.clone(),
             servers_known: state.servers_known,
         };
         drop(state);
--- a/crates/proxy/src/control/suspicion.rs
+++ b/crates/proxy/src/control/suspicion.rs
@@ -26,6 +26,10 @@
                 Observation::Reachability { service, server, reachable } => {
                     (service, server, reachable)
                 }
+                Observation::PrimarySampled { service, sample } => {
+                    self.take_samples([(service, sample)]);
+                    continue;
+                }
                 Observation::ReplicasBehind { service } => {
                     self.state.borrow_mut().replicas_behind.insert(service, Instant::now());
                     continue;
--- a/crates/proxy/src/serve/engine.rs
+++ b/crates/proxy/src/serve/engine.rs
@@ -62,6 +62,8 @@
     pub lost_server: Notify,
     /// Servers that are being asked whether they are alive, and those that did not answer.
     probes: RefCell<HashMap<Name, ProbeState>>,
+    /// When other daemons were last told where the primary's log stands.
+    pub(crate) sample_told_at: Cell<Option<Instant>>,
     seen: RefCell<Arc<HashMap<Name, Vec<Arc<ServerEntry>>>>>,
     seen_share: Cell<Share>,
 }
@@ -75,6 +77,7 @@
             starved: Cell::new(None),
             lost_server: Notify::new(),
             probes: RefCell::default(),
+            sample_told_at: Cell::new(None),
             seen: RefCell::default(),
             seen_share: Cell::new(Share { limit: 0, keep: Keep::One }),
         }
@@ -120,7 +123,7 @@
     pub metrics: ProxyMetrics,
     /// Callers connected now.
     pub callers: Cell<u64>,
-    observations: flume::Sender<Observation>,
+    pub(crate) observations: flume::Sender<Observation>,
     groups: RefCell<HashMap<Name, Rc<Group<E>>>>,
 }
 
--- a/crates/proxy/src/serve/execute.rs
+++ b/crates/proxy/src/serve/execute.rs
@@ -9,7 +9,10 @@
 
 use crate::{
     catalog::ReadRule,
-    control::beliefs::Lead,
+    control::{
+        beliefs::{Lead, Observation},
+        peers::PrimarySample,
+    },
     dialect::{CallerDialect, EndpointDialect},
     serve::{
         connection::{ConnectionLost, refusal},
@@ -26,6 +29,9 @@
 const SLOW_ANSWER_FACTOR: u32 = 6;
 /// How long nothing is tried after every server refused, before they are asked again.
 pub(crate) const ROUND_PAUSE: Duration = Duration::from_millis(15);
+/// How often other daemons are told where a primary's log stands; a fraction of the bounds that routes
+/// name, and of the time between two questions to the zone's reader.
+const SAMPLE_TOLD_EVERY: Duration = Duration::from_millis(200);
 /// What a caller is told to wait where nothing better is known.
 pub(crate) const COME_BACK_MS: u64 = 100;
 /// What a caller is told to wait while a primary is being replaced.
@@ -106,6 +112,9 @@
         let known = beliefs.leads.get(service);
         let history = known.map(|lead| lead.history.clone()).unwrap_or_default();
         let now = Instant::now();
+        if let Some(sample) = beliefs.samples.get(service) {
+            group.samples.borrow_mut().add(sample.asked_at, sample.point);
+        }
         let place =
             place_for(job.route.reads, class, job.own, &group.samples.borrow(), &history, now);
         let floor = match place {
@@ -352,7 +361,21 @@
             && self.may_still_use(service, Some(lead), Instant::now())
         {
             group.samples.borrow_mut().add(sent_at, point);
+            self.share_sample(group, service, PrimarySample { asked_at: sent_at, point });
+        }
+    }
+
+    /// Lets the other daemons of the zone have a sample, now and then.
+    fn share_sample(&self, group: &Group<E>, service: &Name, sample: PrimarySample) {
+        let now = Instant::now();
+        let told_at = group.sample_told_at.get();
+        if told_at.is_some_and(|at| now.duration_since(at) < SAMPLE_TOLD_EVERY) {
+            return;
         }
+        group.sample_told_at.set(Some(now));
+        let observation = Observation::PrimarySampled { service: service.clone(), sample };
+        // A full ring means that the control thread is behind; the next sample serves as well.
+        let _ = self.observations.try_send(observation);
     }
 
     /// Whether a write's answer may be given: its server still led when the answer came, or the write
--- a/crates/proxy/tests/peers.rs
+++ b/crates/proxy/tests/peers.rs
@@ -5,11 +5,12 @@
     time::{Duration, Instant},
 };
 
-use model::{Name, Term};
+use model::{LogPoint, Name, Term};
 use prost::Message;
 use proxy::{
     control::peers::{
-        FollowAnswer, OwnEvidence, OwnReading, ReadingAnswer, SharedReading, judge_reading,
+        ClockMessage, FollowAnswer, FollowRequest, OwnEvidence, OwnReading, PrimarySample,
+        ReadingAnswer, SharedReading, judge_reading,
     },
     metadata::{Change, Item},
 };
@@ -134,3 +135,55 @@
     let mut received = FollowAnswer::decode(&*message.encode_to_vec()).unwrap();
     assert_eq!(received.take_told(Instant::now()).news.changes, sent);
 }
+
+/// Two daemons' clocks have nothing in common; a sample that passes between them may seem older than it
+/// is, by the time that messages take, and never younger.
+#[test]
+fn a_sample_never_seems_younger_than_it_is_on_any_way() {
+    let base = Instant::now() + ms(10_000);
+    let service = Name::from("a");
+    let point = LogPoint::new(2, 30);
+    // The reader began at 0 and answers at 1000; the answer is on its way for 70 ms.
+    let (epoch, made_at, heard_at) = (base, base + ms(1_000), base + ms(1_070));
+    let taken_at = base + ms(1_200);
+    let sample = PrimarySample { asked_at: taken_at, point };
+    let clock = ClockMessage { life: 9, at_ms: made_at.duration_since(epoch).as_millis() as u64 };
+    let request = FollowRequest {
+        heard: Some(clock),
+        samples: sample.told_since(&service, heard_at).into_iter().collect(),
+        ..FollowRequest::default()
+    };
+    // Up: the question is on its way for any time.
+    let received_at = base + ms(2_500);
+    let here = request.samples_here(9, epoch, received_at);
+    assert_eq!(here.len(), 1);
+    assert_eq!(here[0].1.point, point);
+    assert!(here[0].1.asked_at <= taken_at && here[0].1.asked_at >= taken_at - ms(71));
+    // Down again, to a third daemon whose question was sent at 2400 and waited for 200 ms.
+    let mut answer = FollowAnswer {
+        held_ms: 200,
+        samples: vec![here[0].1.told_at(&service, base + ms(2_650))],
+        ..FollowAnswer::default()
+    };
+    let told = answer.take_told(base + ms(2_400));
+    assert_eq!(told.samples.len(), 1);
+    assert!(told.samples[0].1.asked_at <= taken_at);
+    assert!(told.samples[0].1.asked_at >= taken_at - ms(125));
+}
+
+#[test]
+fn samples_that_no_clock_vouches_for_are_left_out() {
+    let base = Instant::now() + ms(10_000);
+    let sample = PrimarySample { asked_at: base + ms(100), point: LogPoint::new(1, 1) };
+    let service = Name::from("a");
+    assert_eq!(sample.told_since(&service, base + ms(101)), None, "taken before the answer came");
+    let told = sample.told_since(&service, base).unwrap();
+    let request =
+        |heard| FollowRequest { heard, samples: vec![told.clone()], ..FollowRequest::default() };
+    let now = base + ms(500);
+    let here = |heard| request(heard).samples_here(7, base, now).len();
+    assert_eq!(here(Some(ClockMessage { life: 7, at_ms: 0 })), 1);
+    assert_eq!(here(Some(ClockMessage { life: 8, at_ms: 0 })), 0, "another life");
+    assert_eq!(here(Some(ClockMessage { life: 7, at_ms: 450 })), 0, "a time that has not come");
+    assert_eq!(here(None), 0);
+}
