--- a/crates/proxy/src/control/duty.rs
+++ b/crates/proxy/src/control/duty.rs
@@ -17,6 +17,7 @@
     catalog::{CatalogFormat, ServerEntry},
     control::{
         change::{Reason, VersionedRecord},
+        move_times::MoveTimes,
         record::is_primary_lost,
         runner::{Control, HeldLease, RENEWALS_PER_LEASE},
     },
@@ -30,11 +31,6 @@
 /// Daemons that want the duty wait up to this long first, so that they rarely collide.
 const TAKE_JITTER: Duration = Duration::from_millis(60);
 
-/// How long a report that replicas are behind counts.
-const BEHIND_LASTS: Duration = Duration::from_millis(600);
-/// How long the lead stays where it was moved to because replicas were behind; a move costs a gap.
-const MOVE_AGAIN_AFTER: Duration = Duration::from_secs(12);
-
 /// The duty as this daemon holds it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct HeldDuty {
@@ -253,13 +249,12 @@
         if is_primary_lost(suspecting, members) {
             return Some(Reason::Unreachable);
         }
-        let now = Instant::now();
-        let within = |at: Option<&Instant>, time| {
-            at.is_some_and(|at| now.saturating_duration_since(*at) < time)
+        let times = MoveTimes {
+            behind_at: state.replicas_behind.get(service).copied(),
+            moved_at: state.lead_moved.get(service).copied(),
+            checked_at: state.lead_checked.get(service).copied(),
         };
-        let behind = within(state.replicas_behind.get(service), BEHIND_LASTS);
-        let moved = within(state.lead_moved.get(service), MOVE_AGAIN_AFTER);
-        (behind && !moved).then_some(Reason::ReplicasBehind)
+        times.allow_move(Instant::now()).then_some(Reason::ReplicasBehind)
     }
 
     /// Whether the primary's entry has been missing for so long, in readings of a store that answered
--- a/crates/proxy/src/control/mod.rs
+++ b/crates/proxy/src/control/mod.rs
@@ -10,6 +10,7 @@
 mod following;
 mod membership;
 pub mod mirror;
+pub mod move_times;
 mod peer_link;
 pub mod peers;
 pub mod record;
--- a/crates/proxy/src/control/runner.rs
+++ b/crates/proxy/src/control/runner.rs
@@ -134,8 +134,10 @@
     pub(crate) primary_missing_since: HashMap<Name, Instant>,
     /// When the replicas of a service were last found too far behind for the reads there are.
     pub(crate) replicas_behind: HashMap<Name, Instant>,
-    /// When this daemon last moved the lead of a service for that reason, or tried to.
+    /// When this daemon last moved the lead of a service for that reason.
     pub(crate) lead_moved: HashMap<Name, Instant>,
+    /// When it last looked whether a replica could take the lead over for that reason.
+    pub(crate) lead_checked: HashMap<Name, Instant>,
     pub(crate) acknowledged: HashMap<Name, String>,
     pub(crate) suspected: HashSet<(Name, Name)>,
     pub(crate) published_servers: Arc<HashMap<Name, Vec<Arc<crate::catalog::ServerEntry>>>>,
--- a/crates/proxy/tests/control.rs
+++ b/crates/proxy/tests/control.rs
@@ -9,6 +9,7 @@
     control::{
         evidence::{LeadByEvidence, judge},
         mirror::{Mirror, News},
+        move_times::MoveTimes,
         record::{
             ChosenServer, LeadershipRecord, RightBounds, StopProgress, StoppedServer,
             choose_successor, is_primary_lost,
@@ -256,3 +257,26 @@
     assert!(!late.is_whole);
     assert_eq!(late.changes.len(), 1);
 }
+
+/// A look that found no replica level must not keep the lead in place for as long as a move does.
+#[test]
+fn the_lead_moves_when_replicas_are_behind_and_not_again_and_again() {
+    let now = Instant::now() + Duration::from_secs(60);
+    let ago = |ms: Option<u64>| ms.map(|ms| now - Duration::from_millis(ms));
+    // How long ago: behind, moved, looked; whether it may move.
+    let cases = [
+        (None, None, None, false),
+        (Some(100), None, None, true),
+        (Some(700), None, None, false),
+        (Some(100), Some(11_000), None, false),
+        (Some(100), Some(13_000), None, true),
+        (Some(100), None, Some(300), false),
+        (Some(100), None, Some(1_000), true),
+        (Some(100), Some(11_000), Some(1_000), false),
+    ];
+    for (behind, moved, checked, expected) in cases {
+        let times =
+            MoveTimes { behind_at: ago(behind), moved_at: ago(moved), checked_at: ago(checked) };
+        assert_eq!(times.allow_move(now), expected, "{behind:?} {moved:?} {checked:?}");
+    }
+}
