--- a/crates/config/src/proxy_settings.rs
+++ b/crates/config/src/proxy_settings.rs
@@ -43,6 +43,9 @@
         prefix: Name = Name::from("wardtiller/"),
         /// How long a read may take; a later answer is of no more use.
         read_timeout_ms: u64 = 1_000,
+        /// How long the reading of everything may take: a megabyte over a link that carries a megabyte a
+        /// second, with everybody else's beside it.
+        whole_read_timeout_ms: u64 = 6_000,
         /// How long a write may take before its outcome is read back.
         write_timeout_ms: u64 = 1_500,
         /// How long one watch waits before it is renewed; also how soon a cut is noticed.
--- a/crates/proxy/src/control/following.rs
+++ b/crates/proxy/src/control/following.rs
@@ -273,7 +273,12 @@
         FollowAnswer {
             held_ms: now.duration_since(received_at).as_millis() as u64,
             reading: reading.map(|reading| reading.told_at(state.reading_number, now)),
-            changes: news.changes.into_iter().filter(is_wanted).map(Into::into).collect(),
+            changes: news
+                .changes
+                .into_iter()
+                .filter(is_wanted)
+                .map(|change| self.packer.pack(change))
+                .collect(),
             is_whole: news.is_whole,
             followed_to: news.followed_to,
             heard_to: state.mirror.last_revision(),
--- a/crates/proxy/src/control/mod.rs
+++ b/crates/proxy/src/control/mod.rs
@@ -11,6 +11,7 @@
 mod membership;
 pub mod mirror;
 pub mod move_times;
+pub mod packing;
 mod peer_link;
 pub mod peers;
 pub mod record;
--- a/crates/proxy/src/control/peer_link.rs
+++ b/crates/proxy/src/control/peer_link.rs
@@ -14,7 +14,10 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
-use crate::control::peers::{FollowAnswer, FollowRequest};
+use crate::control::{
+    packing::unpack,
+    peers::{FollowAnswer, FollowRequest},
+};
 
 /// How long another daemon may take to answer beyond the time that the question may wait there; a
 /// round trip within a zone and the scheduling of a busy host.
@@ -111,7 +114,17 @@
         };
         frames.send(Bytes::from(request.encode_to_vec())).await.ok()?;
         let frame: BytesMut = frames.next().await?.ok()?;
-        let answer = FollowAnswer::decode(frame).ok()?;
+        let mut answer = FollowAnswer::decode(frame).ok()?;
+        for change in &mut answer.changes {
+            if let Err(error) = unpack(change) {
+                log::warn!(
+                    event = "peer_garbled", peer = address.to_string().as_str(),
+                    why = error.to_string().as_str();
+                    "another daemon's answer can't be understood"
+                );
+                return None;
+            }
+        }
         self.open.borrow_mut().insert(address, frames);
         Some(answer)
     }
--- a/crates/proxy/src/control/peers.rs
+++ b/crates/proxy/src/control/peers.rs
@@ -185,16 +185,19 @@
     /// The value; none if the key was removed.
     #[prost(bytes = "bytes", optional, tag = "4")]
     pub value: Option<Bytes>,
+    /// Whether the value is packed; see [`super::packing`].
+    #[prost(bool, tag = "5")]
+    pub is_packed: bool,
 }
 
 impl From<Change> for ChangeMessage {
     fn from(change: Change) -> ChangeMessage {
         match change {
             Change::Put(Item { key, value, revision, created }) => {
-                ChangeMessage { key, revision, created, value: Some(value) }
+                ChangeMessage { key, revision, created, value: Some(value), is_packed: false }
             }
             Change::Removed { key, revision } => {
-                ChangeMessage { key, revision, created: 0, value: None }
+                ChangeMessage { key, revision, created: 0, value: None, is_packed: false }
             }
         }
     }
@@ -202,7 +205,7 @@
 
 impl From<ChangeMessage> for Change {
     fn from(message: ChangeMessage) -> Change {
-        let ChangeMessage { key, revision, created, value } = message;
+        let ChangeMessage { key, revision, created, value, .. } = message;
         match value {
             Some(value) => Change::Put(Item { key, value, revision, created }),
             None => Change::Removed { key, revision },
--- a/crates/proxy/src/control/runner.rs
+++ b/crates/proxy/src/control/runner.rs
@@ -22,6 +22,7 @@
         beliefs::{Beliefs, Lead, Observation},
         following::HeardOf,
         mirror::Mirror,
+        packing::Packer,
         peer_link::Asker,
         peers::{Evidence, PrimarySample, StoreReading},
         servers::ServerList,
@@ -234,6 +235,7 @@
     pub(crate) stopping: watch::Receiver<Option<Instant>>,
     pub(crate) refresh_now: Notify,
     pub(crate) asker: Asker,
+    pub(crate) packer: Packer,
     /// A number of this life of the daemon, and when it began.
     pub(crate) life: u64,
     pub(crate) epoch: Instant,
@@ -274,6 +276,7 @@
         stopping: parts.stopping,
         refresh_now: Notify::new(),
         asker: Asker::default(),
+        packer: Packer::default(),
         life: rand::rng().random(),
         epoch: Instant::now(),
         rejoin: Notify::new(),
@@ -321,6 +324,10 @@
         Duration::from_millis(self.settings.metadata.read_timeout_ms)
     }
 
+    pub(crate) fn whole_read_timeout(&self) -> Duration {
+        Duration::from_millis(self.settings.metadata.whole_read_timeout_ms)
+    }
+
     pub(crate) fn write_timeout(&self) -> Duration {
         Duration::from_millis(self.settings.metadata.write_timeout_ms)
     }
--- a/crates/proxy/src/control/watching.rs
+++ b/crates/proxy/src/control/watching.rs
@@ -49,7 +49,8 @@
     /// servers and the daemons' own keys were all read. Returns the revision that it follows from.
     pub(crate) async fn read_everything(&self) -> Result<Revision, MetadataError> {
         let asked_at = Instant::now();
-        let read = self.store.range("", Consistency::Linearizable, self.read_timeout()).await;
+        let timeout = self.whole_read_timeout();
+        let read = self.store.range("", Consistency::Linearizable, timeout).await;
         self.count_call("range", &read);
         let everything = read?;
         let revision = everything.revision;
--- a/crates/proxy/tests/peers.rs
+++ b/crates/proxy/tests/peers.rs
@@ -8,9 +8,12 @@
 use model::{LogPoint, Name, Term};
 use prost::Message;
 use proxy::{
-    control::peers::{
-        ClockMessage, Evidence, FollowAnswer, FollowRequest, OwnKeys, PrimarySample, SharedReading,
-        StoreReading, judge_reading,
+    control::{
+        packing::unpack,
+        peers::{
+            ChangeMessage, ClockMessage, Evidence, FollowAnswer, FollowRequest, OwnKeys,
+            PrimarySample, SharedReading, StoreReading, judge_reading,
+        },
     },
     metadata::{Change, Item},
 };
@@ -157,3 +160,18 @@
     assert_eq!(here(Some(ClockMessage { life: 7, at_ms: 450 })), 0, "a time that has not come");
     assert_eq!(here(None), 0);
 }
+
+#[test]
+fn a_packed_value_that_is_none_is_an_error_and_no_value() {
+    let message = |value: &[u8]| ChangeMessage {
+        key: "k".to_owned(),
+        value: Some(value.to_vec().into()),
+        is_packed: true,
+        ..ChangeMessage::default()
+    };
+    assert!(unpack(&mut message(b"\xff\xff plain text")).is_err());
+    // A value that is not packed stays as it is.
+    let mut plain = ChangeMessage { is_packed: false, ..message(b"plain text") };
+    unpack(&mut plain).unwrap();
+    assert_eq!(plain.value.as_deref(), Some(&b"plain text"[..]));
+}
