--- a/crates/proxy/src/control/beliefs.rs
+++ b/crates/proxy/src/control/beliefs.rs
@@ -11,7 +11,7 @@
 use crate::{
     catalog::{Catalog, ServerEntry},
     control::peers::PrimarySample,
-    serve::pool::Sharers,
+    serve::share::Sharers,
 };
 
 /// What gives the right to use a primary; see `docs/PLATFORM.md`, "Who leads".
--- a/crates/proxy/src/control/mod.rs
+++ b/crates/proxy/src/control/mod.rs
@@ -7,6 +7,7 @@
 mod commands;
 mod duty;
 pub mod evidence;
+mod fencing;
 mod following;
 mod membership;
 pub mod mirror;
--- a/crates/proxy/src/control/runner.rs
+++ b/crates/proxy/src/control/runner.rs
@@ -31,7 +31,7 @@
     events::ProxyMetrics,
     metadata::{LeaseId, MetadataError, MetadataStore, Revision, Transaction},
     order::PromotionOrders,
-    serve::pool::Sharers,
+    serve::share::Sharers,
     statement::{EndpointStatus, EndpointText},
 };
 
--- a/crates/proxy/src/serve/engine.rs
+++ b/crates/proxy/src/serve/engine.rs
@@ -20,8 +20,9 @@
     events::ProxyMetrics,
     serve::{
         connection::{ConnectionLost, EndpointConnection},
-        pool::{GroupPool, Keep, Lent, NoConnection, Offer, Share, Wish, share_of},
+        pool::{GroupPool, Lent, NoConnection, Offer, Wish},
         replay::SessionValues,
+        share::{Keep, Share, share_of},
         verdict::speaks_against_server,
     },
     statement::ErrorCode,
--- a/crates/proxy/src/serve/mod.rs
+++ b/crates/proxy/src/serve/mod.rs
@@ -10,6 +10,8 @@
 pub mod pool;
 pub mod replay;
 pub mod session;
+pub mod share;
+mod slot;
 mod telling;
 pub mod transaction;
 pub mod verdict;
--- a/crates/proxy/src/serve/pool.rs
+++ b/crates/proxy/src/serve/pool.rs
@@ -1,7 +1,7 @@
 //! The connections of this daemon to the servers of one service, and the statements that wait for one.
 //!
 //! Connections are few and belong to all daemons together: each may have its share of what a server
-//! grants ([`share_of`]). Who finds none free waits, the most urgent first, and gets whatever suitable
+//! grants ([`super::share`]). Who finds none free waits, the most urgent first, and gets whatever suitable
 //! connection is given back next. `docs/PLATFORM.md`, "Connections", says what was weighed.
 
 use std::{
@@ -13,7 +13,6 @@
 };
 
 use model::{LogPoint, Name};
-use routing::LatencyAverage;
 use tokio::sync::oneshot;
 
 use crate::{
@@ -23,81 +22,13 @@
         choose::{Candidate, Choice, choose},
         connection::EndpointConnection,
         replay::{Environment, SessionValues},
+        share::{Keep, Share},
+        slot::ServerSlot,
     },
 };
 
-/// Connections of a server that no daemon counts on: those of dead daemons linger for some seconds,
-/// and changes of primary need some of their own.
-const RESERVED_CONNECTIONS: u32 = 3;
-/// One part in so many of a primary's connections may be used by statements that leave room for others.
-const YIELDING_PART: u32 = 2;
 /// Statements that may wait for the connections of one service; more are refused at once.
 const MOST_WAITING: usize = 256;
-/// How long a server that lagged behind a bounded floor is passed over.
-const LAGGING_FOR: Duration = Duration::from_millis(150);
-/// How long after that a server still counts as behind where all of a group are looked at.
-const LAGGING_RECENTLY: Duration = Duration::from_millis(500);
-/// How long a server that could not be reached is passed over, at first; it doubles with each failure.
-const FIRST_BACKOFF: Duration = Duration::from_millis(100);
-/// The longest time that a server which can't be reached is passed over.
-const LONGEST_BACKOFF: Duration = Duration::from_millis(1_600);
-/// The longest time that nobody opens a connection to a server which grants no more: those of daemons
-/// that died end after some seconds, and then there is room at once.
-const LONGEST_REFUSED_BACKOFF: Duration = Duration::from_millis(250);
-/// How long a connection beyond the first may rest. Connections that are not needed leave room for
-/// those of daemons that start anew while their former ones still count.
-const SPARE_RESTS: Duration = Duration::from_millis(1_000);
-/// A latency that has not been confirmed for so long is forgotten, so that the server is tried again.
-const LATENCY_LASTS: Duration = Duration::from_secs(2);
-
-/// How long a connection may rest where there are more daemons than connections to a server, so that
-/// the others get their turn.
-const SCARCE_RESTS: Duration = Duration::from_millis(300);
-
-/// Daemons that share the connections of the servers, as one of them sees them.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Sharers {
-    /// All of them, this one included.
-    pub daemons: u32,
-    /// Those of this one's availability zone, this one included.
-    pub in_zone: u32,
-}
-
-/// How long a daemon may keep connections that it does not need at the moment.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Keep {
-    /// One for good, and more for a moment.
-    One,
-    /// One to servers of the same zone; none to others, where there are more daemons than connections.
-    OneNear,
-    /// None.
-    Nothing,
-}
-
-/// What one daemon may have of a server's connections.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Share {
-    /// Connections at a time.
-    pub limit: u32,
-    /// Which of them may be kept.
-    pub keep: Keep,
-}
-
-/// One part in so many of a server's connections may be kept by the daemons of its zone where there are
-/// more daemons than connections; the others take turns at the rest.
-const KEPT_NEAR_PART: u32 = 2;
-
-/// Returns the share of one daemon in what a server grants to all of them.
-pub fn share_of(granted: u32, sharers: Sharers) -> Share {
-    let shared = granted.saturating_sub(RESERVED_CONNECTIONS);
-    let each = shared / sharers.daemons.max(1);
-    let keep = match each {
-        0 if sharers.in_zone.max(1) * KEPT_NEAR_PART <= shared => Keep::OneNear,
-        0 => Keep::Nothing,
-        _ => Keep::One,
-    };
-    Share { limit: each.max(1), keep }
-}
 
 /// What a statement that wants a connection asks for.
 #[derive(Clone, Debug)]
@@ -121,105 +52,6 @@
     grant: oneshot::Sender<Offer<E>>,
 }
 
-struct ServerSlot<E> {
-    entry: Arc<ServerEntry>,
-    /// Idle connections with the time since when; the one that rested least is used first.
-    idle: Vec<(Instant, Box<EndpointConnection<E>>)>,
-    in_use: u32,
-    /// Those in use by statements that leave room for others.
-    yielding: u32,
-    limit: u32,
-    /// Whether one connection may rest for good.
-    keeps_one: bool,
-    latency: LatencyAverage,
-    latency_at: Option<Instant>,
-    point: Option<LogPoint>,
-    lagging_until: Option<Instant>,
-    failures: u32,
-    /// Until when no connection is opened, after one could not be.
-    no_opening_until: Option<Instant>,
-    away_until: Option<Instant>,
-    /// Whether it is still listed; one that is not gets no new work.
-    listed: bool,
-}
-
-impl<E> ServerSlot<E> {
-    fn new(entry: Arc<ServerEntry>) -> ServerSlot<E> {
-        ServerSlot {
-            entry,
-            idle: Vec::new(),
-            in_use: 0,
-            yielding: 0,
-            limit: 1,
-            keeps_one: true,
-            latency: LatencyAverage::default(),
-            latency_at: None,
-            point: None,
-            lagging_until: None,
-            failures: 0,
-            no_opening_until: None,
-            away_until: None,
-            listed: true,
-        }
-    }
-
-    /// Ends connections that have rested for long; the last only where none may be kept.
-    fn end_spares(&mut self) {
-        let now = Instant::now();
-        let others = self.in_use as usize;
-        let (kept, rests) = if self.keeps_one { (1, SPARE_RESTS) } else { (0, SCARCE_RESTS) };
-        while self.idle.len() + others > kept
-            && self.idle.first().is_some_and(|(since, _)| now.duration_since(*since) > rests)
-        {
-            self.idle.remove(0);
-        }
-    }
-
-    fn take(&mut self, yields: bool) {
-        self.in_use += 1;
-        self.yielding += u32::from(yields);
-    }
-
-    fn leave(&mut self, yields: bool) {
-        self.in_use = self.in_use.saturating_sub(1);
-        self.yielding = self.yielding.saturating_sub(u32::from(yields));
-    }
-
-    fn next_backoff(&mut self) -> Duration {
-        let backoff = FIRST_BACKOFF.saturating_mul(1 << self.failures.min(8));
-        self.failures += 1;
-        backoff.min(LONGEST_BACKOFF)
-    }
-
-    /// How many connections may be used now; those that stand, after one could not be opened.
-    fn limit_at(&self, now: Instant) -> u32 {
-        match self.no_opening_until {
-            Some(until) if now < until => self.limit.min(self.in_use),
-            _ => self.limit,
-        }
-    }
-
-    /// Whether a statement that leaves room at the primary would take room that others need. What runs
-    /// in a server at a time is few; more only waits there, where no priority counts.
-    fn is_full_for(&self, wish: &Wish) -> bool {
-        let leads = wish.primary.as_ref() == Some(&self.entry.server);
-        wish.yields && leads && self.yielding >= (self.limit / YIELDING_PART).max(1)
-    }
-
-    fn is_fit(&self, wish: &Wish, now: Instant) -> bool {
-        if !self.listed || wish.avoid.contains(&self.entry.server) {
-            return false;
-        }
-        if let Some(only) = &wish.only {
-            return *only == self.entry.server;
-        }
-        let away = self.away_until.is_some_and(|until| now < until);
-        let behind = self.lagging_until.is_some_and(|until| now < until)
-            && wish.floor.is_some_and(|floor| self.point.is_none_or(|point| point < floor));
-        !self.entry.leaving && !away && !behind
-    }
-}
-
 struct PoolState<E: EndpointDialect> {
     keep: Keep,
     servers: Vec<ServerSlot<E>>,
@@ -374,10 +206,7 @@
     fn candidates(&self, state: &mut PoolState<E>, wish: &Wish, now: Instant) -> Vec<Candidate> {
         let fit = state.servers.iter_mut().enumerate().filter(|(_, slot)| slot.is_fit(wish, now));
         fit.map(|(index, slot)| {
-            if slot.latency_at.is_some_and(|at| now.duration_since(at) > LATENCY_LASTS) {
-                slot.latency = LatencyAverage::default();
-                slot.latency_at = None;
-            }
+            slot.forget_old_latency(now);
             Candidate {
                 index,
                 near: slot.entry.availability_zone == self.availability_zone,
@@ -430,40 +259,25 @@
 
     /// Notes that a server answered, with its point.
     pub fn on_answer(&self, server: &str, point: Option<LogPoint>, took: Duration) {
-        self.with_slot(server, |slot| {
-            slot.latency.add(took.as_micros() as u64);
-            slot.latency_at = Some(Instant::now());
-            slot.failures = 0;
-            slot.away_until = None;
-            slot.no_opening_until = None;
-            if point.is_some() {
-                slot.point = point;
-            }
-        });
+        self.with_slot(server, |slot| slot.note_answer(point, took));
     }
 
     /// Notes that a server's log lacked the point that was asked for.
     pub fn on_lagging(&self, server: &str) {
-        self.with_slot(server, |slot| slot.lagging_until = Some(Instant::now() + LAGGING_FOR));
+        self.with_slot(server, ServerSlot::note_lagging);
     }
 
     /// Notes that a server could not be reached or failed; it is passed over for a while.
     pub fn on_failure(&self, server: &str) {
-        self.with_slot(server, |slot| {
-            slot.away_until = Some(Instant::now() + slot.next_backoff());
-        });
+        self.with_slot(server, ServerSlot::note_failure);
     }
 
     /// Notes that a connection could not be opened: nobody tries again for a while, so that a server
     /// which grants no more is not flooded, and statements wait for the connections there are.
     pub fn on_open_failed(self: &Rc<Self>, server: &str, refused: bool) {
-        let longest = if refused { LONGEST_REFUSED_BACKOFF } else { LONGEST_BACKOFF };
-        let backoff = self.with_slot(server, |slot| {
-            let backoff = slot.next_backoff().min(longest);
-            slot.no_opening_until = Some(Instant::now() + backoff);
-            backoff
-        });
-        let Some(backoff) = backoff else { return };
+        let Some(backoff) = self.with_slot(server, |slot| slot.note_open_failed(refused)) else {
+            return;
+        };
         let pool = self.clone();
         tokio::task::spawn_local(async move {
             tokio::time::sleep(backoff).await;
@@ -487,10 +301,7 @@
         let state = self.state.borrow();
         let mut others =
             state.servers.iter().filter(|slot| slot.listed && &*slot.entry.server != primary);
-        let lags = |slot: &ServerSlot<E>| {
-            slot.lagging_until.is_some_and(|until| now < until + LAGGING_RECENTLY)
-        };
-        others.clone().next().is_some() && others.all(lags)
+        others.clone().next().is_some() && others.all(|slot| slot.has_lagged(now))
     }
 
     /// Returns a server's average answering time; zero if it is not known.
@@ -538,9 +349,7 @@
             let free = {
                 let now = Instant::now();
                 let state = self.state.borrow();
-                let mut free = state.servers.iter().filter(|slot| {
-                    slot.listed && slot.idle.len() as u32 + slot.in_use < slot.limit_at(now)
-                });
+                let mut free = state.servers.iter().filter(|slot| slot.has_room(now));
                 let waits = |slot: &&ServerSlot<E>| self.has_waiter(&state, slot);
                 free.find(waits).map(|slot| slot.entry.clone())
             };
--- /dev/null
+++ b/crates/proxy/src/serve/share.rs
@@ -0,0 +1,49 @@
+//! What one daemon may have of the connections that a server grants to all of them.
+
+/// Connections of a server that no daemon counts on: those of dead daemons linger for some seconds,
+/// and changes of primary need some of their own.
+const RESERVED_CONNECTIONS: u32 = 3;
+/// Daemons that share the connections of the servers, as one of them sees them.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Sharers {
+    /// All of them, this one included.
+    pub daemons: u32,
+    /// Those of this one's availability zone, this one included.
+    pub in_zone: u32,
+}
+
+/// How long a daemon may keep connections that it does not need at the moment.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Keep {
+    /// One for good, and more for a moment.
+    One,
+    /// One to servers of the same zone; none to others, where there are more daemons than connections.
+    OneNear,
+    /// None.
+    Nothing,
+}
+
+/// What one daemon may have of a server's connections.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Share {
+    /// Connections at a time.
+    pub limit: u32,
+    /// Which of them may be kept.
+    pub keep: Keep,
+}
+
+/// One part in so many of a server's connections may be kept by the daemons of its zone where there are
+/// more daemons than connections; the others take turns at the rest.
+const KEPT_NEAR_PART: u32 = 2;
+
+/// Returns the share of one daemon in what a server grants to all of them.
+pub fn share_of(granted: u32, sharers: Sharers) -> Share {
+    let shared = granted.saturating_sub(RESERVED_CONNECTIONS);
+    let each = shared / sharers.daemons.max(1);
+    let keep = match each {
+        0 if sharers.in_zone.max(1) * KEPT_NEAR_PART <= shared => Keep::OneNear,
+        0 => Keep::Nothing,
+        _ => Keep::One,
+    };
+    Share { limit: each.max(1), keep }
+}
--- /dev/null
+++ b/crates/proxy/src/serve/slot.rs
@@ -0,0 +1,184 @@
+//! One server as the pool knows it: its connections, how it has answered lately, and whether it is fit.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use model::LogPoint;
+use routing::LatencyAverage;
+
+use crate::{
+    catalog::ServerEntry,
+    serve::{connection::EndpointConnection, pool::Wish},
+};
+
+/// How long a server that lagged behind a bounded floor is passed over.
+const LAGGING_FOR: Duration = Duration::from_millis(150);
+/// How long after that a server still counts as behind where all of a group are looked at.
+const LAGGING_RECENTLY: Duration = Duration::from_millis(500);
+/// A latency that has not been confirmed for so long is forgotten, so that the server is tried again.
+const LATENCY_LASTS: Duration = Duration::from_secs(2);
+/// One part in so many of a primary's connections may be used by statements that leave room for others.
+const YIELDING_PART: u32 = 2;
+/// How long a server that could not be reached is passed over, at first; it doubles with each failure.
+const FIRST_BACKOFF: Duration = Duration::from_millis(100);
+/// The longest time that a server which can't be reached is passed over.
+const LONGEST_BACKOFF: Duration = Duration::from_millis(1_600);
+/// The longest time that nobody opens a connection to a server which grants no more: those of daemons
+/// that died end after some seconds, and then there is room at once.
+const LONGEST_REFUSED_BACKOFF: Duration = Duration::from_millis(250);
+/// How long a connection beyond the first may rest. Connections that are not needed leave room for
+/// those of daemons that start anew while their former ones still count.
+const SPARE_RESTS: Duration = Duration::from_millis(1_000);
+/// How long a connection may rest where there are more daemons than connections to a server, so that
+/// the others get their turn.
+const SCARCE_RESTS: Duration = Duration::from_millis(300);
+
+/// A server with the connections to it.
+pub(crate) struct ServerSlot<E> {
+    pub(crate) entry: Arc<ServerEntry>,
+    /// Idle connections with the time since when; the one that rested least is used first.
+    pub(crate) idle: Vec<(Instant, Box<EndpointConnection<E>>)>,
+    pub(crate) in_use: u32,
+    /// Those in use by statements that leave room for others.
+    pub(crate) yielding: u32,
+    pub(crate) limit: u32,
+    /// Whether one connection may rest for good.
+    pub(crate) keeps_one: bool,
+    pub(crate) latency: LatencyAverage,
+    pub(crate) latency_at: Option<Instant>,
+    pub(crate) point: Option<LogPoint>,
+    pub(crate) lagging_until: Option<Instant>,
+    pub(crate) failures: u32,
+    /// Until when no connection is opened, after one could not be.
+    pub(crate) no_opening_until: Option<Instant>,
+    pub(crate) away_until: Option<Instant>,
+    /// Whether it is still listed; one that is not gets no new work.
+    pub(crate) listed: bool,
+}
+
+impl<E> ServerSlot<E> {
+    pub(crate) fn new(entry: Arc<ServerEntry>) -> ServerSlot<E> {
+        ServerSlot {
+            entry,
+            idle: Vec::new(),
+            in_use: 0,
+            yielding: 0,
+            limit: 1,
+            keeps_one: true,
+            latency: LatencyAverage::default(),
+            latency_at: None,
+            point: None,
+            lagging_until: None,
+            failures: 0,
+            no_opening_until: None,
+            away_until: None,
+            listed: true,
+        }
+    }
+
+    /// Ends connections that have rested for long; the last only where none may be kept.
+    pub(crate) fn end_spares(&mut self) {
+        let now = Instant::now();
+        let others = self.in_use as usize;
+        let (kept, rests) = if self.keeps_one { (1, SPARE_RESTS) } else { (0, SCARCE_RESTS) };
+        while self.idle.len() + others > kept
+            && self.idle.first().is_some_and(|(since, _)| now.duration_since(*since) > rests)
+        {
+            self.idle.remove(0);
+        }
+    }
+
+    pub(crate) fn take(&mut self, yields: bool) {
+        self.in_use += 1;
+        self.yielding += u32::from(yields);
+    }
+
+    pub(crate) fn leave(&mut self, yields: bool) {
+        self.in_use = self.in_use.saturating_sub(1);
+        self.yielding = self.yielding.saturating_sub(u32::from(yields));
+    }
+
+    /// Notes that it answered, with its point.
+    pub(crate) fn note_answer(&mut self, point: Option<LogPoint>, took: Duration) {
+        self.latency.add(took.as_micros() as u64);
+        self.latency_at = Some(Instant::now());
+        self.failures = 0;
+        self.away_until = None;
+        self.no_opening_until = None;
+        if point.is_some() {
+            self.point = point;
+        }
+    }
+
+    /// Notes that its log lacked the point that was asked for.
+    pub(crate) fn note_lagging(&mut self) {
+        self.lagging_until = Some(Instant::now() + LAGGING_FOR);
+    }
+
+    /// Notes that it could not be reached or failed; it is passed over for a while.
+    pub(crate) fn note_failure(&mut self) {
+        self.away_until = Some(Instant::now() + self.next_backoff());
+    }
+
+    /// Notes that a connection could not be opened; returns how long nobody tries again.
+    pub(crate) fn note_open_failed(&mut self, refused: bool) -> Duration {
+        let longest = if refused { LONGEST_REFUSED_BACKOFF } else { LONGEST_BACKOFF };
+        let backoff = self.next_backoff().min(longest);
+        self.no_opening_until = Some(Instant::now() + backoff);
+        backoff
+    }
+
+    /// Whether it lagged behind a moment ago.
+    pub(crate) fn has_lagged(&self, now: Instant) -> bool {
+        self.lagging_until.is_some_and(|until| now < until + LAGGING_RECENTLY)
+    }
+
+    /// Whether it holds fewer connections than it may.
+    pub(crate) fn has_room(&self, now: Instant) -> bool {
+        self.listed && (self.idle.len() as u32) + self.in_use < self.limit_at(now)
+    }
+
+    /// Forgets a latency that nothing has confirmed for long.
+    pub(crate) fn forget_old_latency(&mut self, now: Instant) {
+        if self.latency_at.is_some_and(|at| now.duration_since(at) > LATENCY_LASTS) {
+            self.latency = LatencyAverage::default();
+            self.latency_at = None;
+        }
+    }
+
+    fn next_backoff(&mut self) -> Duration {
+        let backoff = FIRST_BACKOFF.saturating_mul(1 << self.failures.min(8));
+        self.failures += 1;
+        backoff.min(LONGEST_BACKOFF)
+    }
+
+    /// How many connections may be used now; those that stand, after one could not be opened.
+    pub(crate) fn limit_at(&self, now: Instant) -> u32 {
+        match self.no_opening_until {
+            Some(until) if now < until => self.limit.min(self.in_use),
+            _ => self.limit,
+        }
+    }
+
+    /// Whether a statement that leaves room at the primary would take room that others need. What runs
+    /// in a server at a time is few; more only waits there, where no priority counts.
+    pub(crate) fn is_full_for(&self, wish: &Wish) -> bool {
+        let leads = wish.primary.as_ref() == Some(&self.entry.server);
+        wish.yields && leads && self.yielding >= (self.limit / YIELDING_PART).max(1)
+    }
+
+    pub(crate) fn is_fit(&self, wish: &Wish, now: Instant) -> bool {
+        if !self.listed || wish.avoid.contains(&self.entry.server) {
+            return false;
+        }
+        if let Some(only) = &wish.only {
+            return *only == self.entry.server;
+        }
+        let away = self.away_until.is_some_and(|until| now < until);
+        let behind = self.lagging_until.is_some_and(|until| now < until)
+            && wish.floor.is_some_and(|floor| self.point.is_none_or(|point| point < floor));
+        !self.entry.leaving && !away && !behind
+    }
+}
--- a/crates/proxy/tests/shares.rs
+++ b/crates/proxy/tests/shares.rs
@@ -1,6 +1,6 @@
 //! How the connections of a server are divided.
 
-use proxy::serve::pool::{Keep, Share, Sharers, share_of};
+use proxy::serve::share::{Keep, Share, Sharers, share_of};
 
 #[test]
 fn shares_never_add_up_to_more_than_is_granted_unless_they_are_scarce() {
