perf(control): in a burst of changes a watch rests for 20 ms

Cause: each join and each word that a daemon has stopped was an answer of its own for every daemon that watches the store: 142 joins and 71 answers to each change of primary on the grown sites, times five. The first change after a calm is heard of at once as before.

--- a/crates/proxy/src/control/watching.rs
+++ b/crates/proxy/src/control/watching.rs
@@ -14,6 +14,12 @@
     order::PromotionOrders,
 };
 
+/// A watch that is answered so soon is taken for one of a burst, as when many daemons join or say that
+/// they have stopped.
+const BURST_WITHIN: Duration = Duration::from_millis(50);
+/// How long nothing is watched then, so that one call brings many changes.
+const BURST_REST: Duration = Duration::from_millis(20);
+
 impl<M, O, F, E> Control<M, O, F, E>
 where
     M: MetadataStore,
@@ -80,6 +86,7 @@
             }
             // One watch over all keys costs one call where three prefixes would cost three.
             let after = self.state.borrow().mirror.followed_to();
+            let asked_at = Instant::now();
             let changes = self.store.watch("", after, wait).await;
             self.count_call("watch", &changes);
             match changes {
@@ -92,6 +99,9 @@
                     }
                     self.note_members(Instant::now());
                     self.publish();
+                    if asked_at.elapsed() < BURST_WITHIN {
+                        tokio::time::sleep(BURST_REST).await;
+                    }
                 }
                 Err(error) => return error,
             }
