fix(platform): an answer that has not begun is given up as soon as before

Change: how long a call may take is told in two parts, until its answer begins (1 s as before) and until all of it is there (6 s).

--- a/crates/proxy/src/control/rights.rs
+++ b/crates/proxy/src/control/rights.rs
@@ -49,7 +49,7 @@
             let asked_at = Instant::now();
             let prefix = self.key("");
             let timeout = self.read_timeout().min(self.right());
-            let read = self.store.range(&prefix, Consistency::Linearizable, timeout).await;
+            let read = self.store.range(&prefix, Consistency::Linearizable, timeout.into()).await;
             self.count_call("range", &read);
             match read {
                 Ok(snapshot) => {
--- a/crates/proxy/src/control/watching.rs
+++ b/crates/proxy/src/control/watching.rs
@@ -10,7 +10,9 @@
     catalog::CatalogFormat,
     control::runner::{Control, Pause},
     dialect::EndpointDialect,
-    metadata::{Change, Consistency, Item, MetadataError, MetadataStore, Revision, Snapshot},
+    metadata::{
+        Change, Consistency, Item, MetadataError, MetadataStore, Patience, Revision, Snapshot,
+    },
     order::PromotionOrders,
 };
 
@@ -55,8 +57,8 @@
     /// servers and the daemons' own keys were all read. Returns the revision that it follows from.
     pub(crate) async fn read_everything(&self) -> Result<Revision, MetadataError> {
         let asked_at = Instant::now();
-        let timeout = self.whole_read_timeout();
-        let read = self.store.range("", Consistency::Linearizable, timeout).await;
+        let patience = Patience { answer: self.read_timeout(), whole: self.whole_read_timeout() };
+        let read = self.store.range("", Consistency::Linearizable, patience).await;
         self.count_call("range", &read);
         let everything = read?;
         let revision = everything.revision;
--- a/crates/proxy/src/metadata.rs
+++ b/crates/proxy/src/metadata.rs
@@ -131,6 +131,22 @@
 
 impl std::error::Error for MetadataError {}
 
+/// How long a call may take. A store that says nothing is given up soon; an answer that has begun may be
+/// large, and its link slow.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Patience {
+    /// Until the answer begins.
+    pub answer: Duration,
+    /// Until all of it is there.
+    pub whole: Duration,
+}
+
+impl From<Duration> for Patience {
+    fn from(time: Duration) -> Patience {
+        Patience { answer: time, whole: time }
+    }
+}
+
 /// The store. Every call ends after the time it is given; none is repeated by the adapter.
 #[allow(async_fn_in_trait, reason = "the engine uses it on one thread only")]
 pub trait MetadataStore: 'static {
@@ -141,7 +157,7 @@
         &self,
         prefix: &str,
         consistency: Consistency,
-        timeout: Duration,
+        patience: Patience,
     ) -> Result<Snapshot, MetadataError>;
     /// Waits for changes after a revision, at most for `wait`.
     async fn watch(
