fix(control): a daemon whose changes take long to come is not passed over as silent

Cause, by reading: an answer with a configuration may take longer over a slow link than the 0.12 s that a silent daemon is given beyond the wait. The asker then passed it over for 3 s and asked another for the same. Change: the answer goes ahead of its changes in a frame of its own, and the changes may take 5 s.

--- a/crates/proxy/src/control/following.rs
+++ b/crates/proxy/src/control/following.rs
@@ -282,6 +282,8 @@
             is_whole: news.is_whole,
             followed_to: news.followed_to,
             heard_to: state.mirror.last_revision(),
+            // Set as the changes are split off.
+            changes_follow: false,
             own_followed_to: state.own_followed_to,
             evidence: state
                 .evidence
--- a/crates/proxy/src/control/peer_link.rs
+++ b/crates/proxy/src/control/peer_link.rs
@@ -16,12 +16,15 @@
 
 use crate::control::{
     packing::unpack,
-    peers::{FollowAnswer, FollowRequest},
+    peers::{ChangesMessage, FollowAnswer, FollowRequest},
 };
 
 /// How long another daemon may take to answer beyond the time that the question may wait there; a
 /// round trip within a zone and the scheduling of a busy host.
 const ANSWER_WITHIN: Duration = Duration::from_millis(120);
+/// How long the changes behind an answer may take: a configuration of a megabyte, packed to a tenth, for
+/// eight daemons over a link of a megabyte a second, and others' traffic beside it.
+const CHANGES_WITHIN: Duration = Duration::from_secs(5);
 /// How long a daemon that did not answer is not asked.
 const SILENT_FOR: Duration = Duration::from_secs(3);
 /// The largest frame: everything that the store holds for a large installation.
@@ -65,13 +68,29 @@
             log::warn!(event = "peer_garbled"; "another daemon's question can't be understood");
             return;
         };
-        let answer = Bytes::from(answer(request).await.encode_to_vec());
-        if frames.send(answer).await.is_err() {
+        let (answer, changes) = answer(request).await.split();
+        if send_all(&mut frames, &answer, changes.as_ref()).await.is_err() {
             return;
         }
     }
 }
 
+/// Sends an answer and the changes behind it, in one write where they are small.
+async fn send_all(
+    frames: &mut Frames,
+    answer: &FollowAnswer,
+    changes: Option<&ChangesMessage>,
+) -> std::io::Result<()> {
+    let answer = Bytes::from(answer.encode_to_vec());
+    match changes {
+        Some(changes) => {
+            frames.feed(answer).await?;
+            frames.send(Bytes::from(changes.encode_to_vec())).await
+        }
+        None => frames.send(answer).await,
+    }
+}
+
 /// Asks other daemons, over connections that are kept.
 #[derive(Clone, Default)]
 pub(crate) struct Asker {
@@ -90,16 +109,14 @@
         self.silent_until.borrow_mut().insert(address, now + SILENT_FOR);
     }
 
-    /// Asks a daemon; `None` if it does not answer soon after the time that the question may wait. One
-    /// that does not is passed over for a while.
+    /// Asks a daemon; `None` if it does not answer soon after the time that the question may wait, or its
+    /// changes do not come. One that does not is passed over for a while.
     pub(crate) async fn ask(
         &self,
         address: SocketAddr,
         request: &FollowRequest,
     ) -> Option<FollowAnswer> {
-        let within = Duration::from_millis(request.wait_ms) + ANSWER_WITHIN;
-        let asked = tokio::time::timeout(within, self.exchange(address, request)).await;
-        let answer = asked.ok().flatten();
+        let answer = self.exchange(address, request).await;
         if answer.is_none() {
             self.pass_over(address, Instant::now());
         }
@@ -107,14 +124,13 @@
     }
 
     async fn exchange(&self, address: SocketAddr, request: &FollowRequest) -> Option<FollowAnswer> {
-        let open = self.open.borrow_mut().remove(&address);
-        let mut frames = match open {
-            Some(frames) => frames,
-            None => framed(TcpStream::connect(address).await.ok()?),
-        };
-        frames.send(Bytes::from(request.encode_to_vec())).await.ok()?;
-        let frame: BytesMut = frames.next().await?.ok()?;
-        let mut answer = FollowAnswer::decode(frame).ok()?;
+        let within = Duration::from_millis(request.wait_ms) + ANSWER_WITHIN;
+        let asked = tokio::time::timeout(within, self.ask_first(address, request)).await;
+        let (mut frames, mut answer) = asked.ok()??;
+        if answer.changes_follow {
+            let frame = tokio::time::timeout(CHANGES_WITHIN, frames.next()).await.ok()??.ok()?;
+            answer.changes = ChangesMessage::decode(frame).ok()?.changes;
+        }
         for change in &mut answer.changes {
             if let Err(error) = unpack(change) {
                 log::warn!(
@@ -128,4 +144,21 @@
         self.open.borrow_mut().insert(address, frames);
         Some(answer)
     }
+
+    /// Sends a question and reads the answer without its changes.
+    async fn ask_first(
+        &self,
+        address: SocketAddr,
+        request: &FollowRequest,
+    ) -> Option<(Frames, FollowAnswer)> {
+        let open = self.open.borrow_mut().remove(&address);
+        let mut frames = match open {
+            Some(frames) => frames,
+            None => framed(TcpStream::connect(address).await.ok()?),
+        };
+        frames.send(Bytes::from(request.encode_to_vec())).await.ok()?;
+        let frame: BytesMut = frames.next().await?.ok()?;
+        let answer = FollowAnswer::decode(frame).ok()?;
+        Some((frames, answer))
+    }
 }
--- a/crates/proxy/src/control/peers.rs
+++ b/crates/proxy/src/control/peers.rs
@@ -141,7 +141,8 @@
     /// The last reading of the store that the answering daemon knows of.
     #[prost(message, optional, tag = "2")]
     pub reading: Option<ReadingMessage>,
-    /// Changes that the asker may not have heard of, oldest first.
+    /// Changes that the asker may not have heard of, oldest first. They travel in a frame of their own
+    /// behind the answer, see [`FollowAnswer::split`].
     #[prost(message, repeated, tag = "3")]
     pub changes: Vec<ChangeMessage>,
     /// Whether the changes are all keys that there are.
@@ -168,6 +169,17 @@
     /// Every change of the daemons' own keys up to this revision is known to the answering daemon.
     #[prost(uint64, tag = "11")]
     pub own_followed_to: Revision,
+    /// Whether the changes come in a frame of their own.
+    #[prost(bool, tag = "12")]
+    pub changes_follow: bool,
+}
+
+/// Changes on their way.
+#[derive(Clone, PartialEq, Message)]
+pub struct ChangesMessage {
+    /// The changes, oldest first.
+    #[prost(message, repeated, tag = "1")]
+    pub changes: Vec<ChangeMessage>,
 }
 
 /// A change of one key.
@@ -266,6 +278,15 @@
 }
 
 impl FollowAnswer {
+    /// Takes the changes out, to be sent behind the answer: the answer itself is small and shows at once
+    /// that the daemon lives, while a configuration may take seconds over a slow link.
+    pub fn split(mut self) -> (FollowAnswer, Option<ChangesMessage>) {
+        let changes = std::mem::take(&mut self.changes);
+        self.changes_follow = !changes.is_empty();
+        let changes = self.changes_follow.then_some(ChangesMessage { changes });
+        (self, changes)
+    }
+
     /// Returns the earliest moment at which the answer to a question sent at `sent_at` was made.
     pub fn made_at(&self, sent_at: Instant) -> Instant {
         sent_at + Duration::from_millis(self.held_ms)
--- a/crates/proxy/tests/peers.rs
+++ b/crates/proxy/tests/peers.rs
@@ -11,8 +11,8 @@
     control::{
         packing::unpack,
         peers::{
-            ChangeMessage, ClockMessage, Evidence, FollowAnswer, FollowRequest, OwnKeys,
-            PrimarySample, SharedReading, StoreReading, judge_reading,
+            ChangeMessage, ChangesMessage, ClockMessage, Evidence, FollowAnswer, FollowRequest,
+            OwnKeys, PrimarySample, SharedReading, StoreReading, judge_reading,
         },
     },
     metadata::{Change, Item},
@@ -105,8 +105,14 @@
         followed_to: 11,
         ..FollowAnswer::default()
     };
-    let mut received = FollowAnswer::decode(&*message.encode_to_vec()).unwrap();
+    // The changes travel behind the answer, so that it is small whatever they are.
+    let (head, changes) = message.split();
+    assert!(head.changes_follow && head.changes.is_empty());
+    let mut received = FollowAnswer::decode(&*head.encode_to_vec()).unwrap();
+    received.changes = ChangesMessage::decode(&*changes.unwrap().encode_to_vec()).unwrap().changes;
     assert_eq!(received.take_told(Instant::now()).news.changes, sent);
+    let (head, changes) = FollowAnswer::default().split();
+    assert!(!head.changes_follow && changes.is_none());
 }
 
 /// Two daemons' clocks have nothing in common; a sample that passes between them may seem older than it
