--- a/crates/proxy/src/serve/session.rs
+++ b/crates/proxy/src/serve/session.rs
@@ -38,6 +38,9 @@
 const STARTUP_WITHIN: Duration = Duration::from_secs(10);
 /// How long a new session waits while the daemon has no configuration; callers give up after 2 s.
 const CONFIGURATION_WITHIN: Duration = Duration::from_millis(1_500);
+/// What a caller is told to wait whose session is refused; a daemon that starts has read the configuration
+/// by then if the store answers.
+const SESSION_COMES_BACK_MS: u64 = 500;
 /// Values and prepared names that one session may hold; they are replayed and kept in memory.
 const MOST_NAMES: usize = 1_024;
 
@@ -138,15 +141,11 @@
             return false;
         };
         if self.engine.callers.get() > self.engine.settings.most_callers {
-            let why = "this daemon has as many callers as it may";
-            self.outgoing_error(StatementError::come_back(ErrorCode::Overloaded, why, 500));
-            let _ = self.flush().await;
+            self.refuse_session(&database, "this daemon has as many callers as it may").await;
             return false;
         }
         if !self.configuration_is_known().await {
-            let why = "this daemon has no configuration yet";
-            self.outgoing_error(StatementError::come_back(ErrorCode::Overloaded, why, 500));
-            let _ = self.flush().await;
+            self.refuse_session(&database, "this daemon has no configuration yet").await;
             return false;
         }
         if !self.engine.beliefs().catalog.routes.contains_key(&database) {
@@ -165,6 +164,19 @@
         self.flush().await.is_ok()
     }
 
+    /// Ends a session that has not begun, and tells its caller when to come back.
+    async fn refuse_session(&mut self, database: &Name, why: &'static str) {
+        log::info!(
+            event = "session_refused", database = &**database, why = why,
+            callers = self.engine.callers.get(), retry_after_ms = SESSION_COMES_BACK_MS;
+            "a session was refused"
+        );
+        let error = StatementError::come_back(ErrorCode::Overloaded, why, SESSION_COMES_BACK_MS);
+        self.outgoing_error(error);
+        // A caller that has gone need not be told.
+        let _ = self.flush().await;
+    }
+
     /// Waits for the first configuration: before it, nothing can be said of any database.
     async fn configuration_is_known(&self) -> bool {
         let mut beliefs = self.engine.beliefs.clone();
