fix(control): a primary that leaves without saying so leads until it is replaced

Cause: the grace for a lapsed entry was counted twice. After the first 2.5 s the server was dropped from the list; only from then on was the primary missing, and the change waited for 2.5 s more. Change: after the grace the server counts as leaving, so that reads go elsewhere and a planned change replaces a primary that leads meanwhile; after as long again it is dropped.

--- a/crates/proxy/src/control/runner.rs
+++ b/crates/proxy/src/control/runner.rs
@@ -25,7 +25,7 @@
         packing::Packer,
         peer_link::Asker,
         peers::{Evidence, PrimarySample, StoreReading},
-        servers::ServerList,
+        servers::{Lapsed, ServerList},
     },
     dialect::EndpointDialect,
     events::ProxyMetrics,
@@ -359,10 +359,17 @@
             // Servers can't renew their entries either, as far as is known here.
             state.servers.restart_grace(now);
         }
-        for server in state.servers.expire(grace, now) {
-            log::info!(event = "server_gone", server = &*server; "a server's entry stayed away");
-            state.servers_dirty = true;
+        let lapsed = state.servers.expire(grace, now);
+        for server in &lapsed.leaving {
+            log::info!(
+                event = "server_lapsed", server = &**server;
+                "a server's entry stayed away and it is taken for leaving"
+            );
         }
+        for server in &lapsed.gone {
+            log::info!(event = "server_gone", server = &**server; "a server's entry stayed away");
+        }
+        state.servers_dirty |= lapsed != Lapsed::default();
         if state.servers_dirty {
             state.published_servers = Arc::new(state.servers.by_service());
             state.servers_dirty = false;
--- a/crates/proxy/src/control/servers.rs
+++ b/crates/proxy/src/control/servers.rs
@@ -17,6 +17,15 @@
     lapsed_at: Option<Instant>,
 }
 
+/// Servers whose entries have stayed away.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Lapsed {
+    /// Those that are taken for leaving ones from now on.
+    pub leaving: Vec<Name>,
+    /// Those that are not listed any more.
+    pub gone: Vec<Name>,
+}
+
 /// Every server that has an entry, or had one a moment ago.
 #[derive(Default)]
 pub struct ServerList {
@@ -54,19 +63,24 @@
         false
     }
 
-    /// Drops servers whose entry has been gone for longer than `grace`; returns those dropped.
-    pub fn expire(&mut self, grace: Duration, now: Instant) -> Vec<Name> {
-        let over = |known: &Known| {
-            known.lapsed_at.is_some_and(|at| now.saturating_duration_since(at) >= grace)
+    /// Takes servers whose entry has been gone for longer than `grace` for leaving ones, and drops them
+    /// after as long again. Some servers never say that they leave and serve on for a while, so a primary
+    /// among them leads until it is replaced.
+    pub fn expire(&mut self, grace: Duration, now: Instant) -> Lapsed {
+        let gone_for = |known: &Known| {
+            known.lapsed_at.map_or(Duration::ZERO, |at| now.saturating_duration_since(at))
         };
-        let gone: Vec<Name> = self
-            .known
-            .values()
-            .filter(|known| over(known))
-            .map(|known| known.entry.server.clone())
-            .collect();
-        self.known.retain(|_, known| !over(known));
-        gone
+        let mut lapsed = Lapsed::default();
+        for known in self.known.values_mut() {
+            if gone_for(known) >= grace * 2 {
+                lapsed.gone.push(known.entry.server.clone());
+            } else if gone_for(known) >= grace && !known.entry.leaving {
+                Arc::make_mut(&mut known.entry).leaving = true;
+                lapsed.leaving.push(known.entry.server.clone());
+            }
+        }
+        self.known.retain(|_, known| gone_for(known) < grace * 2);
+        lapsed
     }
 
     /// Forgets how long entries have been missing, as after a time in which the store was away.
--- a/crates/proxy/tests/control.rs
+++ b/crates/proxy/tests/control.rs
@@ -14,7 +14,7 @@
             ChosenServer, LeadershipRecord, RightBounds, StopProgress, StoppedServer,
             choose_successor, is_primary_lost,
         },
-        servers::ServerList,
+        servers::{Lapsed, ServerList},
     },
     metadata::{Change, Item, Snapshot},
     statement::EndpointStatus,
@@ -168,15 +168,26 @@
     servers.put("k/b", entry("b", true));
     assert!(!servers.remove("k/a", now), "nothing changes yet");
     assert!(servers.remove("k/b", now), "it was leaving and is gone");
-    assert!(servers.expire(grace, now + grace / 2).is_empty());
+    let nothing = Lapsed::default();
+    assert_eq!(servers.expire(grace, now + grace / 2), nothing);
     assert_eq!(servers.by_service()[&Name::from("s")].len(), 1);
     // The store was away: the time begins anew.
     servers.restart_grace(now + grace);
-    assert!(servers.expire(grace, now + grace).is_empty());
+    assert_eq!(servers.expire(grace, now + grace), nothing);
     assert!(servers.put("k/a", entry("a", false)), "it is back");
-    assert!(servers.expire(grace, now + grace * 5).is_empty());
+    assert_eq!(servers.expire(grace, now + grace * 5), nothing);
     servers.remove("k/a", now + grace * 5);
-    assert_eq!(servers.expire(grace, now + grace * 6), [Name::from("a")]);
+    // It may have left without saying so: it gets no new reads, and a primary is replaced while it leads.
+    let leaving = Lapsed { leaving: vec![Name::from("a")], gone: Vec::new() };
+    assert_eq!(servers.expire(grace, now + grace * 6), leaving);
+    assert!(servers.by_service()[&Name::from("s")][0].leaving);
+    assert_eq!(servers.expire(grace, now + grace * 6), nothing, "it is said once");
+    assert!(servers.put("k/a", entry("a", false)), "it is back once more");
+    assert!(!servers.by_service()[&Name::from("s")][0].leaving);
+    servers.remove("k/a", now + grace * 7);
+    assert_eq!(servers.expire(grace, now + grace * 8), leaving);
+    let gone = Lapsed { leaving: Vec::new(), gone: vec![Name::from("a")] };
+    assert_eq!(servers.expire(grace, now + grace * 9), gone);
     assert!(servers.by_service().is_empty());
 }
 
