fix(proxy): a suspicion from before an outage of the store counts once the server was tried again

Change: a suspicion carries when the server was last asked. After a time without the store it is told only if that was since; suspected servers are asked at once when the store is back.

--- a/crates/proxy/src/control/beliefs.rs
+++ b/crates/proxy/src/control/beliefs.rs
@@ -114,6 +114,8 @@
         server: Name,
         /// Whether it answers.
         reachable: bool,
+        /// When the question was sent that shows it.
+        asked_at: Instant,
     },
     /// Where a primary's log stood while this daemon might use it.
     PrimarySampled {
--- a/crates/proxy/src/control/following.rs
+++ b/crates/proxy/src/control/following.rs
@@ -169,11 +169,14 @@
         let useful_for = self.right().mul_f64(USEFUL_PART);
         let judged = judge_reading(&reading, now, useful_for, &self.own_keys());
         let SharedReading::Renews(services) = judged else { return };
-        {
+        let is_back = {
             let mut state = self.state.borrow_mut();
-            state.last_read_at = Some(now);
             state.shared_reading_at = Some(reading.asked_at);
             state.keep_reading(reading);
+            state.note_read(now, self.patience())
+        };
+        if is_back {
+            self.try_suspected_again();
         }
         self.grant_rights(reading.asked_at, Some(&services));
     }
--- a/crates/proxy/src/control/rights.rs
+++ b/crates/proxy/src/control/rights.rs
@@ -107,9 +107,13 @@
             // them.
             state.watching_since = Some(now);
         }
-        state.last_read_at = Some(now);
+        let is_back = state.note_read(now, self.patience());
         state.own_followed_to = state.own_followed_to.max(reading.revision);
         state.keep_reading(reading);
+        drop(state);
+        if is_back {
+            self.try_suspected_again();
+        }
     }
 
     /// Does what follows from any reading.
--- a/crates/proxy/src/control/runner.rs
+++ b/crates/proxy/src/control/runner.rs
@@ -3,7 +3,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::{BTreeSet, HashMap, HashSet},
+    collections::{BTreeSet, HashMap},
     net::SocketAddr,
     rc::Rc,
     sync::Arc,
@@ -143,7 +143,10 @@
     /// When it last looked whether a replica could take the lead over for that reason.
     pub(crate) lead_checked: HashMap<Name, Instant>,
     pub(crate) acknowledged: HashMap<Name, String>,
-    pub(crate) suspected: HashSet<(Name, Name)>,
+    /// Servers that this daemon can't reach, and when it last tried.
+    pub(crate) suspected: HashMap<(Name, Name), Instant>,
+    /// When the store was last found again after a time without it.
+    pub(crate) store_back_at: Option<Instant>,
     pub(crate) published_servers: Arc<HashMap<Name, Vec<Arc<crate::catalog::ServerEntry>>>>,
     pub(crate) servers_dirty: bool,
     pub(crate) published_detours: Arc<Detours>,
@@ -155,6 +158,16 @@
         self.last_read_at.is_none_or(|at| at.elapsed() > patience)
     }
 
+    /// Notes a reading of the store; `true` if it is the first one after a time without any.
+    pub(crate) fn note_read(&mut self, now: Instant, patience: Duration) -> bool {
+        let is_back = self.is_store_silent(patience);
+        if is_back {
+            self.store_back_at = Some(now);
+        }
+        self.last_read_at = Some(now);
+        is_back
+    }
+
     /// Keeps a reading for others if it is the youngest.
     pub(crate) fn keep_reading(&mut self, reading: StoreReading) {
         if self.reading.is_none_or(|known| known.asked_at < reading.asked_at) {
--- a/crates/proxy/src/control/suspicion.rs
+++ b/crates/proxy/src/control/suspicion.rs
@@ -9,7 +9,7 @@
     control::{
         beliefs::{Detours, Observation},
         outside::Outside,
-        runner::{Control, State},
+        runner::{Ask, Control, State},
     },
     metadata::{MetadataStore, Transaction},
 };
@@ -18,9 +18,9 @@
     /// Tells the other daemons which primaries this one can't reach.
     pub(crate) async fn observation_loop(self: Rc<Self>) {
         while let Ok(observation) = self.observations.recv_async().await {
-            let (service, server, reachable) = match observation {
-                Observation::Reachability { service, server, reachable } => {
-                    (service, server, reachable)
+            let (service, server, reachable, asked_at) = match observation {
+                Observation::Reachability { service, server, reachable, asked_at } => {
+                    (service, server, reachable, asked_at)
                 }
                 Observation::PrimarySampled { service, sample } => {
                     self.take_samples([(service, sample)]);
@@ -38,11 +38,16 @@
             let pair = (service.clone(), server.clone());
             let changed = {
                 let mut state = self.state.borrow_mut();
-                if reachable { state.suspected.remove(&pair) } else { state.suspected.insert(pair) }
+                match reachable {
+                    true => state.suspected.remove(&pair).is_some(),
+                    false => state.suspected.insert(pair, asked_at).is_none(),
+                }
             };
             if changed {
                 self.publish();
                 self.tell_suspicion(self.suspicion_key(&service, &server), !reachable);
+            } else if !reachable {
+                self.retell_suspicions();
             }
         }
     }
@@ -50,15 +55,22 @@
     /// Writes again what the store does not show of this daemon's suspicions, as it should after a
     /// reading that is as young as the mirror. A primary that fails while the store is away would else
     /// never be replaced: the daemons told of it once, in vain, and their leases may have ended too.
+    ///
+    /// What cut a daemon from a server has often cut it from the store as well, and ends for both at once. So
+    /// after a time without the store a suspicion counts only once the server was tried again in vain: forty
+    /// daemons that came back with what they had found behind a partition had a healthy primary replaced.
     pub(crate) fn retell_suspicions(&self) {
         let (wanted, shown) = {
             let state = self.state.borrow();
             if state.mirror.get(&self.member_key()).is_none() {
                 return;
             }
-            let suspected = state.suspected.iter();
-            let wanted: BTreeSet<String> =
-                suspected.map(|(service, server)| self.suspicion_key(service, server)).collect();
+            let is_confirmed =
+                |asked_at: &Instant| state.store_back_at.is_none_or(|back_at| *asked_at >= back_at);
+            let suspected = state.suspected.iter().filter(|(_, asked_at)| is_confirmed(asked_at));
+            let wanted: BTreeSet<String> = suspected
+                .map(|((service, server), _)| self.suspicion_key(service, server))
+                .collect();
             let (prefix, own) = (self.key("suspicions/"), format!("/{}", self.settings.host));
             let items = state.mirror.below(&prefix).map(|item| &item.key);
             let shown: BTreeSet<String> =
@@ -73,10 +85,25 @@
         }
     }
 
+    /// Has the servers tried again that this daemon could not reach before the store was back.
+    pub(crate) fn try_suspected_again(&self) {
+        let unconfirmed: Vec<(Name, Name)> = {
+            let state = self.state.borrow();
+            let is_older =
+                |asked_at: &Instant| state.store_back_at.is_some_and(|at| *asked_at < at);
+            let suspected = state.suspected.iter().filter(|(_, asked_at)| is_older(asked_at));
+            suspected.map(|(pair, _)| pair.clone()).collect()
+        };
+        for (service, server) in unconfirmed {
+            // A full ring means that the serving thread is behind; it tries again by itself soon.
+            let _ = self.asks.try_send(Ask::Probe { service, server });
+        }
+    }
+
     /// Returns, for each server that this daemon can't reach, the daemons that have not said so too.
     pub(crate) fn detours(&self, state: &State, now: Instant) -> Detours {
         let mut detours = Detours::new();
-        for (service, server) in &state.suspected {
+        for (service, server) in state.suspected.keys() {
             let mut near = Vec::new();
             let mut far = Vec::new();
             for (host, member) in self.members(state) {
--- a/crates/proxy/src/serve/ask.rs
+++ b/crates/proxy/src/serve/ask.rs
@@ -23,7 +23,7 @@
             Ask::Command(ask) => ask,
             Ask::Probe { service, server } => {
                 let group = engine.group(&service, &engine.beliefs());
-                engine.probe(&group, &service, &server);
+                engine.probe_again(&group, &service, &server);
                 continue;
             }
         };
--- a/crates/proxy/src/serve/engine.rs
+++ b/crates/proxy/src/serve/engine.rs
@@ -54,6 +54,8 @@
     pub(crate) starved: Cell<Option<(Instant, Instant)>>,
     /// Wakes reads that wait for a server which was found to be out of reach.
     pub lost_server: Notify,
+    /// Has servers that were found to be out of reach tried again at once.
+    pub(crate) probe_now: Notify,
     /// Servers that are being asked whether they are alive, and those that did not answer.
     pub(crate) probes: RefCell<HashMap<Name, ProbeState>>,
     /// When other daemons were last told where the primary's log stands.
@@ -87,6 +89,7 @@
             retries: RefCell::new(RetryBudget::new(RETRY_PERCENT)),
             starved: Cell::new(None),
             lost_server: Notify::new(),
+            probe_now: Notify::new(),
             probes: RefCell::default(),
             sample_told_at: Cell::new(None),
             sample_wanted_at: Cell::new(None),
--- a/crates/proxy/src/serve/reachability.rs
+++ b/crates/proxy/src/serve/reachability.rs
@@ -6,6 +6,7 @@
 };
 
 use model::{LogPoint, Name};
+use tokio::time::timeout;
 
 use crate::{
     catalog::ServerEntry,
@@ -85,9 +86,14 @@
         let (engine, group) = (self.clone(), group.clone());
         let (service, server) = (service.clone(), server.clone());
         tokio::task::spawn_local(async move {
-            while !engine.is_alive(&entry).await {
-                engine.note_unreachable(&group, &service, &server);
-                tokio::time::sleep(PROBE_AGAIN_AFTER).await;
+            loop {
+                let asked_at = Instant::now();
+                if engine.is_alive(&entry).await {
+                    break;
+                }
+                engine.note_unreachable(&group, &service, &server, asked_at);
+                // An error means that the time has passed, which is what it is for.
+                let _ = timeout(PROBE_AGAIN_AFTER, group.probe_now.notified()).await;
                 if group.pool.entry_of(&server).is_none() {
                     break;
                 }
@@ -127,11 +133,26 @@
         group.probes.borrow().get(server) == Some(&ProbeState::Unreachable)
     }
 
-    fn note_unreachable(&self, group: &Group<E>, service: &Name, server: &Name) {
+    fn note_unreachable(&self, group: &Group<E>, service: &Name, server: &Name, asked_at: Instant) {
         let before = group.probes.borrow_mut().insert(server.clone(), ProbeState::Unreachable);
         group.lost_server.notify_waiters();
         if before != Some(ProbeState::Unreachable) {
-            self.observe(service, server, false);
+            log_reachability(service, server, false);
+        }
+        // Told again with each try, since the control thread goes by when the last one was.
+        self.observe(service, server, false, asked_at);
+    }
+
+    /// Asks a server at once that was found to be out of reach a while ago, or is suspected elsewhere.
+    pub(crate) fn probe_again(
+        self: &Rc<Self>,
+        group: &Rc<Group<E>>,
+        service: &Name,
+        server: &Name,
+    ) {
+        match self.is_unreachable(group, server) {
+            true => group.probe_now.notify_waiters(),
+            false => self.probe(group, service, server),
         }
     }
 
@@ -140,20 +161,17 @@
             return;
         }
         if group.probes.borrow_mut().remove(server) == Some(ProbeState::Unreachable) {
-            self.observe(service, server, true);
+            log_reachability(service, server, true);
+            self.observe(service, server, true, Instant::now());
         }
     }
 
-    fn observe(&self, service: &Name, server: &Name, reachable: bool) {
-        log::info!(
-            event = "server_reachability", service = &**service, server = &**server,
-            reachable = reachable;
-            "a server's reachability changed"
-        );
+    fn observe(&self, service: &Name, server: &Name, reachable: bool, asked_at: Instant) {
         let observation = Observation::Reachability {
             service: service.clone(),
             server: server.clone(),
             reachable,
+            asked_at,
         };
         // It is told once for each change, so where the ring is full it waits for room, behind those that
         // wait already; dropped, the control thread would go by the state before for as long as this lasts.
@@ -167,3 +185,11 @@
         }
     }
 }
+
+fn log_reachability(service: &Name, server: &Name, reachable: bool) {
+    log::info!(
+        event = "server_reachability", service = &**service, server = &**server,
+        reachable = reachable;
+        "a server's reachability changed"
+    );
+}
