--- a/crates/proxy/src/control/beliefs.rs
+++ b/crates/proxy/src/control/beliefs.rs
@@ -62,6 +62,20 @@
 /// Daemons that may reach a server which this one can't, by the server's identity; nearest first.
 pub type Detours = HashMap<Name, Arc<[SocketAddr]>>;
 
+/// Who owns the connections to a server in a daemon's own zone.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Ownership {
+    /// Whether this daemon is one of the owners.
+    pub is_owner: bool,
+    /// The owners that come before this daemon, in the order in which they are asked. The best owner has
+    /// nobody to ask; the second one uses its own connections only while the first does not answer, so that one
+    /// queue sees the whole zone's demand.
+    pub asked: Arc<[SocketAddr]>,
+}
+
+/// Who owns connections, by the server's identity.
+pub type Owners = HashMap<Name, Ownership>;
+
 /// Everything that the serving thread needs to know.
 #[derive(Clone, Debug, Default)]
 pub struct Beliefs {
@@ -75,6 +89,8 @@
     pub sharers: Sharers,
     /// Ways around to the servers that this daemon can't reach itself.
     pub detours: Arc<Detours>,
+    /// Who owns the connections to servers, where there are too few for every daemon to have its own.
+    pub owners: Arc<Owners>,
     /// Where primaries' logs stood, as other daemons of the zone saw it.
     pub samples: Arc<HashMap<Name, PrimarySample>>,
     /// Whether the servers' entries have been read at least once.
--- a/crates/proxy/src/control/following.rs
+++ b/crates/proxy/src/control/following.rs
@@ -21,7 +21,7 @@
             ClockMessage, DetourRequest, FollowAnswer, FollowRequest, OwnKeys, SharedReading,
             StoreReading, judge_reading,
         },
-        runner::{Control, MemberValue},
+        runner::{Ask, Control, MemberValue},
         tree::{TreeMember, daemon_to_follow},
     },
     metadata::{Change, Revision, Snapshot},
@@ -301,7 +301,14 @@
                 let answer = async move |request| control.answer_follower(request).await;
                 let control = self.clone();
                 let find_server = move |request: &DetourRequest| control.address_for(request);
-                answer_askers(listener, answer, find_server).await;
+                let asks = self.asks.clone();
+                let hand_over = move |link| {
+                    // A full ring means that the serving thread is behind; the link ends and is made again.
+                    if asks.try_send(Ask::Relay(link)).is_err() {
+                        log::info!(event = "relay_refused"; "a link of another daemon was not taken");
+                    }
+                };
+                answer_askers(listener, answer, find_server, hand_over).await;
             }
             Err(error) => log::error!(
                 event = "listen_failed", why = error.to_string().as_str();
--- a/crates/proxy/src/control/peer_link.rs
+++ b/crates/proxy/src/control/peer_link.rs
@@ -52,18 +52,41 @@
     LengthDelimitedCodec::builder().max_frame_length(LONGEST_FRAME_BYTES).new_framed(stream)
 }
 
+/// A link of another daemon on its way from the thread that accepted it to the one that serves.
+#[derive(Debug)]
+pub struct HandedOver {
+    stream: std::net::TcpStream,
+    /// What was read already.
+    read: BytesMut,
+}
+
+impl HandedOver {
+    fn new(frames: Frames) -> std::io::Result<HandedOver> {
+        let parts = frames.into_parts();
+        Ok(HandedOver { stream: parts.io.into_std()?, read: parts.read_buf })
+    }
+
+    pub(crate) fn into_frames(self) -> std::io::Result<Frames> {
+        let mut parts = framed(TcpStream::from_std(self.stream)?).into_parts();
+        parts.read_buf = self.read;
+        Ok(Framed::from_parts(parts))
+    }
+}
+
 /// Answers askers for as long as the daemon runs.
 pub(crate) async fn answer_askers(
     listener: TcpListener,
     answer: impl AsyncFn(FollowRequest) -> FollowAnswer + Clone + 'static,
     find_server: impl Fn(&DetourRequest) -> Option<SocketAddr> + Clone + 'static,
+    hand_over: impl Fn(HandedOver) + Clone + 'static,
 ) {
     let detours = Arc::new(Semaphore::new(MOST_DETOURS));
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
                 let (answer, find_server) = (answer.clone(), find_server.clone());
-                let asker = answer_asker(stream, answer, find_server, detours.clone());
+                let hand_over = hand_over.clone();
+                let asker = answer_asker(stream, answer, find_server, hand_over, detours.clone());
                 tokio::task::spawn_local(asker);
             }
             Err(error) => {
@@ -82,6 +105,7 @@
     stream: TcpStream,
     answer: impl AsyncFn(FollowRequest) -> FollowAnswer,
     find_server: impl Fn(&DetourRequest) -> Option<SocketAddr>,
+    hand_over: impl Fn(HandedOver),
     detours: Arc<Semaphore>,
 ) {
     let mut frames = framed(stream);
@@ -94,6 +118,16 @@
                 let server = place.as_ref().and_then(|_| find_server(&request));
                 return give_detour(frames, server).await;
             }
+            Some(PeerQuestion::Relay(_)) => match HandedOver::new(frames) {
+                Ok(link) => return hand_over(link),
+                Err(error) => {
+                    log::warn!(
+                        event = "relay_failed", why = error.to_string().as_str();
+                        "another daemon's link could not be handed over"
+                    );
+                    return;
+                }
+            },
             None => {
                 log::warn!(event = "peer_garbled"; "another daemon's question can't be understood");
                 return;
--- a/crates/proxy/src/control/peers.rs
+++ b/crates/proxy/src/control/peers.rs
@@ -26,7 +26,7 @@
 #[derive(Clone, PartialEq, Message)]
 pub struct PeerRequest {
     /// The question; none if it is of a later version than this daemon knows.
-    #[prost(oneof = "PeerQuestion", tags = "1, 2")]
+    #[prost(oneof = "PeerQuestion", tags = "1, 2, 3")]
     pub question: Option<PeerQuestion>,
 }
 
@@ -40,8 +40,15 @@
     /// server's.
     #[prost(message, tag = "2")]
     Detour(DetourRequest),
+    /// Run statements for me on your connections. What follows is of [`crate::relay`].
+    #[prost(message, tag = "3")]
+    Relay(RelayMessage),
 }
 
+/// Says that what follows on the link are statements.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub struct RelayMessage {}
+
 /// Names a server that the asker can't reach itself.
 #[derive(Clone, PartialEq, Eq, Message)]
 pub struct DetourRequest {
--- a/crates/proxy/src/control/runner.rs
+++ b/crates/proxy/src/control/runner.rs
@@ -19,12 +19,13 @@
 use crate::{
     catalog::Catalog,
     control::{
-        beliefs::{Beliefs, Detours, Lead, Observation},
+        beliefs::{Beliefs, Detours, Lead, Observation, Owners},
         following::HeardOf,
         mirror::Mirror,
         outside::Outside,
+        owning::OwnersOf,
         packing::Packer,
-        peer_link::Asker,
+        peer_link::{Asker, HandedOver},
         peers::{Evidence, PrimarySample, StoreReading},
         servers::{Lapsed, ServerList},
     },
@@ -53,6 +54,8 @@
         /// The server.
         server: Name,
     },
+    /// Run what another daemon hands over on this link.
+    Relay(HandedOver),
 }
 
 /// A command that is answered with the server's status.
@@ -150,6 +153,11 @@
     pub(crate) published_servers: Arc<HashMap<Name, Vec<Arc<crate::catalog::ServerEntry>>>>,
     pub(crate) servers_dirty: bool,
     pub(crate) published_detours: Arc<Detours>,
+    pub(crate) published_owners: Arc<Owners>,
+    /// Of which servers and members those are.
+    pub(crate) owners_of: Option<OwnersOf>,
+    /// Availability zones that have members.
+    pub(crate) zones: u32,
 }
 
 impl State {
@@ -383,7 +391,9 @@
         if *state.published_detours != detours {
             state.published_detours = Arc::new(detours);
         }
+        self.renew_owners(&mut state);
         let sharers = Sharers {
+            zones: state.zones.max(1),
             daemons: state.members_seen.len().max(1) as u32,
             in_zone: state.members_seen.values().filter(|member| member.is_near).count().max(1)
                 as u32,
@@ -399,6 +409,7 @@
             leads: Arc::new(state.leads.clone()),
             sharers,
             detours: state.published_detours.clone(),
+            owners: state.published_owners.clone(),
             samples: state.samples.clone(),
             servers_known: state.servers_known,
         };
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -14,5 +14,6 @@
 mod links;
 pub mod metadata;
 pub mod order;
+pub mod relay;
 pub mod serve;
 pub mod statement;
--- /dev/null
+++ b/crates/proxy/src/relay/answering.rs
@@ -0,0 +1,294 @@
+//! Running what other daemons hand over, on the connections that this one owns.
+
+use std::{cell::RefCell, collections::HashMap, rc::Rc, time::Instant};
+
+use bytes::Bytes;
+use futures::{SinkExt, StreamExt};
+use model::{Name, StatementClass};
+use prost::Message;
+
+use crate::{
+    control::peer_link::{Frames, HandedOver},
+    dialect::{CallerDialect, EndpointDialect},
+    relay::messages::{AnswerMessage, NotSent, RelayAnswer, RelayOutcome, RelayRequest, RelayTask},
+    serve::{
+        engine::{AcquireError, Engine, Group},
+        errand::{Errand, Task},
+        execute::Watch,
+        lent::Lent,
+        pool::Wish,
+        verdict::Progress,
+    },
+    statement::TransactionState,
+};
+
+/// Answers that may wait to be written to one daemon; behind so many nothing more is read from it.
+const MOST_OUTGOING: usize = 512;
+/// Requests of one transaction that may wait; its asker sends the next one after the answer.
+const MOST_IN_TRANSACTION: usize = 8;
+
+type Leases = Rc<RefCell<HashMap<u64, flume::Sender<RelayRequest>>>>;
+
+/// Runs what another daemon hands over until its link ends; what is open then is rolled back.
+pub async fn answer_relay<C: CallerDialect, E: EndpointDialect>(
+    engine: Rc<Engine<C, E>>,
+    link: HandedOver,
+) {
+    let frames: Frames = match link.into_frames() {
+        Ok(frames) => frames,
+        Err(error) => {
+            log::warn!(
+                event = "relay_failed", why = error.to_string().as_str();
+                "another daemon's link could not be taken over"
+            );
+            return;
+        }
+    };
+    let (mut sink, mut stream) = frames.split();
+    let (answers, outgoing) = flume::bounded::<RelayAnswer>(MOST_OUTGOING);
+    let reading = async {
+        let leases = Leases::default();
+        while let Some(Ok(frame)) = stream.next().await {
+            let Ok(request) = RelayRequest::decode(frame.freeze()) else {
+                log::warn!(event = "peer_garbled"; "another daemon's statement can't be understood");
+                return;
+            };
+            if take(&engine, request, &leases, &answers).await.is_err() {
+                return;
+            }
+        }
+    };
+    let writing = async {
+        while let Ok(answer) = outgoing.recv_async().await {
+            let written = async {
+                sink.feed(Bytes::from(answer.encode_to_vec())).await?;
+                while let Ok(more) = outgoing.try_recv() {
+                    sink.feed(Bytes::from(more.encode_to_vec())).await?;
+                }
+                sink.flush().await
+            };
+            if written.await.is_err() {
+                return;
+            }
+        }
+    };
+    tokio::select! {
+        () = reading => {}
+        () = writing => {}
+    }
+}
+
+/// The link has ended.
+struct LinkEnded;
+
+/// Starts what a request asks for.
+async fn take<C: CallerDialect, E: EndpointDialect>(
+    engine: &Rc<Engine<C, E>>,
+    request: RelayRequest,
+    leases: &Leases,
+    answers: &flume::Sender<RelayAnswer>,
+) -> Result<(), LinkEnded> {
+    let (lease, number) = (request.lease, request.number);
+    let at_once = match &request.task {
+        Some(RelayTask::Ping(_)) => Some(RelayOutcome::Pong(true)),
+        Some(RelayTask::Release(_)) => {
+            let lease = leases.borrow_mut().remove(&lease);
+            if let Some(lease) = lease {
+                // One that has ended by itself needs no release.
+                let _ = lease.try_send(request);
+            }
+            return Ok(());
+        }
+        Some(RelayTask::Begin(_)) if lease != 0 => {
+            let (requests, taken) = flume::bounded(MOST_IN_TRANSACTION);
+            // It is empty, so there is room.
+            let _ = requests.try_send(request);
+            leases.borrow_mut().insert(lease, requests);
+            tokio::task::spawn_local(run_transaction(engine.clone(), taken, answers.clone()));
+            return Ok(());
+        }
+        Some(_) if lease != 0 => {
+            let known = leases.borrow().get(&lease).cloned();
+            let taken = known.is_some_and(|lease| lease.try_send(request).is_ok());
+            (!taken).then(|| RelayOutcome::Lost("the transaction has ended here".to_owned()))
+        }
+        Some(_) => {
+            let (engine, answers) = (engine.clone(), answers.clone());
+            tokio::task::spawn_local(async move {
+                let outcome = run_single(&engine, &request).await;
+                // The link may have ended meanwhile.
+                let _ = answers.send_async(answer_to(number, outcome)).await;
+            });
+            return Ok(());
+        }
+        None => Some(not_sent(NotSent::Unwilling)),
+    };
+    let Some(outcome) = at_once else { return Ok(()) };
+    answers.send_async(answer_to(number, outcome)).await.map_err(|_| LinkEnded)
+}
+
+fn answer_to(number: u64, outcome: RelayOutcome) -> RelayAnswer {
+    RelayAnswer { number, outcome: Some(outcome) }
+}
+
+fn not_sent(why: NotSent) -> RelayOutcome {
+    RelayOutcome::NotSent(why.number())
+}
+
+/// Runs a statement by itself.
+async fn run_single<C: CallerDialect, E: EndpointDialect>(
+    engine: &Rc<Engine<C, E>>,
+    request: &RelayRequest,
+) -> RelayOutcome {
+    let received_at = Instant::now();
+    let group = group_of(engine, request);
+    let Some(errand) = request.errand() else { return not_sent(NotSent::Unwilling) };
+    let mut lent = match acquire(engine, &group, request, &errand, received_at).await {
+        Ok(lent) => lent,
+        Err(why) => return not_sent(why),
+    };
+    let (outcome, state) = run(engine, &group, request, &errand, &mut lent, received_at).await;
+    match state {
+        Some(TransactionState::Idle) => lent.give_back(),
+        Some(_) => engine.roll_back(lent),
+        // Closing it rolls back whatever is open.
+        None => drop(lent),
+    }
+    outcome
+}
+
+/// Runs the statements of a transaction on one connection, until it is released or its asker is gone.
+async fn run_transaction<C: CallerDialect, E: EndpointDialect>(
+    engine: Rc<Engine<C, E>>,
+    requests: flume::Receiver<RelayRequest>,
+    answers: flume::Sender<RelayAnswer>,
+) {
+    let mut lent: Option<Lent<E>> = None;
+    loop {
+        let rest = engine.beliefs().catalog.idle_transaction;
+        let request = match rest {
+            Some(rest) => match tokio::time::timeout(rest * 2, requests.recv_async()).await {
+                Ok(request) => request,
+                // Its asker ends one that rests for half as long; this one must be gone.
+                Err(_) => break,
+            },
+            None => requests.recv_async().await,
+        };
+        let Ok(request) = request else { break };
+        if let Some(RelayTask::Release(is_clean)) = request.task {
+            match lent.take() {
+                Some(lent) if is_clean => lent.give_back(),
+                Some(lent) => engine.roll_back(lent),
+                None => {}
+            }
+            return;
+        }
+        let received_at = Instant::now();
+        let group = group_of(&engine, &request);
+        let outcome = match request.errand() {
+            None => not_sent(NotSent::Unwilling),
+            Some(errand) => {
+                if lent.is_none() {
+                    match acquire(&engine, &group, &request, &errand, received_at).await {
+                        Ok(granted) => lent = Some(granted),
+                        Err(why) => {
+                            let answer = answer_to(request.number, not_sent(why));
+                            // The link may have ended meanwhile.
+                            let _ = answers.send_async(answer).await;
+                            return;
+                        }
+                    }
+                }
+                let Some(held) = lent.as_mut() else { return };
+                let (outcome, state) =
+                    run(&engine, &group, &request, &errand, held, received_at).await;
+                if state.is_none() {
+                    lent = None;
+                }
+                outcome
+            }
+        };
+        let is_over = lent.is_none();
+        // The link may have ended meanwhile; then nothing more comes either.
+        let _ = answers.send_async(answer_to(request.number, outcome)).await;
+        if is_over {
+            return;
+        }
+    }
+    if let Some(lent) = lent {
+        engine.roll_back(lent);
+    }
+}
+
+fn group_of<C: CallerDialect, E: EndpointDialect>(
+    engine: &Rc<Engine<C, E>>,
+    request: &RelayRequest,
+) -> Rc<Group<E>> {
+    engine.group(&Name::from(request.service.as_str()), &engine.beliefs())
+}
+
+/// Finds a connection of this daemon's own; nothing is handed on a second time.
+async fn acquire<C: CallerDialect, E: EndpointDialect>(
+    engine: &Rc<Engine<C, E>>,
+    group: &Rc<Group<E>>,
+    request: &RelayRequest,
+    errand: &Errand,
+    received_at: Instant,
+) -> Result<Lent<E>, NotSent> {
+    if engine.is_stopping() {
+        return Err(NotSent::Unwilling);
+    }
+    let server = Name::from(request.server.as_str());
+    let wish = Wish {
+        only: Some(server.clone()),
+        floor: None,
+        avoid: Vec::new(),
+        primary: request.leads.then_some(server),
+        priority: request.priority.min(u32::from(u8::MAX)) as u8,
+        yields: request.yields,
+        is_handed_over: true,
+    };
+    let wait_until = received_at + request.waits();
+    let acquired = engine.acquire(group, wish, &errand.values, wait_until).await;
+    acquired.map_err(|error| match error {
+        AcquireError::Nowhere => NotSent::Unreachable,
+        AcquireError::QueueFull | AcquireError::TooLate => NotSent::TooLate,
+    })
+}
+
+/// Runs it; returns what its asker is told, and where the connection stands, `None` if it is of no more use.
+async fn run<C: CallerDialect, E: EndpointDialect>(
+    engine: &Rc<Engine<C, E>>,
+    group: &Rc<Group<E>>,
+    request: &RelayRequest,
+    errand: &Errand,
+    lent: &mut Lent<E>,
+    received_at: Instant,
+) -> (RelayOutcome, Option<TransactionState>) {
+    let deadline = received_at + request.lasts();
+    let is_read = match &errand.task {
+        Task::Work(work) => work.class() == StatementClass::Read && request.lease == 0,
+        Task::Begin { .. } | Task::Rollback | Task::Command(_) => false,
+    };
+    let service = Name::from(request.service.as_str());
+    let reached = lent.reached();
+    let sent_at = Instant::now();
+    // Whether a second server is tried is for the asker to say.
+    let watch = Watch { service: &service, slow_after: request.lasts(), may_run_again: is_read };
+    match engine.run_watched(group, errand, lent, deadline, watch).await {
+        Ok(answer) => {
+            let took = sent_at.elapsed();
+            engine.note_answer(group, &service, &reached, answer.point, took);
+            let state = answer.state;
+            (RelayOutcome::Answered(AnswerMessage::of(answer)), Some(state))
+        }
+        Err((progress, lost)) => {
+            engine.note_loss(group, &service, &reached, &lost);
+            let outcome = match progress {
+                Progress::NotSent => not_sent(NotSent::Unreachable),
+                Progress::Sent => RelayOutcome::Lost(lost.to_string()),
+            };
+            (outcome, None)
+        }
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/relay/lease.rs
@@ -0,0 +1,141 @@
+//! The right to run statements on an owner's connections: one, or those of a transaction.
+
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use model::Name;
+
+use crate::{
+    relay::{
+        link::RelayLink,
+        links::RelayLinks,
+        messages::{NotSent, PointMessage, RelayOutcome, RelayRequest, RelayTask, values_of},
+    },
+    serve::{
+        connection::ConnectionLost,
+        errand::{Errand, Task},
+        verdict::Progress,
+    },
+    statement::Answer,
+};
+
+/// What a statement tells the owner of itself beside what is to run.
+#[derive(Clone, Debug)]
+pub struct Terms {
+    /// The service.
+    pub service: Name,
+    /// The server that is to run it.
+    pub server: Name,
+    /// Until when it may wait for a connection.
+    pub wait_until: Instant,
+    /// The most urgent is 0.
+    pub priority: u8,
+    /// Whether the server is taken for the primary.
+    pub leads: bool,
+    /// Whether it leaves room at the primary for others.
+    pub yields: bool,
+}
+
+/// The right to run statements on an owner's connections. Dropped, it ends with whatever is open.
+pub struct Lease {
+    links: Rc<RelayLinks>,
+    link: Rc<RelayLink>,
+    terms: Terms,
+    /// The transaction's number, once one was opened.
+    transaction: Option<u64>,
+}
+
+impl Lease {
+    /// Makes one over a link.
+    pub fn new(links: Rc<RelayLinks>, link: Rc<RelayLink>, terms: Terms) -> Lease {
+        Lease { links, link, terms, transaction: None }
+    }
+
+    /// Returns the server's identity.
+    pub fn server(&self) -> &Name {
+        &self.terms.server
+    }
+
+    /// Runs something on the owner's connection.
+    pub async fn run(
+        &mut self,
+        errand: &Errand,
+        deadline: Instant,
+    ) -> Result<Answer, (Progress, ConnectionLost)> {
+        if matches!(errand.task, Task::Begin { .. }) {
+            self.transaction = Some(self.link.new_lease());
+        }
+        let Some(task) = RelayTask::of(&errand.task) else {
+            let lost = ConnectionLost::Garbled("a task that is not handed on".to_owned());
+            return Err((Progress::NotSent, lost));
+        };
+        let now = Instant::now();
+        let request = RelayRequest {
+            id: errand.id.clone().unwrap_or_default(),
+            values: values_of(&errand.values),
+            floor: errand.floor.map(PointMessage::from),
+            wait_ms: millis(self.terms.wait_until.saturating_duration_since(now)),
+            time_ms: millis(deadline.saturating_duration_since(now)),
+            task: Some(task),
+            ..self.request()
+        };
+        match self.link.ask(request, deadline).await? {
+            RelayOutcome::Answered(answer) => answer.answer().ok_or_else(|| {
+                let why = "an owner's answer".to_owned();
+                (Progress::Sent, ConnectionLost::Garbled(why))
+            }),
+            RelayOutcome::NotSent(why) => {
+                let why = NotSent::from_number(why);
+                if why == NotSent::Unwilling {
+                    self.links.pass_over(&self.link, now);
+                }
+                Err((Progress::NotSent, ConnectionLost::NotGranted(why)))
+            }
+            RelayOutcome::Lost(why) => Err((Progress::Sent, ConnectionLost::Broken(why))),
+            RelayOutcome::Pong(_) => {
+                let why = "an owner's answer".to_owned();
+                Err((Progress::Sent, ConnectionLost::Garbled(why)))
+            }
+        }
+    }
+
+    /// Ends it where nothing is open any more, so that the connection goes to others.
+    pub fn give_back(mut self) {
+        self.end(true);
+    }
+
+    fn end(&mut self, is_clean: bool) {
+        if let Some(transaction) = self.transaction.take() {
+            let task = Some(RelayTask::Release(is_clean));
+            self.link.tell(RelayRequest { task, lease: transaction, ..self.request() });
+        }
+    }
+
+    fn request(&self) -> RelayRequest {
+        RelayRequest {
+            number: 0,
+            lease: self.transaction.unwrap_or(0),
+            service: self.terms.service.to_string(),
+            server: self.terms.server.to_string(),
+            id: Bytes::new(),
+            priority: u32::from(self.terms.priority),
+            leads: self.terms.leads,
+            yields: self.terms.yields,
+            ..RelayRequest::default()
+        }
+    }
+}
+
+impl Drop for Lease {
+    fn drop(&mut self) {
+        self.end(false);
+    }
+}
+
+/// Rounded down, so that nothing seems to have more time than it has.
+fn millis(duration: Duration) -> u64 {
+    duration.as_millis() as u64
+}
--- /dev/null
+++ b/crates/proxy/src/relay/link.rs
@@ -0,0 +1,251 @@
+//! The link to one owner: many requests at a time over one connection, and whether the owner still lives.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use futures::{SinkExt, StreamExt};
+use prost::Message;
+use tokio::{net::TcpStream, sync::oneshot, time::timeout};
+
+use crate::{
+    control::{
+        peer_link::{Frames, framed},
+        peers::{PeerQuestion, PeerRequest, RelayMessage},
+    },
+    relay::messages::{RelayAnswer, RelayOutcome, RelayRequest, RelayTask},
+    serve::{connection::ConnectionLost, verdict::Progress},
+};
+
+/// How long an owner may take to accept the link; a round trip within a zone, on a host that is busy.
+const CONNECT_WITHIN: Duration = Duration::from_millis(250);
+/// How long nothing may come while requests wait before the owner is asked whether it lives. Servers take
+/// longer than this when they are busy; the owner itself answers at once.
+const QUIET_FOR: Duration = Duration::from_millis(200);
+/// How long it may take to say so before it counts as dead.
+const PONG_WITHIN: Duration = Duration::from_millis(250);
+/// How often that is looked at while requests wait.
+const LOOK_EVERY: Duration = Duration::from_millis(100);
+/// How long the owner may leave the link's bytes unread.
+const WRITE_WITHIN: Duration = Duration::from_millis(500);
+/// Requests that may wait to be written.
+const MOST_OUTGOING: usize = 512;
+
+/// How a request on a link ended, if not with an outcome: how far it had come, and why.
+pub type LinkLost = (Progress, ConnectionLost);
+
+type Waiting = HashMap<u64, oneshot::Sender<Option<RelayOutcome>>>;
+
+/// A link to an owner.
+pub struct RelayLink {
+    outgoing: flume::Sender<RelayRequest>,
+    waiting: RefCell<Waiting>,
+    next_number: Cell<u64>,
+    is_connected: Cell<bool>,
+    is_down: Cell<bool>,
+}
+
+impl RelayLink {
+    /// Starts a link; requests wait until it stands.
+    pub fn start(owner: SocketAddr) -> Rc<RelayLink> {
+        let (outgoing, requests) = flume::bounded(MOST_OUTGOING);
+        let link = Rc::new(RelayLink {
+            outgoing,
+            waiting: RefCell::default(),
+            next_number: Cell::new(0),
+            is_connected: Cell::new(false),
+            is_down: Cell::new(false),
+        });
+        tokio::task::spawn_local(link.clone().run(owner, requests));
+        link
+    }
+
+    /// Whether it has ended: the owner did not answer, or left.
+    pub fn is_down(&self) -> bool {
+        self.is_down.get()
+    }
+
+    /// Returns a number that no other transaction on this link has.
+    pub fn new_lease(&self) -> u64 {
+        self.next()
+    }
+
+    /// Asks the owner, until `deadline`.
+    pub async fn ask(
+        &self,
+        request: RelayRequest,
+        deadline: Instant,
+    ) -> Result<RelayOutcome, LinkLost> {
+        let number = self.next();
+        let (answer, answered) = oneshot::channel();
+        if self.is_down() {
+            return Err((Progress::NotSent, ConnectionLost::OwnerLost));
+        }
+        self.waiting.borrow_mut().insert(number, answer);
+        let _forgets = Forgets { link: self, number };
+        if self.outgoing.try_send(RelayRequest { number, ..request }).is_err() {
+            return Err((Progress::NotSent, ConnectionLost::OwnerLost));
+        }
+        match tokio::time::timeout_at(deadline.into(), answered).await {
+            Ok(Ok(Some(outcome))) => Ok(outcome),
+            // A link that never stood has sent nothing.
+            Ok(Ok(None) | Err(_)) if !self.is_connected.get() => {
+                Err((Progress::NotSent, ConnectionLost::OwnerLost))
+            }
+            Ok(Ok(None) | Err(_)) => Err((Progress::Sent, ConnectionLost::OwnerLost)),
+            Err(_) => Err((Progress::Sent, ConnectionLost::Silent)),
+        }
+    }
+
+    /// Tells the owner something that it does not answer.
+    pub fn tell(&self, request: RelayRequest) {
+        // A link that is full or down ends soon, and the owner gives up everything that came over it.
+        if self.outgoing.try_send(request).is_err() {
+            self.is_down.set(true);
+        }
+    }
+
+    fn next(&self) -> u64 {
+        self.next_number.set(self.next_number.get() + 1);
+        self.next_number.get()
+    }
+
+    async fn run(self: Rc<Self>, owner: SocketAddr, requests: flume::Receiver<RelayRequest>) {
+        let why = match timeout(CONNECT_WITHIN, connect(owner)).await {
+            Ok(Ok(frames)) => {
+                self.is_connected.set(true);
+                self.carry(frames, requests).await
+            }
+            Ok(Err(error)) => error.to_string(),
+            Err(_) => "no connection in time".to_owned(),
+        };
+        self.is_down.set(true);
+        let waiting = std::mem::take(&mut *self.waiting.borrow_mut());
+        log::info!(
+            event = "owner_lost", owner = owner.to_string().as_str(), why = why.as_str(),
+            waiting = waiting.len();
+            "the link to an owner of connections ended"
+        );
+        for answer in waiting.into_values() {
+            // Whoever asked may have given up.
+            let _ = answer.send(None);
+        }
+    }
+
+    /// Carries requests and answers until something goes wrong; returns what.
+    async fn carry(&self, frames: Frames, requests: flume::Receiver<RelayRequest>) -> String {
+        let (mut sink, mut stream) = frames.split();
+        let mut heard_at = Instant::now();
+        let mut pinged_at: Option<Instant> = None;
+        loop {
+            if self.is_down() {
+                return "the link was full".to_owned();
+            }
+            let is_waiting = !self.waiting.borrow().is_empty();
+            tokio::select! {
+                request = requests.recv_async() => {
+                    let Ok(request) = request else { return "the daemon ends".to_owned() };
+                    if self.waiting.borrow().len() <= 1 {
+                        // Silence counts from when there is something to answer.
+                        heard_at = Instant::now();
+                    }
+                    let written = async {
+                        sink.feed(encoded(&request)).await?;
+                        while let Ok(more) = requests.try_recv() {
+                            sink.feed(encoded(&more)).await?;
+                        }
+                        sink.flush().await
+                    };
+                    match timeout(WRITE_WITHIN, written).await {
+                        Ok(Ok(())) => {}
+                        Ok(Err(error)) => return error.to_string(),
+                        Err(_) => return "its bytes stay unread".to_owned(),
+                    }
+                }
+                frame = stream.next() => {
+                    heard_at = Instant::now();
+                    pinged_at = None;
+                    match frame.map(|frame| frame.map(|it| RelayAnswer::decode(it.freeze()))) {
+                        Some(Ok(Ok(answer))) => self.take(answer),
+                        Some(Ok(Err(error))) => return error.to_string(),
+                        Some(Err(error)) => return error.to_string(),
+                        None => return "closed by the owner".to_owned(),
+                    }
+                }
+                () = tokio::time::sleep(LOOK_EVERY), if is_waiting => {
+                    match look(heard_at, pinged_at, Instant::now()) {
+                        Look::Fine => {}
+                        Look::Ping => {
+                            pinged_at = Some(Instant::now());
+                            let ping = RelayRequest {
+                                task: Some(RelayTask::Ping(true)),
+                                ..RelayRequest::default()
+                            };
+                            if let Err(error) = sink.send(encoded(&ping)).await {
+                                return error.to_string();
+                            }
+                        }
+                        Look::Dead => return "no sign of life".to_owned(),
+                    }
+                }
+            }
+        }
+    }
+
+    fn take(&self, answer: RelayAnswer) {
+        let waiting = self.waiting.borrow_mut().remove(&answer.number);
+        if let (Some(waiting), Some(outcome)) = (waiting, answer.outcome) {
+            // Whoever asked may have given up.
+            let _ = waiting.send(Some(outcome));
+        }
+    }
+}
+
+/// Forgets a request however its asker ends.
+struct Forgets<'a> {
+    link: &'a RelayLink,
+    number: u64,
+}
+
+impl Drop for Forgets<'_> {
+    fn drop(&mut self) {
+        self.link.waiting.borrow_mut().remove(&self.number);
+    }
+}
+
+/// What to do about an owner from which nothing comes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Look {
+    /// Nothing; it was heard a moment ago.
+    Fine,
+    /// Ask whether it lives.
+    Ping,
+    /// Take it for dead.
+    Dead,
+}
+
+/// Judges an owner's silence while requests wait for it.
+pub fn look(heard_at: Instant, pinged_at: Option<Instant>, now: Instant) -> Look {
+    match pinged_at {
+        Some(pinged_at) if now.duration_since(pinged_at) >= PONG_WITHIN => Look::Dead,
+        Some(_) => Look::Fine,
+        None if now.duration_since(heard_at) >= QUIET_FOR => Look::Ping,
+        None => Look::Fine,
+    }
+}
+
+async fn connect(owner: SocketAddr) -> std::io::Result<Frames> {
+    let mut frames = framed(TcpStream::connect(owner).await?);
+    let request = PeerRequest { question: Some(PeerQuestion::Relay(RelayMessage {})) };
+    frames.send(Bytes::from(request.encode_to_vec())).await?;
+    Ok(frames)
+}
+
+fn encoded(message: &impl Message) -> Bytes {
+    Bytes::from(message.encode_to_vec())
+}
--- /dev/null
+++ b/crates/proxy/src/relay/messages.rs
@@ -0,0 +1,369 @@
+//! What passes between a daemon and the owner of the connections that it uses.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use model::{LogPoint, Name, Position, StatementClass, Term};
+use prost::{Message, Oneof};
+
+use crate::{
+    serve::{
+        errand::{Errand, Task},
+        job::Work,
+        replay::SessionValues,
+    },
+    statement::{
+        Answer, EndpointText, ErrorCode, Outcome, PreparedShape, StatementError, TransactionState,
+    },
+};
+
+/// A statement, or what goes with the statements of a transaction.
+#[derive(Clone, PartialEq, Message)]
+pub struct RelayRequest {
+    /// Names the request on its link; the answer names it too.
+    #[prost(uint64, tag = "1")]
+    pub number: u64,
+    /// The transaction that it belongs to, as the asker numbers them; 0 for a statement by itself.
+    #[prost(uint64, tag = "2")]
+    pub lease: u64,
+    /// The service.
+    #[prost(string, tag = "3")]
+    pub service: String,
+    /// The server that is to run it.
+    #[prost(string, tag = "4")]
+    pub server: String,
+    /// The caller's identifier, passed on unchanged; empty for what the daemon itself asks.
+    #[prost(bytes = "bytes", tag = "5")]
+    pub id: Bytes,
+    /// The values of the caller's session.
+    #[prost(message, repeated, tag = "6")]
+    pub values: Vec<ValueMessage>,
+    /// The point that the server's log must hold.
+    #[prost(message, optional, tag = "7")]
+    pub floor: Option<PointMessage>,
+    /// How long it may wait for a connection, in milliseconds.
+    #[prost(uint64, tag = "8")]
+    pub wait_ms: u64,
+    /// How long its answer is of use, in milliseconds.
+    #[prost(uint64, tag = "9")]
+    pub time_ms: u64,
+    /// The most urgent is 0.
+    #[prost(uint32, tag = "10")]
+    pub priority: u32,
+    /// Whether the asker takes the server for the primary.
+    #[prost(bool, tag = "11")]
+    pub leads: bool,
+    /// Whether it leaves room at the primary for statements that only the primary can run.
+    #[prost(bool, tag = "12")]
+    pub yields: bool,
+    /// What is to be done; none if it is of a later version than this daemon knows.
+    #[prost(oneof = "RelayTask", tags = "13, 14, 15, 16, 17, 18, 19, 20, 21")]
+    pub task: Option<RelayTask>,
+}
+
+/// What is to be done.
+#[derive(Clone, PartialEq, Oneof)]
+pub enum RelayTask {
+    /// Open a transaction; the value says whether it only reads.
+    #[prost(bool, tag = "13")]
+    Begin(bool),
+    /// Roll the transaction back.
+    #[prost(bool, tag = "14")]
+    Rollback(bool),
+    /// Commit it.
+    #[prost(bool, tag = "15")]
+    Commit(bool),
+    /// Run a read.
+    #[prost(bytes = "bytes", tag = "16")]
+    Read(Bytes),
+    /// Run a write.
+    #[prost(bytes = "bytes", tag = "17")]
+    Write(Bytes),
+    /// Run a prepared statement.
+    #[prost(message, tag = "18")]
+    Execute(ExecuteMessage),
+    /// Ask for the server's status, or give it a command and ask for that.
+    #[prost(message, tag = "19")]
+    Command(CommandMessage),
+    /// The transaction is over: its connection goes to others. Nothing is answered. `false` if the connection
+    /// must be rolled back first, since the asker does not know how the transaction stands.
+    #[prost(bool, tag = "20")]
+    Release(bool),
+    /// Only says that the owner lives.
+    #[prost(bool, tag = "21")]
+    Ping(bool),
+}
+
+/// A value of a session.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct ValueMessage {
+    /// Its name.
+    #[prost(string, tag = "1")]
+    pub name: String,
+    /// The value.
+    #[prost(string, tag = "2")]
+    pub value: String,
+}
+
+/// A point of a log.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub struct PointMessage {
+    /// The term.
+    #[prost(uint64, tag = "1")]
+    pub term: u64,
+    /// The position in the log.
+    #[prost(uint64, tag = "2")]
+    pub position: u64,
+}
+
+/// A prepared statement.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct ExecuteMessage {
+    /// Whether it writes.
+    #[prost(bool, tag = "1")]
+    pub writes: bool,
+    /// What was prepared.
+    #[prost(string, tag = "2")]
+    pub shape: String,
+    /// The caller's arguments.
+    #[prost(bytes = "bytes", tag = "3")]
+    pub arguments: Bytes,
+}
+
+/// A command to a server.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub struct CommandMessage {
+    /// 0 status, 1 pause, 2 resume, 3 step down.
+    #[prost(uint32, tag = "1")]
+    pub kind: u32,
+    /// The term that a pause or a step down is for.
+    #[prost(uint64, tag = "2")]
+    pub term: u64,
+}
+
+/// What became of a request.
+#[derive(Clone, PartialEq, Message)]
+pub struct RelayAnswer {
+    /// The request's number.
+    #[prost(uint64, tag = "1")]
+    pub number: u64,
+    /// What became of it.
+    #[prost(oneof = "RelayOutcome", tags = "2, 3, 4, 5")]
+    pub outcome: Option<RelayOutcome>,
+}
+
+/// What became of a request.
+#[derive(Clone, PartialEq, Oneof)]
+pub enum RelayOutcome {
+    /// The server answered.
+    #[prost(message, tag = "2")]
+    Answered(AnswerMessage),
+    /// Nothing was sent to the server, and why: the number of a [`NotSent`].
+    #[prost(uint32, tag = "3")]
+    NotSent(u32),
+    /// It was sent and no answer came; why, for the log.
+    #[prost(string, tag = "4")]
+    Lost(String),
+    /// The owner lives.
+    #[prost(bool, tag = "5")]
+    Pong(bool),
+}
+
+/// A server's answer.
+#[derive(Clone, PartialEq, Message)]
+pub struct AnswerMessage {
+    /// Rows, in order.
+    #[prost(bytes = "bytes", repeated, tag = "1")]
+    pub rows: Vec<Bytes>,
+    /// The proof of a success.
+    #[prost(bytes = "bytes", optional, tag = "2")]
+    pub proof: Option<Bytes>,
+    /// The error's code, as the log writes it; empty for a success.
+    #[prost(string, tag = "3")]
+    pub code: String,
+    /// The error's text.
+    #[prost(bytes = "bytes", tag = "4")]
+    pub text: Bytes,
+    /// 0 no transaction is open, 1 one is, 2 one has failed.
+    #[prost(uint32, tag = "5")]
+    pub state: u32,
+    /// Where the server's log stood.
+    #[prost(message, optional, tag = "6")]
+    pub point: Option<PointMessage>,
+}
+
+/// Why an owner sent nothing to the server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NotSent {
+    /// No connection was free in time, or too much waits already.
+    TooLate,
+    /// The server can't be reached from there.
+    Unreachable,
+    /// The owner stops, or does not understand what it is asked.
+    Unwilling,
+}
+
+impl NotSent {
+    const ALL: [NotSent; 3] = [NotSent::TooLate, NotSent::Unreachable, NotSent::Unwilling];
+
+    /// Returns the number by which it is told.
+    pub fn number(self) -> u32 {
+        self as u32
+    }
+
+    /// Returns what a number tells; whatever is of a later version counts as unwilling.
+    pub fn from_number(number: u32) -> NotSent {
+        NotSent::ALL.get(number as usize).copied().unwrap_or(NotSent::Unwilling)
+    }
+}
+
+impl From<LogPoint> for PointMessage {
+    fn from(point: LogPoint) -> PointMessage {
+        PointMessage { term: point.term.0, position: point.position.0 }
+    }
+}
+
+impl From<PointMessage> for LogPoint {
+    fn from(point: PointMessage) -> LogPoint {
+        LogPoint { term: Term(point.term), position: Position(point.position) }
+    }
+}
+
+impl RelayTask {
+    /// Returns how a task is told; `None` for what daemons never ask each other.
+    pub fn of(task: &Task) -> Option<RelayTask> {
+        Some(match task {
+            Task::Begin { read_only } => RelayTask::Begin(*read_only),
+            Task::Rollback => RelayTask::Rollback(true),
+            Task::Work(Work::Commit) => RelayTask::Commit(true),
+            Task::Work(Work::Read(body)) => RelayTask::Read(body.clone()),
+            Task::Work(Work::Write(body)) => RelayTask::Write(body.clone()),
+            Task::Work(Work::Execute { shape, arguments }) => RelayTask::Execute(ExecuteMessage {
+                writes: shape.class == StatementClass::Write,
+                shape: shape.shape.to_string(),
+                arguments: arguments.clone(),
+            }),
+            Task::Command(text) => RelayTask::Command(CommandMessage::of(text)?),
+        })
+    }
+
+    fn task(&self) -> Option<Task> {
+        Some(match self {
+            RelayTask::Begin(read_only) => Task::Begin { read_only: *read_only },
+            RelayTask::Rollback(_) => Task::Rollback,
+            RelayTask::Commit(_) => Task::Work(Work::Commit),
+            RelayTask::Read(body) => Task::Work(Work::Read(body.clone())),
+            RelayTask::Write(body) => Task::Work(Work::Write(body.clone())),
+            RelayTask::Execute(execute) => Task::Work(Work::Execute {
+                shape: PreparedShape {
+                    class: match execute.writes {
+                        true => StatementClass::Write,
+                        false => StatementClass::Read,
+                    },
+                    shape: Name::from(execute.shape.as_str()),
+                },
+                arguments: execute.arguments.clone(),
+            }),
+            RelayTask::Command(command) => Task::Command(command.text()?),
+            RelayTask::Release(_) | RelayTask::Ping(_) => return None,
+        })
+    }
+}
+
+impl CommandMessage {
+    fn of(text: &EndpointText) -> Option<CommandMessage> {
+        let (kind, term) = match text {
+            EndpointText::Status => (0, Term(0)),
+            EndpointText::Pause { term } => (1, *term),
+            EndpointText::Resume => (2, Term(0)),
+            EndpointText::StepDown { term } => (3, *term),
+            _ => return None,
+        };
+        Some(CommandMessage { kind, term: term.0 })
+    }
+
+    fn text(self) -> Option<EndpointText> {
+        let term = Term(self.term);
+        Some(match self.kind {
+            0 => EndpointText::Status,
+            1 => EndpointText::Pause { term },
+            2 => EndpointText::Resume,
+            3 => EndpointText::StepDown { term },
+            _ => return None,
+        })
+    }
+}
+
+impl RelayRequest {
+    /// Returns what is to be run; `None` if it can't be understood.
+    pub fn errand(&self) -> Option<Errand> {
+        let values: SessionValues = self
+            .values
+            .iter()
+            .map(|it| (Name::from(it.name.as_str()), Name::from(it.value.as_str())))
+            .collect();
+        Some(Errand {
+            id: (!self.id.is_empty()).then(|| self.id.clone()),
+            task: self.task.as_ref()?.task()?,
+            values,
+            floor: self.floor.map(LogPoint::from),
+        })
+    }
+
+    /// Returns how long it may wait for a connection.
+    pub fn waits(&self) -> Duration {
+        Duration::from_millis(self.wait_ms)
+    }
+
+    /// Returns how long its answer is of use.
+    pub fn lasts(&self) -> Duration {
+        Duration::from_millis(self.time_ms)
+    }
+}
+
+/// Returns the values as they are told.
+pub fn values_of(values: &SessionValues) -> Vec<ValueMessage> {
+    let told = values.iter();
+    told.map(|(name, value)| ValueMessage { name: name.to_string(), value: value.to_string() })
+        .collect()
+}
+
+impl AnswerMessage {
+    /// Returns how an answer is told.
+    pub fn of(answer: Answer) -> AnswerMessage {
+        let (proof, code, text) = match answer.outcome {
+            Outcome::Complete(proof) => (Some(proof), String::new(), Bytes::new()),
+            Outcome::Error(error) => (None, error.code.as_str().to_owned(), error.text),
+        };
+        AnswerMessage {
+            rows: answer.rows,
+            proof,
+            code,
+            text,
+            state: match answer.state {
+                TransactionState::Idle => 0,
+                TransactionState::Open => 1,
+                TransactionState::Failed => 2,
+            },
+            point: answer.point.map(PointMessage::from),
+        }
+    }
+
+    /// Returns the answer; `None` if it can't be understood.
+    pub fn answer(self) -> Option<Answer> {
+        let outcome = match self.proof {
+            Some(proof) => Outcome::Complete(proof),
+            None => {
+                let code = ErrorCode::from_word(&self.code)?;
+                Outcome::Error(StatementError { code, text: self.text })
+            }
+        };
+        let state = match self.state {
+            0 => TransactionState::Idle,
+            1 => TransactionState::Open,
+            2 => TransactionState::Failed,
+            _ => return None,
+        };
+        Some(Answer { rows: self.rows, outcome, state, point: self.point.map(LogPoint::from) })
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/relay/mod.rs
@@ -0,0 +1,12 @@
+//! Statements that run on another daemon's connections.
+//!
+//! Where there are more daemons than connections to a server, few daemons of a zone own them
+//! ([`routing::owners_of`]) and the others hand them their statements over one link each. Rights, floors and
+//! verdicts are judged where the caller is, as on a connection of its own; an owner only runs what it is given.
+//! See `docs/PLATFORM.md`, "Owned connections".
+
+pub mod answering;
+pub mod lease;
+pub mod link;
+pub mod links;
+pub mod messages;
--- a/crates/proxy/src/serve/ask.rs
+++ b/crates/proxy/src/serve/ask.rs
@@ -8,8 +8,14 @@
 use crate::{
     control::runner::{Ask, CommandAsk},
     dialect::{CallerDialect, EndpointDialect},
-    serve::{engine::Engine, pool::Wish, replay::SessionValues},
-    statement::{EndpointCommand, EndpointStatus},
+    relay::answering::answer_relay,
+    serve::{
+        engine::Engine,
+        errand::{Errand, Task},
+        pool::Wish,
+        replay::SessionValues,
+    },
+    statement::EndpointStatus,
 };
 
 /// Answers questions until the control thread ends.
@@ -21,6 +27,10 @@
         let engine = engine.clone();
         let ask = match ask {
             Ask::Command(ask) => ask,
+            Ask::Relay(link) => {
+                tokio::task::spawn_local(answer_relay(engine, link));
+                continue;
+            }
             Ask::Probe { service, server } => {
                 let group = engine.group(&service, &engine.beliefs());
                 engine.probe_again(&group, &service, &server);
@@ -49,20 +59,22 @@
         primary: None,
         priority: 0,
         yields: false,
+        is_handed_over: false,
     };
     // Whatever values the connection holds do no harm to a status.
     let lent = engine.acquire(&group, wish, &SessionValues::new(), ask.deadline).await;
     let mut lent = lent.ok()?;
-    let command = EndpointCommand::own(ask.text.clone());
-    match lent.connection().ask(&command, ask.deadline).await {
+    let reached = lent.reached();
+    let errand = Errand::own(Task::Command(ask.text.clone()));
+    match lent.run(&errand, ask.deadline).await {
         Ok(answer) => {
             lent.give_back();
             let row = answer.rows.first()?;
             engine.endpoint_dialect.decode_status(row)
         }
-        Err(lost) => {
+        Err((_, lost)) => {
             drop(lent);
-            engine.note_loss(&group, &ask.service, &ask.server, &lost);
+            engine.note_loss(&group, &ask.service, &reached, &lost);
             None
         }
     }
--- a/crates/proxy/src/serve/connection.rs
+++ b/crates/proxy/src/serve/connection.rs
@@ -18,6 +18,7 @@
     control::{detour::open_detour, peers::DetourRequest},
     dialect::{EndpointDialect, EndpointMessage, EndpointStartup},
     links::bound_silence,
+    relay::messages::NotSent,
     serve::replay::Environment,
     statement::{Answer, EndpointCommand, ErrorCode, Outcome, StatementError, TransactionState},
 };
@@ -40,6 +41,10 @@
     Refused(ErrorCode),
     /// The server sent what can't be understood.
     Garbled(String),
+    /// The owner of the connections let it go no further.
+    NotGranted(NotSent),
+    /// The link to the owner ended.
+    OwnerLost,
 }
 
 impl std::fmt::Display for ConnectionLost {
@@ -49,6 +54,8 @@
             ConnectionLost::Silent => f.write_str("no answer in time"),
             ConnectionLost::Refused(code) => write!(f, "refused: {}", code.as_str()),
             ConnectionLost::Garbled(why) => write!(f, "can't be understood: {why}"),
+            ConnectionLost::NotGranted(why) => write!(f, "not granted by its owner: {why:?}"),
+            ConnectionLost::OwnerLost => f.write_str("the owner of the connection was lost"),
         }
     }
 }
@@ -60,6 +67,8 @@
     pub server: Name,
     /// Whether no other daemon is between, so that an answer shows that the server is in reach.
     pub is_direct: bool,
+    /// Whether the connection is this daemon's own, be it through another one; else its owner looks after it.
+    pub is_own: bool,
 }
 
 /// A connection that has been accepted by the server.
--- a/crates/proxy/src/serve/engine.rs
+++ b/crates/proxy/src/serve/engine.rs
@@ -16,9 +16,10 @@
 
 use crate::{
     catalog::ServerEntry,
-    control::beliefs::{Beliefs, Detours, Observation},
+    control::beliefs::{Beliefs, Detours, Observation, Owners},
     dialect::{CallerDialect, EndpointDialect},
     events::ProxyMetrics,
+    relay::links::RelayLinks,
     serve::{
         connection::{ConnectionLost, EndpointConnection},
         lent::Lent,
@@ -70,6 +71,7 @@
 struct Seen {
     servers: Arc<HashMap<Name, Vec<Arc<ServerEntry>>>>,
     detours: Arc<Detours>,
+    owners: Arc<Owners>,
     share: Share,
 }
 
@@ -77,14 +79,15 @@
     fn is_same(&self, other: &Seen) -> bool {
         Arc::ptr_eq(&self.servers, &other.servers)
             && Arc::ptr_eq(&self.detours, &other.detours)
+            && Arc::ptr_eq(&self.owners, &other.owners)
             && self.share == other.share
     }
 }
 
 impl<E: EndpointDialect> Group<E> {
-    fn new(availability_zone: Name) -> Group<E> {
+    fn new(availability_zone: Name, relays: Rc<RelayLinks>) -> Group<E> {
         Group {
-            pool: Rc::new(GroupPool::new(availability_zone)),
+            pool: Rc::new(GroupPool::new(availability_zone, relays)),
             samples: RefCell::new(StalenessSamples::new(SAMPLES_KEPT)),
             retries: RefCell::new(RetryBudget::new(RETRY_PERCENT)),
             starved: Cell::new(None),
@@ -132,6 +135,7 @@
     /// Callers connected now.
     pub callers: Cell<u64>,
     pub(crate) observations: flume::Sender<Observation>,
+    relays: Rc<RelayLinks>,
     groups: RefCell<HashMap<Name, Rc<Group<E>>>>,
 }
 
@@ -176,6 +180,7 @@
             metrics: parts.metrics,
             callers: Cell::new(0),
             observations: parts.observations,
+            relays: Rc::default(),
             groups: RefCell::default(),
         }
     }
@@ -196,15 +201,22 @@
             .groups
             .borrow_mut()
             .entry(service.clone())
-            .or_insert_with(|| Rc::new(Group::new(self.settings.availability_zone.clone())))
+            .or_insert_with(|| {
+                let zone = self.settings.availability_zone.clone();
+                Rc::new(Group::new(zone, self.relays.clone()))
+            })
             .clone();
         let granted = beliefs.catalog.services.get(service).map_or(0, |rule| rule.connections);
         let share = share_of(granted, beliefs.sharers);
-        let seen =
-            Seen { servers: beliefs.servers.clone(), detours: beliefs.detours.clone(), share };
+        let seen = Seen {
+            servers: beliefs.servers.clone(),
+            detours: beliefs.detours.clone(),
+            owners: beliefs.owners.clone(),
+            share,
+        };
         if !group.seen.borrow().is_same(&seen) {
             let entries = beliefs.servers.get(service).map_or(&[][..], Vec::as_slice);
-            group.pool.update(entries, share, &seen.detours);
+            group.pool.update(entries, share, &seen.detours, &seen.owners);
             *group.seen.borrow_mut() = seen;
         }
         group
--- a/crates/proxy/src/serve/execute.rs
+++ b/crates/proxy/src/serve/execute.rs
@@ -17,13 +17,14 @@
     serve::{
         connection::{ConnectionLost, Reached, refusal},
         engine::{AcquireError, Engine, Group},
+        errand::Errand,
         floor::{Place, place_for},
         job::Job,
         lent::Lent,
         pool::Wish,
         verdict::{Next, Progress, after_error, after_loss, write_stands},
     },
-    statement::{Answer, EndpointCommand, ErrorCode, StatementError, TransactionState},
+    statement::{Answer, ErrorCode, StatementError, TransactionState},
 };
 
 /// How many times a server's average answering time a read waits before a second server is tried.
@@ -45,6 +46,16 @@
     pub(crate) floor: Option<LogPoint>,
 }
 
+/// How a server is watched while something runs on it.
+#[derive(Clone, Copy)]
+pub(crate) struct Watch<'a> {
+    pub(crate) service: &'a Name,
+    /// After how long a second server may be tried.
+    pub(crate) slow_after: Duration,
+    /// Whether it may run again elsewhere.
+    pub(crate) may_run_again: bool,
+}
+
 /// Why nothing was granted.
 pub(crate) enum Denied {
     Refuse(StatementError),
@@ -68,10 +79,17 @@
             let may_run_again = class == StatementClass::Read;
             let sent =
                 self.send(&group, job, &mut granted.lent, granted.floor, may_run_again).await;
-            let server = granted.lent.server().clone();
+            let reached = granted.lent.reached();
+            let server = reached.server.clone();
             let next = match sent {
                 Ok(answer) => match answer.error_code() {
-                    None => return self.finish_single(&group, job, granted, answer, sent_at).await,
+                    None if self.is_still_right(job, &granted) => {
+                        return self.finish_single(&group, job, granted, answer, sent_at).await;
+                    }
+                    None => {
+                        granted.lent.give_back();
+                        Next::AwaitPrimary
+                    }
                     Some(code) => {
                         self.note_refused(&group, job, &server, code, granted.floor, &answer);
                         granted.lent.give_back();
@@ -85,7 +103,7 @@
                 },
                 Err((progress, lost)) => {
                     drop(granted);
-                    self.note_loss(&group, &job.route.service, &server, &lost);
+                    self.note_loss(&group, &job.route.service, &reached, &lost);
                     match after_loss(progress, class) {
                         Next::Tell(code) => {
                             return self.unknown_outcome(job, &server, code, &lost);
@@ -100,6 +118,15 @@
         }
     }
 
+    /// Whether an answer may be given to the caller as far as the right to read at the primary goes. On the
+    /// way through an owner a read may have waited for longer than the right that it was sent under.
+    fn is_still_right(&self, job: &Job<'_>, granted: &Granted<E>) -> bool {
+        let is_read_there = job.work.class() == StatementClass::Read && granted.lead.is_some();
+        !is_read_there
+            || granted.lent.reached().is_own
+            || self.may_still_use(&job.route.service, granted.lead.as_ref(), Instant::now())
+    }
+
     /// Finds a connection on which the statement, or the transaction it opens, may run now.
     pub(crate) async fn grant(
         self: &Rc<Self>,
@@ -137,6 +164,7 @@
             primary: known.map(|lead| lead.server.clone()),
             priority: job.route.priority,
             yields: class == StatementClass::Read && job.route.reads != ReadRule::Primary,
+            is_handed_over: false,
         };
         // The wait for a primary is over only now, and the wait for a connection begins.
         let wait_until = job.wait_until(Instant::now());
@@ -270,55 +298,50 @@
         floor: Option<LogPoint>,
         may_run_again: bool,
     ) -> Result<Answer, (Progress, ConnectionLost)> {
-        let deadline = job.deadline();
-        let own = lent.connection().environment.prepare_for(job.values, job.work.shape());
-        let Some(text) = job.work.text(lent) else {
-            let lost = ConnectionLost::Garbled("a shape that was not prepared".to_owned());
-            return Err((Progress::NotSent, lost));
+        let average = group.pool.latency_of(lent.server());
+        let watch = Watch {
+            service: &job.route.service,
+            slow_after: job.route.target_latency.max(average * SLOW_ANSWER_FACTOR),
+            may_run_again,
         };
+        self.run_watched(group, &job.errand(floor), lent, job.deadline(), watch).await
+    }
+
+    /// Runs something on a connection, and looks meanwhile whether its server still lives.
+    pub(crate) async fn run_watched(
+        self: &Rc<Self>,
+        group: &Rc<Group<E>>,
+        errand: &Errand,
+        lent: &mut Lent<E>,
+        deadline: Instant,
+        watch: Watch<'_>,
+    ) -> Result<Answer, (Progress, ConnectionLost)> {
         let reached = lent.reached();
-        let connection = lent.connection();
-        let own_commands = own.len();
-        for text in own {
-            connection.queue(&EndpointCommand::own(text));
-        }
-        connection.queue(&EndpointCommand { id: Some(job.id.clone()), floor, text });
-        let sent = |lost| (Progress::Sent, lost);
-        connection.flush(deadline).await.map_err(sent)?;
-        let answers = async {
-            for _ in 0..own_commands {
-                let answer = connection.read_answer(deadline).await?;
-                if answer.error_code().is_some() {
-                    let why = "the server refused a value or a shape".to_owned();
-                    return Err(ConnectionLost::Garbled(why));
-                }
+        let answered = lent.run(errand, deadline);
+        tokio::pin!(answered);
+        tokio::select! {
+            answered = &mut answered => answered,
+            () = self.give_up_waiting(group, &reached, watch) => {
+                Err((Progress::Sent, ConnectionLost::Silent))
             }
-            connection.read_answer(deadline).await
-        };
-        tokio::pin!(answers);
-        let answered = tokio::select! {
-            answered = &mut answers => answered,
-            () = self.give_up_waiting(group, job, &reached, may_run_again) => Err(ConnectionLost::Silent),
-        };
-        answered.map_err(sent)
+        }
     }
 
     /// Ends when another server should be tried instead of waiting for this one; a server that is
-    /// silent is asked meanwhile whether it lives. Whatever may not run twice is waited for.
-    pub(crate) async fn give_up_waiting(
+    /// silent is asked meanwhile whether it lives, by whoever owns the connection. Whatever may not run twice is
+    /// waited for.
+    async fn give_up_waiting(
         self: &Rc<Self>,
         group: &Rc<Group<E>>,
-        job: &Job<'_>,
         reached: &Reached,
-        may_run_again: bool,
+        watch: Watch<'_>,
     ) {
+        let Watch { service, slow_after, may_run_again } = watch;
         let server = &reached.server;
-        let average = group.pool.latency_of(server);
-        let slow_after = job.route.target_latency.max(average * SLOW_ANSWER_FACTOR);
         let sent_at = Instant::now();
         let probe_at = sent_at + self.settings.suspect_after;
         let slow_at = sent_at + slow_after;
-        let mut probed = false;
+        let mut probed = !reached.is_own;
         let mut slow = false;
         loop {
             let lost = group.lost_server.notified();
@@ -328,7 +351,7 @@
             tokio::select! {
                 () = tokio::time::sleep_until(probe_at.into()), if !probed => {
                     probed = true;
-                    self.probe(group, &job.route.service, server);
+                    self.probe(group, service, server);
                 }
                 () = tokio::time::sleep_until(slow_at.into()), if may_run_again && !slow => {
                     slow = true;
--- a/crates/proxy/src/serve/job.rs
+++ b/crates/proxy/src/serve/job.rs
@@ -1,15 +1,20 @@
 //! A statement with what it needs to be run, and how long it may wait.
 
-use std::{sync::Arc, time::Instant};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use bytes::Bytes;
 use model::{LogPoint, StatementClass};
 
 use crate::{
     catalog::Route,
-    dialect::EndpointDialect,
-    serve::{lent::Lent, replay::SessionValues},
-    statement::{EndpointText, PreparedShape},
+    serve::{
+        errand::{Errand, Task},
+        replay::SessionValues,
+    },
+    statement::PreparedShape,
 };
 
 /// The part of a statement's time after which it is refused if it could not be sent, also while a primary
@@ -60,19 +65,6 @@
             _ => None,
         }
     }
-
-    /// Returns the command's text; a prepared statement is named by the connection's own number.
-    pub(crate) fn text<E: EndpointDialect>(&self, lent: &mut Lent<E>) -> Option<EndpointText> {
-        Some(match self {
-            Work::Read(body) => EndpointText::Read(body.clone()),
-            Work::Write(body) => EndpointText::Write(body.clone()),
-            Work::Commit => EndpointText::Commit,
-            Work::Execute { shape, arguments } => EndpointText::Execute {
-                number: lent.connection().environment.number_of(shape)?,
-                arguments: arguments.clone(),
-            },
-        })
-    }
 }
 
 /// A statement with what it needs to be run.
@@ -92,14 +84,29 @@
 }
 
 impl Job<'_> {
+    /// Returns what is to run on a connection.
+    pub(crate) fn errand(&self, floor: Option<LogPoint>) -> Errand {
+        Errand {
+            id: Some(self.id.clone()),
+            task: Task::Work(self.work.clone()),
+            values: self.values.clone(),
+            floor,
+        }
+    }
+
     pub(crate) fn deadline(&self) -> Instant {
         self.arrived + self.route.timeout
     }
 
+    /// How long the statement may wait for a connection.
+    pub(crate) fn waits(&self) -> Duration {
+        self.route.target_latency.mul_f64(WAIT_SHARE)
+    }
+
     /// Until when the statement may wait for a connection while all of them are in use.
     /// One that waited for a primary before has as long again, since all of them come at once then.
     pub(crate) fn wait_until(&self, now: Instant) -> Instant {
-        let waits = self.route.target_latency.mul_f64(WAIT_SHARE);
+        let waits = self.waits();
         if now < self.arrived + waits { self.arrived + waits } else { now + waits }
     }
 
--- a/crates/proxy/src/serve/lent.rs
+++ b/crates/proxy/src/serve/lent.rs
@@ -12,10 +12,14 @@
 use crate::{
     catalog::ServerEntry,
     dialect::EndpointDialect,
+    relay::lease::Lease,
     serve::{
-        connection::{EndpointConnection, Reached},
+        connection::{ConnectionLost, EndpointConnection, Reached},
+        errand::Errand,
         pool::{GroupPool, Offer},
+        verdict::Progress,
     },
+    statement::Answer,
 };
 
 /// The place of a connection that is about to be opened.
@@ -27,14 +31,24 @@
     pub(super) settled: bool,
 }
 
-/// A connection that one statement or transaction has for itself.
+/// What one statement or transaction has for itself.
 pub struct Lent<E: EndpointDialect> {
     pub(super) pool: Rc<GroupPool<E>>,
-    pub(super) connection: Option<Box<EndpointConnection<E>>>,
+    pub(super) held: Held<E>,
     pub(super) lent_at: Instant,
     pub(super) yields: bool,
 }
 
+/// A connection, or the right to use another daemon's.
+pub(super) enum Held<E: EndpointDialect> {
+    /// A connection of this daemon.
+    Own(Box<EndpointConnection<E>>),
+    /// One of the daemon that owns the connections to this server.
+    Owners(Lease),
+    /// It was given back.
+    Nothing,
+}
+
 impl<E: EndpointDialect> OpeningPlace<E> {
     /// Takes the new connection.
     pub fn opened(mut self, connection: EndpointConnection<E>) -> Lent<E> {
@@ -52,21 +66,26 @@
 }
 
 impl<E: EndpointDialect> Lent<E> {
-    /// Returns the connection.
-    pub fn connection(&mut self) -> &mut EndpointConnection<E> {
-        self.connection.as_mut().expect("a lent connection is there until it is given back")
-    }
-
     /// Returns the server's identity.
     pub fn server(&self) -> &Name {
-        &self.connection.as_ref().expect("a lent connection is there until it is given back").server
+        match &self.held {
+            Held::Own(connection) => &connection.server,
+            Held::Owners(lease) => lease.server(),
+            Held::Nothing => unreachable!("what was given back is not used"),
+        }
     }
 
     /// Returns the server and how it is reached.
     pub fn reached(&self) -> Reached {
-        let connection = self.connection.as_ref();
-        let connection = connection.expect("a lent connection is there until it is given back");
-        Reached { server: connection.server.clone(), is_direct: connection.is_direct }
+        let is_direct = match &self.held {
+            Held::Own(connection) => connection.is_direct,
+            Held::Owners(_) | Held::Nothing => false,
+        };
+        Reached { server: self.server().clone(), is_direct, is_own: self.is_own() }
+    }
+
+    fn is_own(&self) -> bool {
+        matches!(self.held, Held::Own(_))
     }
 
     /// How long it has been lent.
@@ -74,11 +93,40 @@
         self.lent_at.elapsed()
     }
 
+    /// Runs something on it.
+    pub async fn run(
+        &mut self,
+        errand: &Errand,
+        deadline: Instant,
+    ) -> Result<Answer, (Progress, ConnectionLost)> {
+        match &mut self.held {
+            Held::Own(connection) => errand.run(connection, deadline).await,
+            Held::Owners(lease) => lease.run(errand, deadline).await,
+            Held::Nothing => {
+                let lost = ConnectionLost::Broken("it was given back".to_owned());
+                Err((Progress::NotSent, lost))
+            }
+        }
+    }
+
     /// Gives it back for the next statement. Whatever is not given back is closed.
     pub fn give_back(mut self) {
-        if let Some(connection) = &mut self.connection {
-            connection.rest();
+        match std::mem::replace(&mut self.held, Held::Nothing) {
+            Held::Owners(lease) => {
+                self.pool.leave_owner(lease.server());
+                lease.give_back();
+            }
+            Held::Own(mut connection) => {
+                connection.rest();
+                self.held = Held::Own(connection);
+                self.hand_on();
+            }
+            Held::Nothing => {}
         }
+    }
+
+    /// Gives a connection of this daemon to whoever waits for it, or lets it rest.
+    fn hand_on(mut self) {
         self.lent_at = Instant::now();
         if std::mem::take(&mut self.yields) {
             self.pool.with_slot(self.server(), |slot| slot.yielding -= 1);
@@ -99,7 +147,7 @@
                 Err(Offer::Open(_)) => return,
             }
         }
-        if let Some(connection) = self.connection.take() {
+        if let Held::Own(connection) = std::mem::replace(&mut self.held, Held::Nothing) {
             self.pool.put_idle(connection);
         }
     }
@@ -107,10 +155,14 @@
 
 impl<E: EndpointDialect> Drop for Lent<E> {
     fn drop(&mut self) {
-        if let Some(connection) = self.connection.take() {
-            let server = connection.server.clone();
-            drop(connection);
-            self.pool.give_up(&server, self.yields);
+        match std::mem::replace(&mut self.held, Held::Nothing) {
+            Held::Own(connection) => {
+                let server = connection.server.clone();
+                drop(connection);
+                self.pool.give_up(&server, self.yields);
+            }
+            Held::Owners(lease) => self.pool.leave_owner(lease.server()),
+            Held::Nothing => {}
         }
     }
 }
--- a/crates/proxy/src/serve/mod.rs
+++ b/crates/proxy/src/serve/mod.rs
@@ -5,6 +5,7 @@
 pub mod choose;
 pub mod connection;
 pub mod engine;
+pub mod errand;
 pub mod execute;
 pub mod floor;
 pub mod job;
--- a/crates/proxy/src/serve/pool.rs
+++ b/crates/proxy/src/serve/pool.rs
@@ -18,12 +18,17 @@
 
 use crate::{
     catalog::ServerEntry,
-    control::beliefs::Detours,
+    control::beliefs::{Detours, Owners},
     dialect::EndpointDialect,
+    relay::{
+        lease::{Lease, Terms},
+        link::RelayLink,
+        links::RelayLinks,
+    },
     serve::{
         choose::{Candidate, Choice, choose},
         connection::EndpointConnection,
-        lent::{Lent, OpeningPlace},
+        lent::{Held, Lent, OpeningPlace},
         replay::{Environment, SessionValues},
         share::{Keep, Share},
         slot::ServerSlot,
@@ -48,6 +53,8 @@
     pub priority: u8,
     /// Whether it leaves room at the primary for statements that only the primary can run.
     pub yields: bool,
+    /// Whether another daemon handed it over; then it runs on a connection of this one, whoever owns them.
+    pub is_handed_over: bool,
 }
 
 /// A statement that waits for a connection.
@@ -68,6 +75,7 @@
 /// The pool of one service.
 pub struct GroupPool<E: EndpointDialect> {
     availability_zone: Name,
+    relays: Rc<RelayLinks>,
     state: RefCell<PoolState<E>>,
 }
 
@@ -92,14 +100,19 @@
 
 impl<E: EndpointDialect> GroupPool<E> {
     /// Makes a pool without servers for a daemon in an availability zone.
-    pub fn new(availability_zone: Name) -> GroupPool<E> {
+    pub fn new(availability_zone: Name, relays: Rc<RelayLinks>) -> GroupPool<E> {
         let state = PoolState { keep: Keep::One, servers: Vec::new(), waiters: Default::default() };
-        GroupPool { availability_zone, state: RefCell::new(state) }
+        GroupPool { availability_zone, relays, state: RefCell::new(state) }
     }
 
-    /// Takes over which servers there are and how many connections each may have.
-    pub fn update(self: &Rc<Self>, entries: &[Arc<ServerEntry>], share: Share, detours: &Detours) {
-        let limit = share.limit;
+    /// Takes over which servers there are, how many connections each may have and who owns them.
+    pub fn update(
+        self: &Rc<Self>,
+        entries: &[Arc<ServerEntry>],
+        share: Share,
+        detours: &Detours,
+        owners: &Owners,
+    ) {
         let mut state = self.state.borrow_mut();
         state.keep = share.keep;
         for slot in &mut state.servers {
@@ -117,14 +130,18 @@
         }
         for slot in &mut state.servers {
             slot.set_detours(detours.get(&slot.entry.server).cloned().unwrap_or_default());
-            slot.limit = limit;
-            slot.loan = share.loan;
-            slot.keeps_one = match share.keep {
-                Keep::One => true,
-                Keep::OneNear => slot.entry.availability_zone == self.availability_zone,
-                Keep::Nothing => false,
+            let ownership = owners.get(&slot.entry.server).filter(|_| share.owned > 0);
+            let is_near = slot.entry.availability_zone == self.availability_zone;
+            (slot.limit, slot.keeps) = match (ownership, share.keep) {
+                (Some(ownership), _) if ownership.is_owner => (share.owned, share.owned),
+                (Some(_), _) => (share.limit, 0),
+                (None, Keep::One) => (share.limit, 1),
+                (None, Keep::OneNear) => (share.limit, u32::from(is_near)),
+                (None, Keep::Nothing) => (share.limit, 0),
             };
-            let most = limit + share.loan;
+            slot.owners = ownership.map(|it| it.asked.clone()).unwrap_or_default();
+            slot.loan = share.loan;
+            let most = slot.limit + share.loan;
             let surplus = (slot.idle.len() as u32 + slot.in_use).saturating_sub(most) as usize;
             let kept = slot.idle.len().saturating_sub(surplus);
             slot.idle.truncate(kept);
@@ -142,6 +159,9 @@
     ) -> Result<Offer<E>, NoConnection> {
         match self.choose_now(&wish) {
             Choice::UseIdle(index) => {
+                if let Some(lent) = self.lease(index, &wish, deadline) {
+                    return Ok(Offer::Lent(lent));
+                }
                 if let Some(connection) = self.take_idle(index, values, wish.yields) {
                     return Ok(Offer::Lent(self.lent(connection, wish.yields)));
                 }
@@ -154,6 +174,37 @@
         }
     }
 
+    /// Returns the right to use a connection of the server's owner, if another daemon owns them and is there.
+    fn lease(self: &Rc<Self>, index: usize, wish: &Wish, wait_until: Instant) -> Option<Lent<E>> {
+        let mut state = self.state.borrow_mut();
+        let slot = &mut state.servers[index];
+        let link = self.owner_of(slot, wish, Instant::now())?;
+        slot.at_owners += 1;
+        let terms = Terms {
+            service: slot.entry.service.clone(),
+            server: slot.entry.server.clone(),
+            wait_until,
+            priority: wish.priority,
+            leads: wish.primary.as_ref() == Some(&slot.entry.server),
+            yields: wish.yields,
+        };
+        let lease = Lease::new(self.relays.clone(), link, terms);
+        let held = Held::Owners(lease);
+        Some(Lent { pool: self.clone(), held, lent_at: Instant::now(), yields: false })
+    }
+
+    fn owner_of(&self, slot: &ServerSlot<E>, wish: &Wish, now: Instant) -> Option<Rc<RelayLink>> {
+        if wish.is_handed_over {
+            return None;
+        }
+        self.relays.to_first(&slot.owners, now)
+    }
+
+    /// Notes that nothing runs any more at an owner that ran there.
+    pub(super) fn leave_owner(&self, server: &str) {
+        self.with_slot(server, |slot| slot.at_owners = slot.at_owners.saturating_sub(1));
+    }
+
     async fn wait(
         self: &Rc<Self>,
         wish: Wish,
@@ -197,6 +248,19 @@
         let fit = state.servers.iter_mut().enumerate().filter(|(_, slot)| slot.is_fit(wish, now));
         fit.map(|(index, slot)| {
             slot.forget_old_latency(now);
+            if self.owner_of(slot, wish, now).is_some() {
+                return Candidate {
+                    index,
+                    near: slot.entry.availability_zone == self.availability_zone,
+                    leads: wish.primary.as_ref() == Some(&slot.entry.server),
+                    // Its queue is at the owner, where the whole zone's demand is seen.
+                    idle: 1,
+                    in_use: slot.at_owners,
+                    limit: u32::MAX,
+                    full: false,
+                    latency_us: slot.latency.get_us(),
+                };
+            }
             Candidate {
                 index,
                 // Through another daemon nothing is near.
@@ -245,7 +309,7 @@
         connection: Box<EndpointConnection<E>>,
         yields: bool,
     ) -> Lent<E> {
-        Lent { pool: self.clone(), connection: Some(connection), lent_at: Instant::now(), yields }
+        Lent { pool: self.clone(), held: Held::Own(connection), lent_at: Instant::now(), yields }
     }
 
     pub(super) fn with_slot<R>(
--- a/crates/proxy/src/serve/reachability.rs
+++ b/crates/proxy/src/serve/reachability.rs
@@ -59,9 +59,19 @@
         self: &Rc<Self>,
         group: &Rc<Group<E>>,
         service: &Name,
-        server: &Name,
+        reached: &Reached,
         lost: &ConnectionLost,
     ) {
+        let server = &reached.server;
+        if !reached.is_own {
+            // Its owner finds out what has become of the server.
+            log::info!(
+                event = "handed_over_lost", service = &**service, server = &**server,
+                why = lost.to_string().as_str();
+                "a statement that was handed to an owner got no answer of its server"
+            );
+            return;
+        }
         if speaks_against_server(lost) {
             group.pool.on_failure(server);
         }
--- a/crates/proxy/src/serve/share.rs
+++ b/crates/proxy/src/serve/share.rs
@@ -1,5 +1,7 @@
 //! What one daemon may have of the connections that a server grants to all of them.
 
+use routing::owned_connections;
+
 /// Connections of a server that no daemon counts on: those of dead daemons linger for some seconds,
 /// and changes of primary need some of their own.
 const RESERVED_CONNECTIONS: u32 = 3;
@@ -10,6 +12,8 @@
     pub daemons: u32,
     /// Those of this one's availability zone, this one included.
     pub in_zone: u32,
+    /// Availability zones in which there are any.
+    pub zones: u32,
 }
 
 /// How long a daemon may keep connections that it does not need at the moment.
@@ -33,6 +37,9 @@
     pub loan: u32,
     /// Which of them may be kept.
     pub keep: Keep,
+    /// Connections that an owner may have and keep, where there are more daemons than connections; 0 where
+    /// every daemon has its own.
+    pub owned: u32,
 }
 
 /// One part in so many of a server's connections may be kept by the daemons of its zone where there are
@@ -58,5 +65,9 @@
         0 => 0,
         _ => (shared - each * sharers.daemons.max(1)).min(UNBLOCKED.saturating_sub(each)),
     };
-    Share { limit: each.max(1), loan, keep }
+    let owned = match each {
+        0 => owned_connections(shared, sharers.zones),
+        _ => 0,
+    };
+    Share { limit: each.max(1), loan, keep, owned }
 }
--- a/crates/proxy/src/serve/slot.rs
+++ b/crates/proxy/src/serve/slot.rs
@@ -56,8 +56,12 @@
     /// Connections beyond the limit that may be borrowed, and until when none may.
     pub(crate) loan: u32,
     pub(crate) no_loan_until: Option<Instant>,
-    /// Whether one connection may rest for good.
-    pub(crate) keeps_one: bool,
+    /// Connections that may rest for good.
+    pub(crate) keeps: u32,
+    /// The daemons that own the connections to it, if this one does not; asked in this order.
+    pub(crate) owners: Arc<[SocketAddr]>,
+    /// Statements and transactions that run on connections of owners.
+    pub(crate) at_owners: u32,
     pub(crate) latency: LatencyAverage,
     pub(crate) latency_at: Option<Instant>,
     pub(crate) point: Option<LogPoint>,
@@ -85,7 +89,9 @@
             limit: 1,
             loan: 0,
             no_loan_until: None,
-            keeps_one: true,
+            keeps: 1,
+            owners: Arc::default(),
+            at_owners: 0,
             latency: LatencyAverage::default(),
             latency_at: None,
             point: None,
@@ -104,8 +110,8 @@
     pub(crate) fn end_spares(&mut self) {
         let now = Instant::now();
         let others = self.in_use as usize;
-        let (kept, rests) = if self.keeps_one { (1, SPARE_RESTS) } else { (0, SCARCE_RESTS) };
-        while self.idle.len() + others > kept
+        let rests = if self.keeps > 0 { SPARE_RESTS } else { SCARCE_RESTS };
+        while self.idle.len() + others > self.keeps as usize
             && self.idle.first().is_some_and(|(since, _)| now.duration_since(*since) > rests)
         {
             self.idle.remove(0);
--- a/crates/proxy/src/serve/transaction.rs
+++ b/crates/proxy/src/serve/transaction.rs
@@ -15,12 +15,13 @@
     serve::{
         connection::refusal,
         engine::{Engine, Group},
-        execute::{Denied, ROUND_PAUSE, Rounds},
+        errand::{Errand, Task},
+        execute::{Denied, Granted, ROUND_PAUSE, Rounds},
         job::{Job, Work},
         lent::Lent,
         verdict::{Next, after_error, transaction_after_loss},
     },
-    statement::{Answer, EndpointCommand, EndpointText, ErrorCode, Outcome, TransactionState},
+    statement::{Answer, ErrorCode, Outcome, TransactionState},
 };
 
 /// How long a server may take to open or roll back a transaction, which takes none of its slots.
@@ -99,7 +100,7 @@
                 Err((progress, lost)) => {
                     transaction.lent = None;
                     transaction.failed = true;
-                    self.note_loss(&group, &job.route.service, &reached.server, &lost);
+                    self.note_loss(&group, &job.route.service, &reached, &lost);
                     let is_commit = job.work == Work::Commit;
                     let code = transaction_after_loss(is_commit, transaction.wrote, progress);
                     let mut answer = self.unknown_outcome(job, &reached.server, code, &lost);
@@ -115,9 +116,9 @@
     /// Rolls a transaction back behind the caller's back and gives its connection to others.
     pub fn roll_back(self: &Rc<Self>, mut lent: Lent<E>) {
         tokio::task::spawn_local(async move {
-            let command = EndpointCommand::own(EndpointText::Rollback);
+            let rollback = Errand::own(Task::Rollback);
             let deadline = Instant::now() + BEGIN_WITHIN;
-            match lent.connection().ask(&command, deadline).await {
+            match lent.run(&rollback, deadline).await {
                 Ok(answer) if answer.state == TransactionState::Idle => lent.give_back(),
                 // Closing the connection rolls back too.
                 Ok(_) | Err(_) => drop(lent),
@@ -143,14 +144,21 @@
                 }
                 Err(Denied::Again) => continue,
             };
-            let text = EndpointText::Begin { read_only: transaction.read_only };
-            let begin = EndpointCommand { id: None, floor: granted.floor, text };
+            let task = Task::Begin { read_only: transaction.read_only };
+            let begin = Errand { floor: granted.floor, ..Errand::own(task) };
             let sent_at = Instant::now();
-            let deadline = job.deadline().min(sent_at + BEGIN_WITHIN);
-            let begun = granted.lent.connection().ask(&begin, deadline).await;
-            let server = granted.lent.server().clone();
+            let reached = granted.lent.reached();
+            // Where an owner is asked the wait for its connection comes first.
+            let waits = if reached.is_own { Duration::ZERO } else { job.waits() };
+            let deadline = job.deadline().min(sent_at + waits + BEGIN_WITHIN);
+            let begun = granted.lent.run(&begin, deadline).await;
+            let server = reached.server.clone();
             let next = match begun {
                 Ok(answer) => match answer.error_code() {
+                    None if !self.may_begin(job, &granted) => {
+                        self.roll_back(granted.lent);
+                        Next::AwaitPrimary
+                    }
                     None => {
                         if let Some(lead) = &granted.lead {
                             self.add_sample(group, &job.route.service, lead, sent_at, answer.point);
@@ -172,9 +180,9 @@
                         }
                     }
                 },
-                Err(lost) => {
+                Err((_, lost)) => {
                     drop(granted);
-                    self.note_loss(group, &job.route.service, &server, &lost);
+                    self.note_loss(group, &job.route.service, &reached, &lost);
                     Next::TryElsewhere
                 }
             };
@@ -184,6 +192,14 @@
         }
     }
 
+    /// Whether a transaction that has been opened at the primary may go on there: where an owner opened it, it
+    /// may have waited for longer than the right lasted that it was sent under.
+    fn may_begin(&self, job: &Job<'_>, granted: &Granted<E>) -> bool {
+        granted.lead.is_none()
+            || granted.lent.reached().is_own
+            || self.may_still_use(&job.route.service, granted.lead.as_ref(), Instant::now())
+    }
+
     pub(crate) fn judge_in_transaction(
         &self,
         answer: &Answer,
--- a/crates/proxy/src/statement.rs
+++ b/crates/proxy/src/statement.rs
@@ -129,7 +129,29 @@
         )
     }
 
-    /// Returns the word used in logs and metrics.
+    const ALL: [ErrorCode; 14] = [
+        ErrorCode::Overloaded,
+        ErrorCode::Aborted,
+        ErrorCode::NotFresh,
+        ErrorCode::NotPrimary,
+        ErrorCode::WrongServer,
+        ErrorCode::TooManyConnections,
+        ErrorCode::UnknownStatement,
+        ErrorCode::Failed,
+        ErrorCode::TimedOut,
+        ErrorCode::InDoubt,
+        ErrorCode::UnknownDatabase,
+        ErrorCode::Malformed,
+        ErrorCode::TooLarge,
+        ErrorCode::Forbidden,
+    ];
+
+    /// Returns the code that is written as this word, between daemons.
+    pub fn from_word(word: &str) -> Option<ErrorCode> {
+        ErrorCode::ALL.into_iter().find(|code| code.as_str() == word)
+    }
+
+    /// Returns the word used in logs, in metrics and between daemons.
     pub fn as_str(self) -> &'static str {
         match self {
             ErrorCode::Overloaded => "overloaded",
--- /dev/null
+++ b/crates/proxy/tests/relay.rs
@@ -0,0 +1,268 @@
+//! What daemons tell the owners of connections, and when an owner counts as dead.
+
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use model::{LogPoint, Name, StatementClass, Term};
+use proxy::{
+    relay::{
+        link::{Look, look},
+        messages::{AnswerMessage, NotSent, PointMessage, RelayRequest, RelayTask, values_of},
+    },
+    serve::{
+        errand::{Errand, Task},
+        job::Work,
+        replay::SessionValues,
+    },
+    statement::{
+        Answer, EndpointText, ErrorCode, Outcome, PreparedShape, StatementError, TransactionState,
+    },
+};
+
+fn handed_over(errand: &Errand) -> Option<Errand> {
+    let request = RelayRequest {
+        id: errand.id.clone().unwrap_or_default(),
+        values: values_of(&errand.values),
+        floor: errand.floor.map(PointMessage::from),
+        task: RelayTask::of(&errand.task),
+        ..RelayRequest::default()
+    };
+    request.errand()
+}
+
+#[test]
+fn an_owner_is_given_exactly_what_the_caller_asked() {
+    let body = Bytes::from_static(b"1a4  with two blanks \x01");
+    let shape = |class| PreparedShape { class, shape: Name::from("q2c") };
+    let execute = |class| {
+        Task::Work(Work::Execute { shape: shape(class), arguments: Bytes::from_static(b"1a4 x") })
+    };
+    let term = Term(7);
+    let tasks = [
+        Task::Begin { read_only: true },
+        Task::Begin { read_only: false },
+        Task::Rollback,
+        Task::Work(Work::Commit),
+        Task::Work(Work::Read(body.clone())),
+        Task::Work(Work::Write(body)),
+        execute(StatementClass::Read),
+        execute(StatementClass::Write),
+        Task::Command(EndpointText::Status),
+        Task::Command(EndpointText::Pause { term }),
+        Task::Command(EndpointText::Resume),
+        Task::Command(EndpointText::StepDown { term }),
+    ];
+    let values: SessionValues = [("a", "1"), ("b", "")]
+        .into_iter()
+        .map(|(name, value)| (Name::from(name), Name::from(value)))
+        .collect();
+    for task in tasks {
+        for id in [None, Some(Bytes::from_static(b"5c0e7a21d94b36f8"))] {
+            let floor = Some(LogPoint::new(3, 1_209));
+            let errand = Errand { id, task: task.clone(), values: values.clone(), floor };
+            assert_eq!(handed_over(&errand), Some(errand.clone()));
+        }
+    }
+    // Whatever prepares a connection is for its owner to say.
+    assert_eq!(handed_over(&Errand::own(Task::Command(EndpointText::Reset))), None);
+}
+
+#[test]
+fn a_server_s_answer_comes_back_as_it_was() {
+    let codes = [
+        ErrorCode::Overloaded,
+        ErrorCode::Aborted,
+        ErrorCode::NotFresh,
+        ErrorCode::NotPrimary,
+        ErrorCode::WrongServer,
+        ErrorCode::TooManyConnections,
+        ErrorCode::UnknownStatement,
+        ErrorCode::Failed,
+        ErrorCode::TimedOut,
+        ErrorCode::InDoubt,
+        ErrorCode::UnknownDatabase,
+        ErrorCode::Malformed,
+        ErrorCode::TooLarge,
+        ErrorCode::Forbidden,
+    ];
+    let errors = codes.map(|code| Outcome::Error(StatementError::new(code, "why not")));
+    let success = [Outcome::Complete(Bytes::new()), Outcome::Complete(Bytes::from_static(b"7.1f"))];
+    for outcome in success.into_iter().chain(errors) {
+        for state in [TransactionState::Idle, TransactionState::Open, TransactionState::Failed] {
+            let answer = Answer {
+                rows: vec![Bytes::from_static(b"row"), Bytes::new()],
+                outcome: outcome.clone(),
+                state,
+                point: Some(LogPoint::new(2, 5)),
+            };
+            assert_eq!(AnswerMessage::of(answer.clone()).answer(), Some(answer));
+        }
+    }
+    let unknown =
+        AnswerMessage { code: "of a later version".to_owned(), ..AnswerMessage::default() };
+    assert_eq!(unknown.answer(), None);
+}
+
+#[test]
+fn why_an_owner_sent_nothing_is_told_by_number() {
+    for why in [NotSent::TooLate, NotSent::Unreachable, NotSent::Unwilling] {
+        assert_eq!(NotSent::from_number(why.number()), why);
+    }
+    assert_eq!(NotSent::from_number(99), NotSent::Unwilling);
+}
+
+/// A server may take long to answer; an owner that lives says so at once.
+#[test]
+fn an_owner_counts_as_dead_only_if_it_does_not_say_that_it_lives() {
+    let heard_at = Instant::now();
+    let after = |ms| heard_at + Duration::from_millis(ms);
+    let cases = [
+        ("a moment ago", None, 150, Look::Fine),
+        ("quiet for a while", None, 200, Look::Ping),
+        ("asked a moment ago", Some(200), 400, Look::Fine),
+        ("asked, and nothing came", Some(200), 450, Look::Dead),
+    ];
+    for (name, pinged_after_ms, now_ms, expected) in cases {
+        assert_eq!(look(heard_at, pinged_after_ms.map(after), after(now_ms)), expected, "{name}");
+    }
+}
+
+mod link {
+    //! A link to an owner that answers, is slow, leaves, freezes or was never there.
+
+    use std::net::SocketAddr;
+
+    use bytes::BytesMut;
+    use futures::{SinkExt, StreamExt};
+    use prost::Message;
+    use proxy::{
+        relay::{
+            link::RelayLink,
+            messages::{RelayAnswer, RelayOutcome},
+        },
+        serve::{connection::ConnectionLost, verdict::Progress},
+    };
+    use tokio::{net::TcpListener, task::LocalSet};
+    use tokio_util::codec::{Framed, LengthDelimitedCodec};
+
+    use super::*;
+
+    type Frames = Framed<tokio::net::TcpStream, LengthDelimitedCodec>;
+
+    /// Far beyond what any of these takes.
+    const DEADLINE: Duration = Duration::from_secs(60);
+
+    async fn owner() -> (TcpListener, SocketAddr) {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        (listener, address)
+    }
+
+    /// Accepts a link and reads that it is one.
+    async fn accept(listener: &TcpListener) -> Frames {
+        let (stream, _) = listener.accept().await.unwrap();
+        let mut frames = Framed::new(stream, LengthDelimitedCodec::new());
+        frames.next().await.unwrap().unwrap();
+        frames
+    }
+
+    async fn read(frames: &mut Frames) -> RelayRequest {
+        let frame: BytesMut = frames.next().await.unwrap().unwrap();
+        RelayRequest::decode(frame).unwrap()
+    }
+
+    async fn answer(frames: &mut Frames, number: u64, outcome: RelayOutcome) {
+        let answer = RelayAnswer { number, outcome: Some(outcome) };
+        frames.send(Bytes::from(answer.encode_to_vec())).await.unwrap();
+    }
+
+    fn write() -> RelayRequest {
+        let task = Some(RelayTask::Write(Bytes::from_static(b"a 1")));
+        RelayRequest { task, ..RelayRequest::default() }
+    }
+
+    fn run<F: Future<Output = ()>>(test: F) {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        LocalSet::new().block_on(&runtime, test);
+    }
+
+    #[test]
+    fn an_owner_that_is_not_there_was_sent_nothing() {
+        run(async {
+            let (listener, address) = owner().await;
+            drop(listener);
+            let link = RelayLink::start(address);
+            let lost = link.ask(write(), Instant::now() + DEADLINE).await;
+            assert_eq!(lost, Err((Progress::NotSent, ConnectionLost::OwnerLost)));
+            assert!(link.is_down());
+            // Nor is anything else.
+            let lost = link.ask(write(), Instant::now() + DEADLINE).await;
+            assert_eq!(lost, Err((Progress::NotSent, ConnectionLost::OwnerLost)));
+        });
+    }
+
+    #[test]
+    fn an_owner_that_leaves_with_a_write_may_have_run_it() {
+        run(async {
+            let (listener, address) = owner().await;
+            let link = RelayLink::start(address);
+            let asked = link.ask(write(), Instant::now() + DEADLINE);
+            let leaves = async {
+                let mut frames = accept(&listener).await;
+                read(&mut frames).await;
+            };
+            let (lost, ()) = tokio::join!(asked, leaves);
+            assert_eq!(lost, Err((Progress::Sent, ConnectionLost::OwnerLost)));
+        });
+    }
+
+    #[test]
+    fn an_owner_that_is_frozen_is_found_out_long_before_the_deadline() {
+        run(async {
+            let (listener, address) = owner().await;
+            let link = RelayLink::start(address);
+            let asked = link.ask(write(), Instant::now() + DEADLINE);
+            tokio::pin!(asked);
+            let mut frames = tokio::select! {
+                frames = accept(&listener) => frames,
+                _ = &mut asked => panic!("nothing was answered"),
+            };
+            // It reads all the while and says nothing.
+            let frozen = async {
+                while frames.next().await.is_some() {}
+                std::future::pending().await
+            };
+            let lost = tokio::select! {
+                lost = &mut asked => lost,
+                () = frozen => unreachable!("it waits for ever"),
+            };
+            assert_eq!(lost, Err((Progress::Sent, ConnectionLost::OwnerLost)));
+        });
+    }
+
+    #[test]
+    fn answers_find_their_requests_in_whatever_order_they_come_and_a_slow_server_is_waited_for() {
+        run(async {
+            let (listener, address) = owner().await;
+            let link = RelayLink::start(address);
+            let deadline = Instant::now() + DEADLINE;
+            let lives = async {
+                let mut frames = accept(&listener).await;
+                let first = read(&mut frames).await.number;
+                let second = read(&mut frames).await.number;
+                // Asked several times whether it lives, it says so.
+                for _ in 0..3 {
+                    let ping = read(&mut frames).await;
+                    assert_eq!(ping.task, Some(RelayTask::Ping(true)));
+                    answer(&mut frames, ping.number, RelayOutcome::Pong(true)).await;
+                }
+                answer(&mut frames, second, RelayOutcome::Lost("second".to_owned())).await;
+                answer(&mut frames, first, RelayOutcome::Lost("first".to_owned())).await;
+            };
+            let (first, second, ()) =
+                tokio::join!(link.ask(write(), deadline), link.ask(write(), deadline), lives);
+            assert_eq!(first, Ok(RelayOutcome::Lost("first".to_owned())));
+            assert_eq!(second, Ok(RelayOutcome::Lost("second".to_owned())));
+        });
+    }
+}
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod admission;
 mod connection_share;
+mod ownership;
 mod read_route;
 mod retry_budget;
 mod server_load;
@@ -12,6 +13,7 @@
 
 pub use admission::{Admission, AdmissionQueue, Next, Request, Ticket};
 pub use connection_share::{Demand, connection_share};
+pub use ownership::{OWNERS_EACH_ZONE, owned_connections, owners_of};
 pub use read_route::{Candidate, ReadQuestion, ReadRoute, route_read};
 pub use retry_budget::RetryBudget;
 pub use server_load::LatencyAverage;
--- /dev/null
+++ b/crates/routing/src/ownership.rs
@@ -0,0 +1,36 @@
+//! Which hosts of an availability zone own the connections to a server.
+//!
+//! Where there are more daemons than connections to a server, each of them opening its own in turn spends the
+//! server's time on handshakes, and queues that don't see one another keep it full. So a few daemons of each zone
+//! own them and keep them open, and the others hand their statements to one of these. See `docs/PLATFORM.md`,
+//! "Owned connections".
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// Owners of one server in each zone: the first one is used, the second one while the first does not answer.
+pub const OWNERS_EACH_ZONE: usize = 2;
+/// Owners use one part in so many of what a server grants: daemons that start anew find room although the
+/// connections of their former lives still count, and so do commands of whoever promotes.
+const OWNED_PART: u32 = 2;
+/// Connections that an owner has at the most: enough that open transactions which rest do not hold up other
+/// statements; what a server runs at a time is fewer.
+const MOST_OWNED: u32 = 8;
+
+/// Chooses the owners of a server among the hosts of a zone by rendezvous hashing, best first.
+///
+/// Each host scores the server by a hash of both names. One that comes or goes then moves only the servers that
+/// it scores highest for, and every daemon finds the same owners without asking.
+pub fn owners_of<'a>(server: &str, hosts: impl IntoIterator<Item = &'a str>) -> Vec<&'a str> {
+    let seed = xxh3_64_with_seed(server.as_bytes(), 0);
+    let score = |host: &str| xxh3_64_with_seed(host.as_bytes(), seed);
+    let mut scored: Vec<(u64, &str)> = hosts.into_iter().map(|host| (score(host), host)).collect();
+    scored.sort_unstable_by(|one, other| other.cmp(one));
+    scored.into_iter().take(OWNERS_EACH_ZONE).map(|(_, host)| host).collect()
+}
+
+/// Returns how many connections to a server one owner may have, where `granted` of them are shared by the owners
+/// of so many zones.
+pub fn owned_connections(granted: u32, zones: u32) -> u32 {
+    let owners = zones.max(1) * OWNERS_EACH_ZONE as u32;
+    (granted / OWNED_PART / owners).clamp(1, MOST_OWNED)
+}
--- /dev/null
+++ b/crates/routing/tests/ownership.rs
@@ -0,0 +1,96 @@
+//! Owners of connections: how many there are, how they are spread, and what moves when hosts come and go.
+//!
+//! The pattern is that of a fleet of some hundred daemons before servers that grant fewer connections than that:
+//! 295 daemons in 5 availability zones before 60 servers of 131 connections each is the largest that was played.
+
+use std::collections::{BTreeSet, HashMap};
+
+use proptest::{
+    prelude::*,
+    test_runner::{Config, RngAlgorithm, TestRng, TestRunner},
+};
+use routing::{OWNERS_EACH_ZONE, owned_connections, owners_of};
+
+fn names(prefix: &str, count: usize) -> Vec<String> {
+    (0..count).map(|number| format!("{prefix}-{number}")).collect()
+}
+
+fn owners(server: &str, hosts: &[String]) -> Vec<String> {
+    owners_of(server, hosts.iter().map(String::as_str)).into_iter().map(str::to_owned).collect()
+}
+
+#[test]
+fn owners_together_leave_room_for_former_connections() {
+    let cases = [
+        // granted, zones, each owner's
+        (128, 5, 6),
+        (50, 3, 4),
+        (20, 3, 1),
+        (4, 3, 1),
+        (0, 0, 1),
+        (1_000, 3, 8),
+    ];
+    for (granted, zones, expected) in cases {
+        let each = owned_connections(granted, zones);
+        assert_eq!(each, expected, "{granted} in {zones} zones");
+        let all = each * zones * OWNERS_EACH_ZONE as u32;
+        assert!(each == 1 || all * 2 <= granted, "{granted} in {zones} zones");
+    }
+}
+
+#[test]
+fn every_server_has_its_owners_and_no_host_owns_far_more_than_its_part() {
+    let (hosts, servers) = (names("host", 59), names("server", 60));
+    let mut owned: HashMap<String, usize> = HashMap::new();
+    for server in &servers {
+        let found = owners(server, &hosts);
+        assert_eq!(found.len(), OWNERS_EACH_ZONE);
+        assert_ne!(found[0], found[1]);
+        for host in found {
+            *owned.entry(host).or_default() += 1;
+        }
+    }
+    // Two each in the mean; hashing alone spreads this wide.
+    assert!(owned.values().all(|count| *count <= 7), "{owned:?}");
+}
+
+#[test]
+fn few_hosts_are_all_that_there_is() {
+    assert!(owners("server", &[]).is_empty());
+    let one = names("host", 1);
+    assert_eq!(owners("server", &one), one);
+}
+
+/// Plays hosts that come and go; what moves at each step must be no more than what the host owned.
+#[test]
+fn a_host_that_comes_or_goes_moves_only_what_it_owns() {
+    let config = Config { cases: 500, failure_persistence: None, ..Config::default() };
+    let rng = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
+    let mut runner = TestRunner::new_with_rng(config, rng);
+    let steps = prop::collection::vec((any::<bool>(), 0..40_usize), 1..30);
+    runner
+        .run(&steps, |steps| {
+            let servers = names("server", 20);
+            let mut hosts: BTreeSet<String> = names("host", 10).into_iter().collect();
+            for (joins, number) in steps {
+                let host = format!("host-{number}");
+                let before: Vec<String> = hosts.iter().cloned().collect();
+                let changed = match joins {
+                    true => hosts.insert(host.clone()),
+                    false => hosts.remove(&host),
+                };
+                let after: Vec<String> = hosts.iter().cloned().collect();
+                for server in &servers {
+                    let (old, new) = (owners(server, &before), owners(server, &after));
+                    let concerned = changed && (old.contains(&host) || new.contains(&host));
+                    prop_assert!(concerned || old == new, "{server} moved from {old:?} to {new:?}");
+                    // Whoever stays an owner keeps its place before the others that stay.
+                    let stay: Vec<_> = old.iter().filter(|it| new.contains(it)).collect();
+                    let still: Vec<_> = new.iter().filter(|it| old.contains(it)).collect();
+                    prop_assert_eq!(stay, still);
+                }
+            }
+            Ok(())
+        })
+        .unwrap();
+}
