fix(standin): values keep their type and number in both formats, and an unknown type is an error

Cause: the stand-in's server was wrong, neither proxy nor codec. It read 8-byte integers and floats only; every other binary parameter was taken for text, so the two bytes of a small integer became the text 00 01, and a stored value that was not of its column's type was sent as 0. A table that was dropped and made anew with other types was still described by statements prepared before.

Prepared statements are forgotten when the schema changes.

--- a/crates/standin/src/database.rs
+++ b/crates/standin/src/database.rs
@@ -1,13 +1,13 @@
 //! An in-memory SQLite database that answers in PostgreSQL's terms.
 
-use bytes::{BufMut, BytesMut};
+use bytes::BytesMut;
 use pgwire::messages::data::{DataRow, FieldDescription, RowDescription};
-use rusqlite::{Connection, Statement, backup::Backup, types::ValueRef};
+use rusqlite::{Connection, Statement, backup::Backup};
 
-/// PostgreSQL's numbers for the types that are used.
-const INT8_OID: u32 = 20;
-const TEXT_OID: u32 = 25;
-const FLOAT8_OID: u32 = 701;
+use crate::{
+    server_core::ServerError,
+    value_codec::{CodecError, ValueType},
+};
 
 /// A parameter of a statement.
 #[derive(Clone, Debug, PartialEq)]
@@ -16,6 +16,7 @@
     Integer(i64),
     Float(f64),
     Text(String),
+    Bytes(Vec<u8>),
 }
 
 impl rusqlite::ToSql for Parameter {
@@ -25,6 +26,7 @@
             Parameter::Integer(number) => number.to_sql(),
             Parameter::Float(number) => number.to_sql(),
             Parameter::Text(text) => text.to_sql(),
+            Parameter::Bytes(bytes) => bytes.to_sql(),
         }
     }
 }
@@ -74,35 +76,37 @@
         sql: &str,
         parameters: &[Parameter],
         formats: &[i16],
-    ) -> Result<Outcome, String> {
-        let mut statement =
-            self.connection.prepare_cached(sql).map_err(|error| error.to_string())?;
+    ) -> Result<Outcome, ServerError> {
+        let mut statement = self.connection.prepare_cached(sql).map_err(refused)?;
         for index in 1..=statement.parameter_count() {
             let place = statement
                 .parameter_name(index)
                 .and_then(|name| name[1..].parse::<usize>().ok())
                 .unwrap_or(index);
             let parameter = parameters.get(place.wrapping_sub(1)).unwrap_or(&Parameter::Null);
-            statement.raw_bind_parameter(index, parameter).map_err(|error| error.to_string())?;
+            statement.raw_bind_parameter(index, parameter).map_err(refused)?;
         }
         let description = describe_columns(&statement, formats);
-        let types: Vec<(u32, i16)> = description
-            .iter()
-            .flat_map(|description| &description.fields)
-            .map(|field| (field.type_id, field.format_code))
-            .collect();
+        let fields = description.iter().flat_map(|description| &description.fields);
+        let types =
+            fields.map(|field| Ok((ValueType::from_oid(field.type_id)?, field.format_code)));
+        let types = types.collect::<Result<Vec<_>, CodecError>>()?;
         let mut rows = Vec::new();
         let mut cursor = statement.raw_query();
-        while let Some(row) = cursor.next().map_err(|error| error.to_string())? {
+        while let Some(row) = cursor.next().map_err(refused)? {
             let mut data = BytesMut::new();
-            for (column, (type_id, format)) in types.iter().enumerate() {
-                let value = row.get_ref(column).map_err(|error| error.to_string())?;
-                encode_value(value, *type_id, *format, &mut data);
+            for (column, (value_type, format)) in types.iter().enumerate() {
+                let value = row.get_ref(column).map_err(refused)?;
+                value_type.encode(value, *format, &mut data)?;
             }
             rows.push(DataRow::new(data, types.len() as i16));
         }
         drop(cursor);
         drop(statement);
+        if matches!(first_word(sql).as_str(), "CREATE" | "DROP" | "ALTER") {
+            // A statement that was prepared before still tells the types that its columns had then.
+            self.connection.flush_prepared_statement_cache();
+        }
         let tag = command_tag(sql, rows.len(), self.connection.changes());
         Ok(Outcome { description, rows, tag })
     }
@@ -122,6 +126,10 @@
     }
 }
 
+fn refused(error: rusqlite::Error) -> ServerError {
+    ServerError::new("42601", error.to_string())
+}
+
 /// Returns the first word of a statement in capitals, behind any comments.
 pub(crate) fn first_word(sql: &str) -> String {
     let mut rest = sql.trim_start();
@@ -151,7 +159,7 @@
         .columns()
         .enumerate()
         .map(|(index, column)| {
-            let type_id = type_of(column.decl_type(), column.name());
+            let type_id = type_of(column.decl_type(), column.name()).oid();
             let format = match formats {
                 [] => 0,
                 [all] => *all,
@@ -164,38 +172,14 @@
 }
 
 /// Guesses a column's type, since SQLite only knows it for each value.
-fn type_of(declared: Option<&str>, name: &str) -> u32 {
+fn type_of(declared: Option<&str>, name: &str) -> ValueType {
     let numeric = ["count(", "sum(", "max(", "min(", "coalesce(", "total("];
-    match declared.map(str::to_uppercase).as_deref() {
-        Some(declared) if declared.contains("INT") => INT8_OID,
-        Some("REAL" | "DOUBLE" | "FLOAT") => FLOAT8_OID,
-        None if numeric.iter().any(|prefix| name.to_lowercase().starts_with(prefix)) => INT8_OID,
-        None if name.bytes().all(|byte| byte.is_ascii_digit()) => INT8_OID,
-        _ => TEXT_OID,
-    }
-}
-
-fn encode_value(value: ValueRef<'_>, type_id: u32, format: i16, data: &mut BytesMut) {
-    if value == ValueRef::Null {
-        data.put_i32(-1);
-        return;
-    }
-    if format == 1 && type_id == INT8_OID {
-        data.put_i32(8);
-        data.put_i64(value.as_i64().unwrap_or_default());
-        return;
-    }
-    if format == 1 && type_id == FLOAT8_OID {
-        data.put_i32(8);
-        data.put_f64(value.as_f64().unwrap_or_default());
-        return;
+    match declared {
+        Some(declared) => ValueType::from_name(declared),
+        None if numeric.iter().any(|prefix| name.to_lowercase().starts_with(prefix)) => {
+            ValueType::Int8
+        }
+        None if name.bytes().all(|byte| byte.is_ascii_digit()) => ValueType::Int8,
+        None => ValueType::Text,
     }
-    let text = match value {
-        ValueRef::Integer(number) => number.to_string().into_bytes(),
-        ValueRef::Real(number) => number.to_string().into_bytes(),
-        ValueRef::Text(bytes) | ValueRef::Blob(bytes) => bytes.to_vec(),
-        ValueRef::Null => Vec::new(),
-    };
-    data.put_i32(text.len() as i32);
-    data.put_slice(&text);
 }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -11,6 +11,7 @@
 mod replication;
 mod server_core;
 mod server_session;
+mod value_codec;
 
 pub use endpoint::{Endpoint, EndpointOptions};
 pub use group::{GroupStandin, Network};
--- a/crates/standin/src/server_core.rs
+++ b/crates/standin/src/server_core.rs
@@ -9,7 +9,10 @@
 use model::{LogPoint, Position, ServerRole, ServerStatus, Term, TermStart};
 use parking_lot::{Mutex, RwLock};
 
-use crate::database::{Database, Outcome, Parameter};
+use crate::{
+    database::{Database, Outcome, Parameter},
+    value_codec::CodecError,
+};
 
 /// One committed transaction in a server's log.
 #[derive(Clone, Debug)]
@@ -60,6 +63,12 @@
     }
 }
 
+impl From<CodecError> for ServerError {
+    fn from(error: CodecError) -> ServerError {
+        ServerError::new(error.sqlstate(), error.to_string())
+    }
+}
+
 pub(crate) struct State {
     pub(crate) live: Database,
     pub(crate) work: Option<Database>,
@@ -171,7 +180,7 @@
         formats: &[i16],
     ) -> Result<Outcome, ServerError> {
         let state = self.state.lock();
-        state.live.run(sql, parameters, formats).map_err(|error| ServerError::new("42601", error))
+        state.live.run(sql, parameters, formats)
     }
 
     /// Runs a statement inside the writing transaction.
@@ -183,7 +192,7 @@
     ) -> Result<Outcome, ServerError> {
         let state = self.state.lock();
         let work = state.leading()?;
-        work.run(sql, parameters, formats).map_err(|error| ServerError::new("42601", error))
+        work.run(sql, parameters, formats)
     }
 
     pub(crate) fn begin_write(&self) -> Result<(), ServerError> {
--- a/crates/standin/src/server_session.rs
+++ b/crates/standin/src/server_session.rs
@@ -23,11 +23,10 @@
     database::{Outcome, Parameter, first_word},
     endpoint::Shared,
     server_core::ServerError,
+    value_codec::ValueType,
 };
 
-const INT8_OID: u32 = 20;
 const TEXT_OID: u32 = 25;
-const FLOAT8_OID: u32 = 701;
 
 /// How long a transaction waits for the one that writes.
 const WRITER_WAIT: Duration = Duration::from_secs(10);
@@ -547,12 +546,7 @@
         let end = after.find(|c: char| !c.is_ascii_alphanumeric()).unwrap_or(after.len());
         let digits = before.rfind('$').and_then(|dollar| before[dollar + 1..].parse().ok());
         if let Some(place) = digits {
-            let oid = match &after[..end] {
-                "int8" | "bigint" | "int" | "int4" | "integer" => INT8_OID,
-                "float8" => FLOAT8_OID,
-                _ => TEXT_OID,
-            };
-            casts.push((place, oid));
+            casts.push((place, ValueType::from_name(&after[..end]).oid()));
         }
         plain.push_str(before);
         rest = &after[end..];
@@ -562,20 +556,8 @@
 }
 
 fn read_parameter(value: Option<&Bytes>, oid: u32, format: i16) -> Result<Parameter, ServerError> {
-    let Some(value) = value else { return Ok(Parameter::Null) };
-    let invalid = || ServerError::new("22P02", "a parameter can't be read as its type");
-    if format == 1 && oid == INT8_OID {
-        let bytes = value.as_ref().try_into().map_err(|_| invalid())?;
-        return Ok(Parameter::Integer(i64::from_be_bytes(bytes)));
-    }
-    if format == 1 && oid == FLOAT8_OID {
-        let bytes = value.as_ref().try_into().map_err(|_| invalid())?;
-        return Ok(Parameter::Float(f64::from_be_bytes(bytes)));
-    }
-    let text = std::str::from_utf8(value).map_err(|_| invalid())?;
-    match oid {
-        INT8_OID => text.parse().map(Parameter::Integer).map_err(|_| invalid()),
-        FLOAT8_OID => text.parse().map(Parameter::Float).map_err(|_| invalid()),
-        _ => Ok(Parameter::Text(text.to_owned())),
+    match value {
+        Some(value) => Ok(ValueType::from_oid(oid)?.decode(value, format)?),
+        None => Ok(Parameter::Null),
     }
 }
