--- a/crates/wardtiller/src/cli.rs
+++ b/crates/wardtiller/src/cli.rs
@@ -36,7 +36,8 @@
         /// Reads a password from standard input and prints its SCRAM-SHA-256 verifier.
         cmd verifier {
         }
-        /// Runs a whole system of stand-ins and daemons on this machine.
+        /// Runs a whole system of stand-ins and daemons on this machine. Any user of the configuration logs in;
+        /// those of the sample have no password.
         cmd demo {
             /// The configuration (default: a sample that is built in).
             optional --config config: PathBuf
