test(wardtiller): numeric, timestamps and uuid in both formats

With the wire's bytes written out by hand as parameters, literals as text, and results in both formats.

--- a/crates/wardtiller/tests/value_types.rs
+++ b/crates/wardtiller/tests/value_types.rs
@@ -5,12 +5,42 @@
 
 mod common;
 
+use std::error::Error;
+
+use bytes::{BufMut, BytesMut};
 use common::{block_on, connect, small_system};
 use tokio_postgres::{
     Client, SimpleQueryMessage,
-    types::{ToSql, Type},
+    types::{FromSql, IsNull, ToSql, Type, to_sql_checked},
 };
 
+/// A value in the binary format as it is on the wire, whatever its type.
+#[derive(Debug, PartialEq)]
+struct Raw(Vec<u8>);
+
+impl ToSql for Raw {
+    fn to_sql(&self, _: &Type, out: &mut BytesMut) -> Result<IsNull, Box<dyn Error + Sync + Send>> {
+        out.put_slice(&self.0);
+        Ok(IsNull::No)
+    }
+
+    fn accepts(_: &Type) -> bool {
+        true
+    }
+
+    to_sql_checked!();
+}
+
+impl FromSql<'_> for Raw {
+    fn from_sql(_: &Type, raw: &[u8]) -> Result<Raw, Box<dyn Error + Sync + Send>> {
+        Ok(Raw(raw.to_vec()))
+    }
+
+    fn accepts(_: &Type) -> bool {
+        true
+    }
+}
+
 /// Writes a parameter as a type that the driver names, in the binary format.
 async fn write(client: &Client, id: i64, name: &Type, value: &(dyn ToSql + Sync)) {
     let sql = "INSERT INTO v (id, value) VALUES ($1, $2)";
@@ -91,6 +121,45 @@
     });
 }
 
+/// The bytes are PostgreSQL's own, written out by hand.
+#[test]
+fn types_that_no_number_holds_have_postgresql_s_bytes_and_text() {
+    let microseconds = |since_2000: i64| since_2000.to_be_bytes().to_vec();
+    let numeric: [i16; 6] = [2, 0, 0, 2, 12, 5_000];
+    let numeric = numeric.iter().flat_map(|part| part.to_be_bytes()).collect();
+    let uuid: Vec<u8> = (0..16).collect();
+    let cases = [
+        ("numeric", Type::NUMERIC, numeric, "12.5"),
+        (
+            "timestamp",
+            Type::TIMESTAMP,
+            microseconds(86_400_000_000 + 250_000),
+            "2000-01-02 00:00:00.250",
+        ),
+        ("timestamptz", Type::TIMESTAMPTZ, microseconds(3_600_000_000), "2000-01-01 01:00:00+00"),
+        ("uuid", Type::UUID, uuid, "00010203-0405-0607-0809-0a0b0c0d0e0f"),
+    ];
+    let system = small_system(1);
+    block_on(async {
+        let client = connect(system.caller_addresses()[0], "").await;
+        for (column, name, bytes, text) in cases {
+            table(&client, column).await;
+            write(&client, 1, &name, &Raw(bytes.clone())).await;
+            assert_eq!(as_text(&client, 1).await.as_deref(), Some(text), "{column}");
+            // A literal is text, whatever the column.
+            let literal = format!("INSERT INTO v (id, value) VALUES (2, '{text}')");
+            client.batch_execute(&literal).await.unwrap();
+            let rows = client.query("SELECT value FROM v ORDER BY id", &[]).await.unwrap();
+            assert_eq!(rows[0].columns()[0].type_(), &name, "{column}");
+            let [sent, literal]: [Raw; 2] = [rows[0].get(0), rows[1].get(0)];
+            assert_eq!(sent, literal, "{column}");
+            if column != "numeric" {
+                assert_eq!(sent, Raw(bytes), "{column}");
+            }
+        }
+    });
+}
+
 #[test]
 fn a_type_that_is_not_supported_is_refused_and_nothing_is_written() {
     let system = small_system(1);
