refactor(standin): the texts that the stand-in reads and the answers it makes in files of their own

server_session.rs held a connection's messages, what a statement's text says and answers without a database: 563 lines, now 495 and two small files. Moved, nothing changed; the drivers' tests pass.

--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -4,6 +4,7 @@
 //! speak the published protocols, HTTP as Consul and the PostgreSQL protocol, so daemons can't tell,
 //! and each has the faults that the real ones have, on command.
 
+mod answers;
 mod database;
 mod endpoint;
 mod group;
@@ -11,6 +12,7 @@
 mod replication;
 mod server_core;
 mod server_session;
+mod sql_text;
 mod value_codec;
 
 pub use endpoint::{Endpoint, EndpointOptions};
--- a/crates/standin/src/server_session.rs
+++ b/crates/standin/src/server_session.rs
@@ -6,28 +6,24 @@
 use model::{ServerStatus, Term};
 use pgwire::messages::{
     PgWireBackendMessage, PgWireFrontendMessage,
-    data::{FieldDescription, NoData, ParameterDescription, RowDescription},
+    data::{NoData, ParameterDescription, RowDescription},
     extendedquery::{Bind, BindComplete, CloseComplete, Execute, Parse, ParseComplete},
     response::{
         CommandComplete, EmptyQueryResponse, ErrorResponse, ReadyForQuery, TransactionStatus,
     },
 };
-use sqlparser::{
-    dialect::PostgreSqlDialect,
-    tokenizer::{Token, Tokenizer},
-};
 use tokio::sync::OwnedMutexGuard;
 use wire::{CallerStream, StreamEnd};
 
 use crate::{
+    answers::{TEXT_OID, tagged, text_column, text_row},
     database::{Outcome, Parameter, first_word},
     endpoint::Shared,
     server_core::ServerError,
+    sql_text::{is_control, is_plain, sleep_seconds, split_statements, strip_casts},
     value_codec::ValueType,
 };
 
-const TEXT_OID: u32 = 25;
-
 /// How long a transaction waits for the one that writes.
 const WRITER_WAIT: Duration = Duration::from_secs(10);
 
@@ -491,70 +487,6 @@
     serde_json::to_string(status).expect("a status is plain data")
 }
 
-fn tagged(tag: &str) -> Outcome {
-    Outcome { tag: tag.to_owned(), ..Outcome::default() }
-}
-
-fn text_column(name: &str) -> RowDescription {
-    let field = FieldDescription::new(name.to_owned(), 0, 0, TEXT_OID, -1, -1, 0);
-    RowDescription::new(vec![field])
-}
-
-fn text_row(name: &str, value: &str) -> Outcome {
-    let mut data = bytes::BytesMut::new();
-    bytes::BufMut::put_i32(&mut data, value.len() as i32);
-    data.extend_from_slice(value.as_bytes());
-    let row = pgwire::messages::data::DataRow::new(data, 1);
-    Outcome { description: Some(text_column(name)), rows: vec![row], tag: "SELECT 1".to_owned() }
-}
-
-fn is_control(sql: &str) -> bool {
-    sql.trim().starts_with("SELECT wardtiller_")
-}
-
-/// Whether SQLite is to see the statement, rather than the stand-in itself.
-fn is_plain(sql: &str) -> bool {
-    let own =
-        ["BEGIN", "START", "COMMIT", "END", "ROLLBACK", "SET", "RESET", "DISCARD", "SHOW", ""];
-    !is_control(sql) && sleep_seconds(sql).is_none() && !own.contains(&first_word(sql).as_str())
-}
-
-fn sleep_seconds(sql: &str) -> Option<f64> {
-    let argument = sql.trim().to_lowercase();
-    let argument = argument.strip_prefix("select pg_sleep(")?.split(')').next()?.to_owned();
-    argument.trim().parse().ok()
-}
-
-fn split_statements(text: &str) -> Vec<String> {
-    let Ok(tokens) = Tokenizer::new(&PostgreSqlDialect {}, text).tokenize() else {
-        return vec![text.to_owned()];
-    };
-    tokens
-        .split(|token| *token == Token::SemiColon)
-        .map(|tokens| tokens.iter().map(Token::to_string).collect::<String>())
-        .filter(|statement| !statement.trim().is_empty())
-        .collect()
-}
-
-/// Takes PostgreSQL's casts off parameters, returning the types that they name.
-fn strip_casts(sql: &str) -> (String, Vec<(usize, u32)>) {
-    let mut plain = String::new();
-    let mut casts = Vec::new();
-    let mut rest = sql;
-    while let Some(at) = rest.find("::") {
-        let (before, after) = (&rest[..at], &rest[at + 2..]);
-        let end = after.find(|c: char| !c.is_ascii_alphanumeric()).unwrap_or(after.len());
-        let digits = before.rfind('$').and_then(|dollar| before[dollar + 1..].parse().ok());
-        if let Some(place) = digits {
-            casts.push((place, ValueType::from_name(&after[..end]).oid()));
-        }
-        plain.push_str(before);
-        rest = &after[end..];
-    }
-    plain.push_str(rest);
-    (plain, casts)
-}
-
 fn read_parameter(value: Option<&Bytes>, oid: u32, format: i16) -> Result<Parameter, ServerError> {
     match value {
         Some(value) => Ok(ValueType::from_oid(oid)?.decode(value, format)?),
