--- /dev/null
+++ b/crates/daemon/src/caller_session/running.rs
@@ -0,0 +1,228 @@
+//! Running one request of a session: where it is placed, what it is told, what is measured.
+
+use bytes::Bytes;
+use config::{Placement, Service, UntrackedReads};
+use model::{GroupId, Refusal, RefusalReason};
+use peer::{Job, Setting};
+use pgwire::messages::PgWireBackendMessage;
+use telemetry::Span;
+use wire::{CallerStream, StreamEnd, encode_refusal, refusal_response};
+
+use crate::{
+    caller_session::{After, CallerSession},
+    endpoint_connection::AnswerSink,
+    executor::{JobEnd, execute, point_message},
+    relay::relay,
+    request::{Request, RequestError},
+};
+
+impl CallerSession {
+    pub(super) async fn run_request(&mut self, request: Request) -> Result<After, StreamEnd> {
+        let in_force = self.context.in_force.load_full();
+        let Some(service) = in_force.configuration.services.get(&self.service_name).cloned() else {
+            let message = format!("the service \"{}\" was taken out", self.service_name);
+            self.fail(&RequestError::new("3D000", message));
+            return Ok(After::GoOn);
+        };
+        let group = match self.place(&service) {
+            Ok(group) => group,
+            Err(error) => {
+                self.fail(&error);
+                return Ok(After::GoOn);
+            }
+        };
+        let mut span = self.context.tracer.enter("caller", request.traceparent.as_deref());
+        let class = if request.effects.is_read_only() { "read" } else { "write" };
+        let job = match self.job(request, &service, &group, span.as_ref()) {
+            Ok(job) => job,
+            Err(error) => {
+                self.fail(&error);
+                return Ok(After::GoOn);
+            }
+        };
+        let outcome = self.run_job(&group, &job).await?;
+        self.measure(class, &job, &outcome);
+        if let Some(mut span) = span.take() {
+            span.set("wardtiller.group", group.to_string());
+            span.set("wardtiller.class", class);
+            if let Err(refusal) = &outcome {
+                span.set("wardtiller.verdict", refusal.verdict.as_str());
+            }
+            self.context.tracer.finish(span);
+        }
+        Ok(match outcome {
+            Ok(end) => self.accept(&group, &job, end),
+            Err(refusal) => self.refuse(&job, &refusal).await,
+        })
+    }
+
+    fn place(&self, service: &Service) -> Result<GroupId, RequestError> {
+        let placement = Placement {
+            named: self.group_name.as_deref(),
+            user: &self.user,
+            application_name: self.settings.get("application_name").unwrap_or_default(),
+        };
+        let group = service.place(placement).ok_or_else(|| {
+            let known: Vec<&str> = service.groups.iter().map(|group| &**group).collect();
+            RequestError::new(
+                "22023",
+                format!(
+                    "the service \"{}\" has several groups and no rule places this session; set \
+                     wardtiller.group to one of: {}",
+                    service.name,
+                    known.join(", ")
+                ),
+            )
+        })?;
+        Ok(GroupId { service: service.name.clone(), group: group.clone() })
+    }
+
+    fn job(
+        &self,
+        request: Request,
+        service: &Service,
+        group: &GroupId,
+        span: Option<&Span>,
+    ) -> Result<Job, RequestError> {
+        let read_kind = request.read_kind.unwrap_or_else(|| self.read_kind.clone());
+        self.check_kind(&read_kind)?;
+        let in_transaction = self.transaction != b'I';
+        let effects = request.effects;
+        let settings = self
+            .settings
+            .iter()
+            .map(|(name, value)| Setting { name: name.to_owned(), value: value.to_owned() });
+        Ok(Job {
+            session_id: self.id,
+            service: group.service.to_string(),
+            group: group.group.to_string(),
+            user: self.user.to_string(),
+            seen: self.token.point(&group.group).map(point_message),
+            tracked: self.tracked || service.options.untracked_reads == UntrackedReads::Connection,
+            read_kind,
+            read_only: effects.is_read_only(),
+            may_commit: effects.commits || (effects.writes && !in_transaction),
+            in_transaction,
+            steps: request.steps,
+            statements: request.statements,
+            settings: settings.collect(),
+            deadline_ms: service.options.request_deadline_ms,
+            traceparent: span.map(|span| span.context.to_traceparent()).unwrap_or_default(),
+            writes: effects.writes,
+        })
+    }
+
+    /// Runs a job here or at an owner.
+    async fn run_job(
+        &mut self,
+        group: &GroupId,
+        job: &Job,
+    ) -> Result<Result<JobEnd, Refusal>, StreamEnd> {
+        let context = self.context.clone();
+        let in_force = context.in_force.load_full();
+        let Some(configured) = in_force.configuration.groups.get(group) else {
+            let detail = format!("the group {group} was taken out");
+            return Ok(Err(Refusal::not_run(RefusalReason::UnknownName, detail)));
+        };
+        let here =
+            if job.in_transaction { self.relay_pin.is_none() } else { context.owns(configured) };
+        let mut sink = CallerSink { stream: &mut self.stream, begun: false };
+        if here {
+            let Some(state) = context.group(group) else {
+                let detail = format!("the group {group} was taken out");
+                return Ok(Err(Refusal::not_run(RefusalReason::UnknownName, detail)));
+            };
+            let running = self.running.clone();
+            let outcome =
+                execute(&context, &state, &mut self.pinned, &running, job, &mut sink).await;
+            return Ok(outcome);
+        }
+        let pin = &mut self.relay_pin;
+        Ok(relay(&context, configured, pin, &self.relayed_to, job, &mut sink).await)
+    }
+
+    fn accept(&mut self, group: &GroupId, job: &Job, end: JobEnd) -> After {
+        if let Some(written) = end.written {
+            self.token.advance(&group.group, written);
+            let token = self.token.to_string();
+            self.add_status("wardtiller.session", token);
+        }
+        let role = if end.by_replica { "replica" } else { "primary" };
+        self.served_by = format!("{} {role}", end.served_by);
+        self.transaction = end.transaction;
+        if self.transaction == b'I' {
+            self.relay_pin = None;
+        }
+        let _ = job;
+        self.stream.add_bytes(&end.tail);
+        After::GoOn
+    }
+
+    /// Tells the caller of a refusal. A transaction is over with it, and so is its connection: what
+    /// the caller has sent already must not run outside of the transaction.
+    async fn refuse(&mut self, job: &Job, refusal: &Refusal) -> After {
+        self.served_by = format!("nobody: {}", refusal.reason.as_str());
+        if !job.in_transaction {
+            self.stream.add_bytes(&encode_refusal(refusal));
+            return After::GoOn;
+        }
+        self.pinned = None;
+        self.relay_pin = None;
+        self.transaction = b'I';
+        if job.may_commit {
+            // The transaction's end was asked for, so nothing of it can follow.
+            self.stream.add_bytes(&encode_refusal(refusal));
+            return After::GoOn;
+        }
+        let mut response = refusal_response(refusal);
+        for field in &mut response.fields {
+            if matches!(field.0, b'S' | b'V') {
+                "FATAL".clone_into(&mut field.1);
+            }
+        }
+        self.stream.add(&PgWireBackendMessage::ErrorResponse(response));
+        // The caller may be gone; then nobody needs the message.
+        let _ = self.stream.flush().await;
+        After::Close
+    }
+
+    fn measure(&self, class: &str, job: &Job, outcome: &Result<JobEnd, Refusal>) {
+        let metrics = &self.context.metrics;
+        let service = &*self.service_name;
+        let seconds = self.entered_at.elapsed().as_secs_f64();
+        metrics.request_seconds.with_label_values(&[service, class]).observe(seconds);
+        match outcome {
+            Ok(end) => {
+                metrics.requests.with_label_values(&[service, "ok"]).inc();
+                if job.read_only && !job.in_transaction {
+                    let kind = if job.read_kind.is_empty() { "none" } else { &job.read_kind };
+                    let role = if end.by_replica { "replica" } else { "primary" };
+                    metrics.reads.with_label_values(&[service, kind, role]).inc();
+                }
+            }
+            Err(refusal) => {
+                metrics.requests.with_label_values(&[service, refusal.reason.as_str()]).inc();
+                let labels = [refusal.verdict.as_str(), refusal.reason.as_str()];
+                metrics.refusals.with_label_values(&labels).inc();
+            }
+        }
+    }
+}
+
+/// Passes parts of an answer to the caller.
+struct CallerSink<'a> {
+    stream: &'a mut CallerStream,
+    begun: bool,
+}
+
+impl AnswerSink for CallerSink<'_> {
+    async fn send(&mut self, messages: Bytes) -> bool {
+        self.begun = true;
+        self.stream.add_bytes(&messages);
+        self.stream.flush().await.is_ok()
+    }
+
+    fn has_begun(&self) -> bool {
+        self.begun
+    }
+}
