fix(proxy): an owner begins with nothing that its asker may have given up

An owner was paused for 0.84 s with a write on its link; after 0.45 s without a sign of life its asker told the caller that the outcome was open; the caller wrote 9; the owner went on and ran 8. No rule of the users forbids it, but an obsolete revision would stand after a later one was acknowledged.

Change: an owner tells its steady clock with each answer, and each request carries by that clock until when it may be begun at the server: the wait for a connection and 150 ms. What is over is returned unsent. Whoever asked for a write hears that the link was lost only after that moment. The clock is heard after it was read, so the owner's moment is never the later one. A link is used once the owner has taken it, so one that it does not take has left nothing there.

Tests: the link, with an owner that leaves with a write and one that does not take the link; the first two lines of it fail to compile before, as the clock was not told.

--- a/crates/proxy/src/relay/answering.rs
+++ b/crates/proxy/src/relay/answering.rs
@@ -46,6 +46,8 @@
     };
     let (mut sink, mut stream) = frames.split();
     let (answers, outgoing) = flume::bounded::<RelayAnswer>(MOST_OUTGOING);
+    // It says that the link is taken; there is room.
+    let _ = answers.try_send(answer_to(0, RelayOutcome::Pong(true)));
     let reading = async {
         let leases = Leases::default();
         while let Some(Ok(frame)) = stream.next().await {
@@ -60,10 +62,14 @@
     };
     let writing = async {
         while let Ok(answer) = outgoing.recv_async().await {
+            let encoded = |answer: RelayAnswer| {
+                let answer = RelayAnswer { clock_ms: engine.clock_ms(), ..answer };
+                Bytes::from(answer.encode_to_vec())
+            };
             let written = async {
-                sink.feed(Bytes::from(answer.encode_to_vec())).await?;
+                sink.feed(encoded(answer)).await?;
                 while let Ok(more) = outgoing.try_recv() {
-                    sink.feed(Bytes::from(more.encode_to_vec())).await?;
+                    sink.feed(encoded(more)).await?;
                 }
                 sink.flush().await
             };
@@ -128,7 +134,7 @@
 }
 
 fn answer_to(number: u64, outcome: RelayOutcome) -> RelayAnswer {
-    RelayAnswer { number, outcome: Some(outcome) }
+    RelayAnswer { number, outcome: Some(outcome), ..RelayAnswer::default() }
 }
 
 fn not_sent(why: NotSent) -> RelayOutcome {
@@ -148,6 +154,10 @@
         Ok(lent) => lent,
         Err(why) => return not_sent(why),
     };
+    if request.is_over_at(engine.clock_ms()) {
+        lent.give_back();
+        return not_sent(NotSent::TooLate);
+    }
     let (outcome, state) = run(engine, &group, request, &errand, &mut lent, received_at).await;
     match state {
         Some(TransactionState::Idle) => lent.give_back(),
@@ -202,6 +212,12 @@
                     }
                 }
                 let Some(held) = lent.as_mut() else { return };
+                if request.is_over_at(engine.clock_ms()) {
+                    let answer = answer_to(request.number, not_sent(NotSent::TooLate));
+                    // The link may have ended meanwhile.
+                    let _ = answers.send_async(answer).await;
+                    break;
+                }
                 let (outcome, state) =
                     run(&engine, &group, &request, &errand, held, received_at).await;
                 if state.is_none() {
--- a/crates/proxy/src/relay/link.rs
+++ b/crates/proxy/src/relay/link.rs
@@ -36,10 +36,20 @@
 /// Requests that may wait to be written.
 const MOST_OUTGOING: usize = 512;
 
+/// How long beyond its wait for a connection the owner may begin with a request: its own scheduling, on a busy or slow
+/// host, and the way there.
+const BEGIN_SLACK: Duration = Duration::from_millis(150);
+
 /// How a request on a link ended, if not with an outcome: how far it had come, and why.
 pub type LinkLost = (Progress, ConnectionLost);
 
-type Waiting = HashMap<u64, oneshot::Sender<Option<RelayOutcome>>>;
+/// Who waits for an answer, and until when the owner may begin with what was asked.
+struct Asked {
+    answer: oneshot::Sender<Option<RelayOutcome>>,
+    begins_until: Instant,
+}
+
+type Waiting = HashMap<u64, Asked>;
 
 /// A link to an owner.
 pub struct RelayLink {
@@ -48,6 +58,8 @@
     next_number: Cell<u64>,
     is_connected: Cell<bool>,
     is_down: Cell<bool>,
+    /// The owner's clock as it was last heard, and when.
+    clock: Cell<Option<(u64, Instant)>>,
 }
 
 impl RelayLink {
@@ -60,6 +72,7 @@
             next_number: Cell::new(0),
             is_connected: Cell::new(false),
             is_down: Cell::new(false),
+            clock: Cell::new(None),
         });
         tokio::task::spawn_local(link.clone().run(owner, requests));
         link
@@ -76,17 +89,36 @@
     }
 
     /// Asks the owner, until `deadline`.
+    ///
+    /// An owner that is found to be dead may only be frozen, and have what it was sent before it when it goes on. It
+    /// begins with nothing after the moment that it is told by its own clock, and whoever asks for a write hears that
+    /// the link was lost only after that moment: what is in doubt then can't take effect after a later write.
     pub async fn ask(
         &self,
         request: RelayRequest,
         deadline: Instant,
+    ) -> Result<RelayOutcome, LinkLost> {
+        let begins_until = Instant::now() + request.waits() + BEGIN_SLACK;
+        let may_write = request.may_write();
+        let answered = self.ask_once(request, begins_until, deadline).await;
+        if may_write && matches!(answered, Err((Progress::Sent, _))) {
+            tokio::time::sleep_until(begins_until.into()).await;
+        }
+        answered
+    }
+
+    async fn ask_once(
+        &self,
+        request: RelayRequest,
+        begins_until: Instant,
+        deadline: Instant,
     ) -> Result<RelayOutcome, LinkLost> {
         let number = self.next();
         let (answer, answered) = oneshot::channel();
         if self.is_down() {
             return Err((Progress::NotSent, ConnectionLost::OwnerLost));
         }
-        self.waiting.borrow_mut().insert(number, answer);
+        self.waiting.borrow_mut().insert(number, Asked { answer, begins_until });
         let _forgets = Forgets { link: self, number };
         if self.outgoing.try_send(RelayRequest { number, ..request }).is_err() {
             return Err((Progress::NotSent, ConnectionLost::OwnerLost));
@@ -117,7 +149,8 @@
 
     async fn run(self: Rc<Self>, owner: SocketAddr, requests: flume::Receiver<RelayRequest>) {
         let why = match timeout(CONNECT_WITHIN, connect(owner)).await {
-            Ok(Ok(frames)) => {
+            Ok(Ok((frames, clock_ms))) => {
+                self.clock.set(Some((clock_ms, Instant::now())));
                 self.is_connected.set(true);
                 self.carry(frames, requests).await
             }
@@ -131,9 +164,9 @@
             waiting = waiting.len();
             "the link to an owner of connections ended"
         );
-        for answer in waiting.into_values() {
+        for asked in waiting.into_values() {
             // Whoever asked may have given up.
-            let _ = answer.send(None);
+            let _ = asked.answer.send(None);
         }
     }
 
@@ -155,9 +188,9 @@
                         heard_at = Instant::now();
                     }
                     let written = async {
-                        sink.feed(encoded(&request)).await?;
+                        sink.feed(encoded(&self.with_end(request))).await?;
                         while let Ok(more) = requests.try_recv() {
-                            sink.feed(encoded(&more)).await?;
+                            sink.feed(encoded(&self.with_end(more))).await?;
                         }
                         sink.flush().await
                     };
@@ -197,11 +230,26 @@
         }
     }
 
+    /// Tells the owner by its own clock until when it may begin with a request. Its clock was read before it was
+    /// heard here, so the moment is never later than the one that this daemon waits for.
+    fn with_end(&self, request: RelayRequest) -> RelayRequest {
+        let begins_until = self.waiting.borrow().get(&request.number).map(|it| it.begins_until);
+        let begin_until_ms = match (self.clock.get(), begins_until) {
+            (Some((clock_ms, heard_at)), Some(until)) => {
+                clock_ms + until.saturating_duration_since(heard_at).as_millis() as u64
+            }
+            // Nobody waits for it any more, or it is no statement.
+            _ => 0,
+        };
+        RelayRequest { begin_until_ms, ..request }
+    }
+
     fn take(&self, answer: RelayAnswer) {
+        self.clock.set(Some((answer.clock_ms, Instant::now())));
         let waiting = self.waiting.borrow_mut().remove(&answer.number);
         if let (Some(waiting), Some(outcome)) = (waiting, answer.outcome) {
             // Whoever asked may have given up.
-            let _ = waiting.send(Some(outcome));
+            let _ = waiting.answer.send(Some(outcome));
         }
     }
 }
@@ -239,11 +287,17 @@
     }
 }
 
-async fn connect(owner: SocketAddr) -> std::io::Result<Frames> {
+/// Connects and waits until the owner takes the link; nothing is sent before, so that a link which it does not take
+/// has left nothing there. Returns the owner's clock too.
+async fn connect(owner: SocketAddr) -> std::io::Result<(Frames, u64)> {
     let mut frames = framed(TcpStream::connect(owner).await?);
     let request = PeerRequest { question: Some(PeerQuestion::Relay(RelayMessage {})) };
     frames.send(Bytes::from(request.encode_to_vec())).await?;
-    Ok(frames)
+    let Some(frame) = frames.next().await else {
+        return Err(std::io::Error::other("the owner does not take the link"));
+    };
+    let taken = RelayAnswer::decode(frame?.freeze()).map_err(std::io::Error::other)?;
+    Ok((frames, taken.clock_ms))
 }
 
 fn encoded(message: &impl Message) -> Bytes {
--- a/crates/proxy/src/relay/messages.rs
+++ b/crates/proxy/src/relay/messages.rs
@@ -56,6 +56,9 @@
     /// Whether it leaves room at the primary for statements that only the primary can run.
     #[prost(bool, tag = "12")]
     pub yields: bool,
+    /// By the owner's clock, as its answers tell it, until when the owner may begin with it at the server.
+    #[prost(uint64, tag = "22")]
+    pub begin_until_ms: u64,
     /// What is to be done; none if it is of a later version than this daemon knows.
     #[prost(oneof = "RelayTask", tags = "13, 14, 15, 16, 17, 18, 19, 20, 21")]
     pub task: Option<RelayTask>,
@@ -144,9 +147,12 @@
 /// What became of a request.
 #[derive(Clone, PartialEq, Message)]
 pub struct RelayAnswer {
-    /// The request's number.
+    /// The request's number; 0 for the first answer on a link, which says that the owner takes it.
     #[prost(uint64, tag = "1")]
     pub number: u64,
+    /// The owner's steady clock as it made the answer, in milliseconds since its process began, rounded down.
+    #[prost(uint64, tag = "6")]
+    pub clock_ms: u64,
     /// What became of it.
     #[prost(oneof = "RelayOutcome", tags = "2, 3, 4, 5")]
     pub outcome: Option<RelayOutcome>,
@@ -195,7 +201,7 @@
 /// Why an owner sent nothing to the server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum NotSent {
-    /// No connection was free in time, or too much waits already.
+    /// No connection was free in time, too much waits already, or the time to begin with it was over.
     TooLate,
     /// The server can't be reached from there.
     Unreachable,
@@ -310,6 +316,20 @@
         })
     }
 
+    /// Whether running it may change something for good.
+    pub fn may_write(&self) -> bool {
+        match &self.task {
+            Some(RelayTask::Write(_) | RelayTask::Commit(_) | RelayTask::Command(_)) => true,
+            Some(RelayTask::Execute(execute)) => execute.writes,
+            _ => false,
+        }
+    }
+
+    /// Whether the owner may not begin with it any more at this time of its clock.
+    pub fn is_over_at(&self, clock_ms: u64) -> bool {
+        clock_ms >= self.begin_until_ms
+    }
+
     /// Returns how long it may wait for a connection.
     pub fn waits(&self) -> Duration {
         Duration::from_millis(self.wait_ms)
--- a/crates/proxy/src/serve/engine.rs
+++ b/crates/proxy/src/serve/engine.rs
@@ -136,6 +136,8 @@
     pub callers: Cell<u64>,
     pub(crate) observations: flume::Sender<Observation>,
     relays: Rc<RelayLinks>,
+    /// Where this daemon's clock begins, by which others tell it until when it may begin with their statements.
+    epoch: Instant,
     groups: RefCell<HashMap<Name, Rc<Group<E>>>>,
 }
 
@@ -181,6 +183,7 @@
             callers: Cell::new(0),
             observations: parts.observations,
             relays: Rc::default(),
+            epoch: Instant::now(),
             groups: RefCell::default(),
         }
     }
@@ -190,6 +193,11 @@
         self.beliefs.borrow().clone()
     }
 
+    /// Returns the milliseconds since this daemon began, rounded down.
+    pub(crate) fn clock_ms(&self) -> u64 {
+        self.epoch.elapsed().as_millis() as u64
+    }
+
     /// Whether a stop has begun.
     pub fn is_stopping(&self) -> bool {
         self.stopping.borrow().is_some()
--- a/crates/proxy/tests/relay.rs
+++ b/crates/proxy/tests/relay.rs
@@ -158,8 +158,17 @@
         (listener, address)
     }
 
-    /// Accepts a link and reads that it is one.
+    /// What the owners' clocks show as they take a link.
+    const CLOCK_MS: u64 = 7_000;
+
+    /// Accepts a link, reads that it is one and takes it.
     async fn accept(listener: &TcpListener) -> Frames {
+        let mut frames = accept_only(listener).await;
+        answer(&mut frames, 0, RelayOutcome::Pong(true)).await;
+        frames
+    }
+
+    async fn accept_only(listener: &TcpListener) -> Frames {
         let (stream, _) = listener.accept().await.unwrap();
         let mut frames = Framed::new(stream, LengthDelimitedCodec::new());
         frames.next().await.unwrap().unwrap();
@@ -172,7 +181,7 @@
     }
 
     async fn answer(frames: &mut Frames, number: u64, outcome: RelayOutcome) {
-        let answer = RelayAnswer { number, outcome: Some(outcome) };
+        let answer = RelayAnswer { number, clock_ms: CLOCK_MS, outcome: Some(outcome) };
         frames.send(Bytes::from(answer.encode_to_vec())).await.unwrap();
     }
 
@@ -201,6 +210,45 @@
         });
     }
 
+    #[test]
+    fn an_owner_that_does_not_take_the_link_was_sent_nothing() {
+        run(async {
+            let (listener, address) = owner().await;
+            let link = RelayLink::start(address);
+            let refuses = async { drop(accept_only(&listener).await) };
+            let (lost, ()) = tokio::join!(link.ask(write(), Instant::now() + DEADLINE), refuses);
+            assert_eq!(lost, Err((Progress::NotSent, ConnectionLost::OwnerLost)));
+        });
+    }
+
+    /// Found by the soak: a frozen owner was taken for dead, the caller was told that the outcome was open and wrote
+    /// again, and then the owner went on with the first write.
+    #[test]
+    fn nobody_hears_of_a_lost_write_while_the_owner_may_still_begin_with_it() {
+        run(async {
+            let (listener, address) = owner().await;
+            let link = RelayLink::start(address);
+            let waits = Duration::from_millis(200);
+            let request = RelayRequest { wait_ms: waits.as_millis() as u64, ..write() };
+            let asked = async {
+                let lost = link.ask(request, Instant::now() + DEADLINE).await;
+                (lost, Instant::now())
+            };
+            let leaves = async {
+                let shows_clock_at = Instant::now();
+                let mut frames = accept(&listener).await;
+                (read(&mut frames).await, shows_clock_at)
+            };
+            let ((lost, told_at), (request, shows_clock_at)) = tokio::join!(asked, leaves);
+            assert_eq!(lost, Err((Progress::Sent, ConnectionLost::OwnerLost)));
+            let may_begin_for = Duration::from_millis(request.begin_until_ms - CLOCK_MS);
+            assert!(may_begin_for >= waits);
+            assert!(told_at >= shows_clock_at + may_begin_for);
+            assert!(!request.is_over_at(request.begin_until_ms - 1));
+            assert!(request.is_over_at(request.begin_until_ms));
+        });
+    }
+
     #[test]
     fn an_owner_that_leaves_with_a_write_may_have_run_it() {
         run(async {
