--- a/crates/config/src/proxy_settings.rs
+++ b/crates/config/src/proxy_settings.rs
@@ -23,7 +23,7 @@
         listen: Option<SocketAddr> = None,
         /// Where the load balancer asks whether this daemon takes new connections.
         ready_listen: Option<SocketAddr> = None,
-        /// Where other daemons ask for readings of the store; unset means that none are shared.
+        /// Where other daemons ask for readings of the store and hand over statements; unset means neither.
         peer_listen: Option<SocketAddr> = None,
         /// Where operators read metrics; unset means nowhere.
         metrics_listen: Option<SocketAddr> = None,
