feat(proxy): how old a daemon's knowledge of the store may be, and whom it follows

What was missing to tell the incident's hypotheses apart: a line 'following' when changes are heard from another daemon or from the store itself, with the age of what is known, and the metric knowledge_age_ms, worked out from readings' revisions by the daemon's own clock. No decision uses it yet. Checked against its definition by a property test.

--- a/crates/proxy/src/control/following.rs
+++ b/crates/proxy/src/control/following.rs
@@ -81,6 +81,24 @@
         state.shared_reading_at.is_some_and(|at| at.elapsed() < lasts)
     }
 
+    /// Returns how old what is known of the store may be, in milliseconds; 0 before the first reading, when nothing
+    /// is served.
+    pub(crate) fn knowledge_age_ms(&self) -> u64 {
+        let age = self.state.borrow().knowledge.age(Instant::now());
+        age.map_or(0, |age| age.as_millis() as u64)
+    }
+
+    /// Says whom this daemon follows now, so that a change that did not come can be traced from its log.
+    pub(crate) fn tell_followed(&self, before: Option<SocketAddr>, now: Option<SocketAddr>) {
+        let name =
+            |reader: Option<SocketAddr>| reader.map_or("store".to_owned(), |it| it.to_string());
+        log::info!(
+            event = "following", peer = name(now).as_str(), before = name(before).as_str(),
+            knowledge_age_ms = self.knowledge_age_ms(), revision = self.state.borrow().mirror.followed_to();
+            "changes are heard from somebody else now"
+        );
+    }
+
     /// Passes the zone's reader over if its readings are old although the store answers this daemon.
     pub(crate) fn doubt_reader(&self) {
         let heard_of = self.state.borrow().heard_of;
@@ -166,6 +184,7 @@
     /// Takes over a reading by another daemon, for what it is worth here.
     fn take_reading(&self, reading: StoreReading) {
         let now = Instant::now();
+        self.state.borrow_mut().note_sighting(&reading);
         let useful_for = self.right().mul_f64(USEFUL_PART);
         let judged = judge_reading(&reading, now, useful_for, &self.own_keys());
         let SharedReading::Renews(services) = judged else { return };
@@ -204,7 +223,7 @@
             changes
         };
         self.take_over(changes);
-        self.state.borrow_mut().mirror.note_followed(followed_to);
+        self.state.borrow_mut().note_followed(followed_to);
     }
 
     /// Answers a daemon that follows the store through this one, as soon as there is news for it.
--- /dev/null
+++ b/crates/proxy/src/control/knowledge.rs
@@ -0,0 +1,65 @@
+//! How old what a daemon knows of the store may be, by its own clock.
+//!
+//! A daemon that hears of the store through others can't see by itself that it stopped hearing: whoever it follows may be
+//! silent, or behind too. A reading, by whomever, shows the store's revision at a moment; whoever knows every change
+//! up to it knows all that there was at that moment. See `docs/PLATFORM.md`, "Following the store".
+
+use std::time::{Duration, Instant};
+
+use crate::metadata::Revision;
+
+/// That the store stood at a revision when it was asked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Sighting {
+    /// The store's revision.
+    pub revision: Revision,
+    /// When it was asked, or before.
+    pub asked_at: Instant,
+}
+
+/// Up to which moment everything is known, and since when something is missing.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Knowledge {
+    /// Everything that there was at this moment is known.
+    complete_at: Option<Instant>,
+    /// The first and the latest sighting of what is not known yet. Two are enough for any number: once the first is
+    /// made up for, the latest takes its place.
+    missing: Option<(Sighting, Sighting)>,
+}
+
+impl Knowledge {
+    /// Notes a reading of the store by a daemon that knows every change up to `followed_to`.
+    pub fn note_reading(&mut self, seen: Sighting, followed_to: Revision) {
+        if seen.revision <= followed_to {
+            self.complete_at = self.complete_at.max(Some(seen.asked_at));
+            return;
+        }
+        self.missing = match self.missing {
+            Some((first, latest)) if latest.asked_at < seen.asked_at => Some((first, seen)),
+            Some(known) => Some(known),
+            None => Some((seen, seen)),
+        };
+    }
+
+    /// Notes that every change up to a revision is known now.
+    pub fn note_followed(&mut self, followed_to: Revision) {
+        let Some((first, latest)) = self.missing else { return };
+        if first.revision > followed_to {
+            return;
+        }
+        let is_all = latest.revision <= followed_to;
+        let made_up_for = if is_all { latest } else { first };
+        self.missing = (!is_all).then_some((latest, latest));
+        self.complete_at = self.complete_at.max(Some(made_up_for.asked_at));
+    }
+
+    /// Returns how old what is known may be; `None` before the first reading.
+    pub fn age(&self, now: Instant) -> Option<Duration> {
+        self.complete_at.map(|at| now.saturating_duration_since(at))
+    }
+
+    /// Returns for how long a reading has shown something that is not known; `None` if nothing is missing.
+    pub fn behind_for(&self, now: Instant) -> Option<Duration> {
+        self.missing.map(|(first, _)| now.saturating_duration_since(first.asked_at))
+    }
+}
--- a/crates/proxy/src/control/mod.rs
+++ b/crates/proxy/src/control/mod.rs
@@ -10,6 +10,7 @@
 pub mod evidence;
 mod fencing;
 mod following;
+pub mod knowledge;
 mod membership;
 pub mod mirror;
 pub mod move_times;
--- a/crates/proxy/src/control/rights.rs
+++ b/crates/proxy/src/control/rights.rs
@@ -32,6 +32,9 @@
             self.has_read.notified().await;
         }
         loop {
+            // Here, since this loop turns also while nothing is heard.
+            let age_ms = i64::try_from(self.knowledge_age_ms()).unwrap_or(i64::MAX);
+            self.metrics.now.with_label_values(&["knowledge_age_ms"]).set(age_ms);
             if let Some(until) = self.rests_until(every) {
                 tokio::select! {
                     () = tokio::time::sleep_until(until.into()) => {}
@@ -132,6 +135,7 @@
     /// Notes a reading that this daemon asked for itself.
     fn note_own_reading(&self, reading: StoreReading, now: Instant) {
         let mut state = self.state.borrow_mut();
+        state.note_sighting(&reading);
         let before = state.own_read_at.replace(reading.asked_at);
         if before.is_none_or(|before| now.duration_since(before) > self.right()) {
             // Members that came and went meanwhile were not seen; another's reading does not tell of
--- a/crates/proxy/src/control/runner.rs
+++ b/crates/proxy/src/control/runner.rs
@@ -21,6 +21,7 @@
     control::{
         beliefs::{Beliefs, Detours, Lead, Observation, Owners},
         following::HeardOf,
+        knowledge::{Knowledge, Sighting},
         mirror::Mirror,
         outside::Outside,
         owning::OwnersOf,
@@ -105,6 +106,8 @@
 #[derive(Default)]
 pub(crate) struct State {
     pub(crate) mirror: Mirror,
+    /// How old what the mirror holds may be.
+    pub(crate) knowledge: Knowledge,
     pub(crate) servers: ServerList,
     pub(crate) catalog: Arc<Catalog>,
     pub(crate) servers_known: bool,
@@ -180,6 +183,18 @@
         is_back
     }
 
+    /// Notes that every change up to a revision is known.
+    pub(crate) fn note_followed(&mut self, revision: Revision) {
+        self.mirror.note_followed(revision);
+        self.knowledge.note_followed(self.mirror.followed_to());
+    }
+
+    /// Notes which revision the store stood at, by any reading, whether it gives a right or not.
+    pub(crate) fn note_sighting(&mut self, reading: &StoreReading) {
+        let seen = Sighting { revision: reading.revision, asked_at: reading.asked_at };
+        self.knowledge.note_reading(seen, self.mirror.followed_to());
+    }
+
     /// Keeps a reading for others if it is the youngest.
     pub(crate) fn keep_reading(&mut self, reading: StoreReading) {
         if self.reading.is_none_or(|known| known.asked_at < reading.asked_at) {
--- a/crates/proxy/src/control/watching.rs
+++ b/crates/proxy/src/control/watching.rs
@@ -35,7 +35,7 @@
             match self.read_everything().await {
                 Ok(revision) => {
                     pause.reset();
-                    self.state.borrow_mut().mirror.note_followed(revision);
+                    self.state.borrow_mut().note_followed(revision);
                     let error = self.follow().await;
                     log::info!(
                         event = "watch_ended", why = error.to_string().as_str();
@@ -80,8 +80,14 @@
     /// Follows the changes, through the zone's reader where there is one, until something goes wrong.
     pub(crate) async fn follow(&self) -> MetadataError {
         let wait = Duration::from_millis(self.settings.metadata.watch_wait_ms);
+        let mut followed = None;
         loop {
-            if let Some(reader) = self.zone_reader() {
+            let reader = self.zone_reader();
+            if reader != followed {
+                self.tell_followed(followed, reader);
+                followed = reader;
+            }
+            if let Some(reader) = reader {
                 self.follow_reader(reader).await;
                 continue;
             }
@@ -95,7 +101,7 @@
                     self.take_over(changes.changes);
                     {
                         let mut state = self.state.borrow_mut();
-                        state.mirror.note_followed(changes.revision);
+                        state.note_followed(changes.revision);
                         state.own_followed_to = state.own_followed_to.max(changes.revision);
                     }
                     self.note_members(Instant::now());
--- /dev/null
+++ b/crates/proxy/tests/knowledge.rs
@@ -0,0 +1,89 @@
+//! How old what a daemon knows of the store may be.
+
+use std::time::{Duration, Instant};
+
+use proptest::prelude::*;
+use proxy::control::knowledge::{Knowledge, Sighting};
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn seen(base: Instant, at_ms: u64, revision: u64) -> Sighting {
+    Sighting { revision, asked_at: base + ms(at_ms) }
+}
+
+#[test]
+fn what_is_known_is_as_old_as_the_last_reading_that_showed_nothing_else() {
+    let base = Instant::now();
+    let mut knowledge = Knowledge::default();
+    assert_eq!(knowledge.age(base + ms(50)), None);
+    knowledge.note_reading(seen(base, 100, 7), 7);
+    assert_eq!(knowledge.age(base + ms(400)), Some(ms(300)));
+    assert_eq!(knowledge.behind_for(base + ms(400)), None);
+    knowledge.note_reading(seen(base, 500, 9), 7);
+    assert_eq!(knowledge.age(base + ms(600)), Some(ms(500)));
+    assert_eq!(knowledge.behind_for(base + ms(600)), Some(ms(100)));
+    knowledge.note_followed(9);
+    assert_eq!(knowledge.age(base + ms(600)), Some(ms(100)));
+    assert_eq!(knowledge.behind_for(base + ms(600)), None);
+}
+
+/// The store changes all the time, so the latest reading nearly always shows something that is not known yet; that
+/// alone must not make a daemon seem behind that hears of every change a moment later.
+#[test]
+fn whoever_keeps_up_with_a_store_that_changes_all_the_time_is_never_behind_for_long() {
+    let base = Instant::now();
+    let mut knowledge = Knowledge::default();
+    for step in 1..100 {
+        knowledge.note_reading(seen(base, step * 100, step * 10), step * 10 - 10);
+        let now = base + ms(step * 100 + 50);
+        assert!(knowledge.behind_for(now).unwrap() <= ms(150), "step {step}");
+        knowledge.note_followed(step * 10 - 5);
+    }
+}
+
+#[test]
+fn a_reading_that_was_asked_for_earlier_makes_nothing_younger() {
+    let base = Instant::now();
+    let mut knowledge = Knowledge::default();
+    knowledge.note_reading(seen(base, 500, 7), 7);
+    knowledge.note_reading(seen(base, 300, 6), 7);
+    assert_eq!(knowledge.age(base + ms(600)), Some(ms(100)));
+}
+
+proptest! {
+    /// Against the definition: everything that there was at a moment is known if it was asked for then and what it
+    /// showed was made up for. The age may be greater than that, never less.
+    #[test]
+    fn what_is_known_never_seems_younger_than_it_is(
+        steps in prop::collection::vec((0u64..20, any::<bool>()), 1..60),
+    ) {
+        let base = Instant::now();
+        let mut knowledge = Knowledge::default();
+        let mut readings: Vec<Sighting> = Vec::new();
+        let mut followed_to = 0;
+        let mut revision = 0;
+        for (step, (change, is_reading)) in steps.into_iter().enumerate() {
+            let now = base + ms(step as u64 * 10);
+            revision += change;
+            if is_reading {
+                let sighting = Sighting { revision, asked_at: now };
+                readings.push(sighting);
+                knowledge.note_reading(sighting, followed_to);
+            } else {
+                followed_to = revision.saturating_sub(change / 2);
+                knowledge.note_followed(followed_to);
+            }
+            let complete = readings.iter().filter(|it| it.revision <= followed_to);
+            let true_age = complete.map(|it| now.duration_since(it.asked_at)).min();
+            match (knowledge.age(now), true_age) {
+                (Some(age), Some(true_age)) => prop_assert!(age >= true_age),
+                (Some(_), None) => prop_assert!(false, "nothing was complete"),
+                (None, _) => {}
+            }
+            let is_missing = readings.iter().any(|it| it.revision > followed_to);
+            prop_assert_eq!(knowledge.behind_for(now).is_some(), is_missing);
+        }
+    }
+}
