fix(proxy): a daemon notices that its knowledge of the store is old, and asks the store itself

Cause: nothing bounded the age of the configuration and the servers' entries. Rights are renewed by readings of the daemons' own keys; the configuration comes only from whoever is followed, and a search among daemons that are cut off went round for as long as the cut lasted (0.87 s to find one silent, 3 s until it is asked again). Change: readings are compared with the revision up to which everything is known; what has been missing for 0.9 s is asked of the store with the next renewal of rights. A connection to another daemon that is not taken in 0.12 s is given up. Ruled out: an unreadable configuration, or one held back after it was heard (in force 0.3 s after the cut everywhere).

--- a/crates/proxy/src/control/peer_link.rs
+++ b/crates/proxy/src/control/peer_link.rs
@@ -29,8 +29,9 @@
     links::bound_silence,
 };
 
-/// How long another daemon may take to answer beyond the time that the question may wait there; a
-/// round trip within a zone and the scheduling of a busy host.
+/// How long another daemon may take to answer beyond the time that the question may wait there, and to take a
+/// connection: a round trip within a zone and the scheduling of a busy host. Whoever looks for somebody to follow
+/// among daemons that are cut off finds twenty-five of them silent before the first is asked again.
 const ANSWER_WITHIN: Duration = Duration::from_millis(120);
 /// How long the changes behind an answer may take: a configuration of a megabyte, packed to a tenth, for
 /// eight daemons over a link of a megabyte a second, and others' traffic beside it.
@@ -219,7 +220,10 @@
         let open = self.open.borrow_mut().remove(&address);
         let mut frames = match open {
             Some(frames) => frames,
-            None => framed(TcpStream::connect(address).await.ok()?),
+            None => {
+                let connected = tokio::time::timeout(ANSWER_WITHIN, TcpStream::connect(address));
+                framed(connected.await.ok()?.ok()?)
+            }
         };
         let request = PeerRequest { question: Some(PeerQuestion::Follow(request.clone())) };
         frames.send(Bytes::from(request.encode_to_vec())).await.ok()?;
--- a/crates/proxy/src/control/watching.rs
+++ b/crates/proxy/src/control/watching.rs
@@ -11,13 +11,17 @@
     control::outside::Outside,
     control::runner::{Control, Pause},
     metadata::{
-        Change, Consistency, Item, MetadataError, MetadataStore, Patience, Revision, Snapshot,
+        Change, Changes, Consistency, Item, MetadataError, MetadataStore, Patience, Snapshot,
     },
 };
 
 /// A watch that is answered so soon is taken for one of a burst, as when many daemons join or say that
 /// they have stopped.
 const BURST_WITHIN: Duration = Duration::from_millis(50);
+/// How long a reading may have shown a change that is not known here before the store is asked for it. Through three steps
+/// of daemons a change of a few kilobytes takes some 10 ms, and goes along with the next reading, within 450 ms, where it
+/// is none to be told at once.
+const BEHIND_FOR: Duration = Duration::from_millis(900);
 /// How long nothing is watched then, so that one call brings many changes.
 const BURST_REST: Duration = Duration::from_millis(20);
 /// How long the first reading waits for this daemon to be a member: two calls to the store, which take some ten
@@ -33,9 +37,8 @@
         let _ = tokio::time::timeout(JOINED_WITHIN, self.has_joined.notified()).await;
         loop {
             match self.read_everything().await {
-                Ok(revision) => {
+                Ok(()) => {
                     pause.reset();
-                    self.state.borrow_mut().note_followed(revision);
                     let error = self.follow().await;
                     log::info!(
                         event = "watch_ended", why = error.to_string().as_str();
@@ -53,8 +56,8 @@
     }
 
     /// Reads all that the watch follows, at once: the watch must begin where the configuration, the
-    /// servers and the daemons' own keys were all read. Returns the revision that it follows from.
-    pub(crate) async fn read_everything(&self) -> Result<Revision, MetadataError> {
+    /// servers and the daemons' own keys were all read.
+    pub(crate) async fn read_everything(&self) -> Result<(), MetadataError> {
         let asked_at = Instant::now();
         let patience = Patience { answer: self.read_timeout(), whole: self.whole_read_timeout() };
         let read = self.store.range("", Consistency::Linearizable, patience).await;
@@ -72,9 +75,10 @@
             // A long time without the store may have made entries lapse that servers renew now.
             state.servers.restart_grace(Instant::now());
         }
+        self.state.borrow_mut().note_followed(revision);
         self.on_own_snapshot(own, asked_at);
         self.has_read.notify_one();
-        Ok(revision)
+        Ok(())
     }
 
     /// Follows the changes, through the zone's reader where there is one, until something goes wrong.
@@ -91,27 +95,58 @@
                 self.follow_reader(reader).await;
                 continue;
             }
-            // One watch over all keys costs one call where three prefixes would cost three.
-            let after = self.state.borrow().mirror.followed_to();
             let asked_at = Instant::now();
-            let changes = self.store.watch("", after, wait).await;
-            self.count_call("watch", &changes);
-            match changes {
-                Ok(changes) => {
-                    self.take_over(changes.changes);
-                    {
-                        let mut state = self.state.borrow_mut();
-                        state.note_followed(changes.revision);
-                        state.own_followed_to = state.own_followed_to.max(changes.revision);
-                    }
-                    self.note_members(Instant::now());
-                    self.publish();
-                    if asked_at.elapsed() < BURST_WITHIN {
-                        tokio::time::sleep(BURST_REST).await;
-                    }
-                }
-                Err(error) => return error,
+            if let Err(error) = self.watch_once(wait).await {
+                return error;
+            }
+            self.note_members(Instant::now());
+            self.publish();
+            if asked_at.elapsed() < BURST_WITHIN {
+                tokio::time::sleep(BURST_REST).await;
+            }
+        }
+    }
+
+    /// Asks the store once what has changed since the last change that is known, and takes that over; returns how
+    /// much it was.
+    async fn watch_once(&self, wait: Duration) -> Result<usize, MetadataError> {
+        let after = self.state.borrow().mirror.followed_to();
+        // One watch over all keys costs one call where three prefixes would cost three.
+        let changes = self.store.watch("", after, wait).await;
+        self.count_call("watch", &changes);
+        let Changes { changes, revision } = changes?;
+        let count = changes.len();
+        self.take_over(changes);
+        let mut state = self.state.borrow_mut();
+        state.note_followed(revision);
+        state.own_followed_to = state.own_followed_to.max(revision);
+        Ok(count)
+    }
+
+    /// Whether something has been missing for so long that whoever is followed can't be waited for.
+    pub(crate) fn is_behind(&self) -> bool {
+        let behind_for = self.state.borrow().knowledge.behind_for(Instant::now());
+        behind_for.is_some_and(|time| time > BEHIND_FOR)
+    }
+
+    /// Asks the store for what is missing, past whoever is followed.
+    ///
+    /// This is what bounds the age of a configuration wherever the store answers: by the time until a reading is asked
+    /// for (0.7 of `right_ms`), [`BEHIND_FOR`], and the time between two readings, 2.1 s in all by default. Without it
+    /// twelve daemons that reached the store served by a former configuration for as long as those that they followed were
+    /// cut off, seven seconds. See `docs/CONFIGURATION-SPREAD.md`.
+    pub(crate) async fn catch_up(&self) -> Result<(), MetadataError> {
+        let age_ms = self.knowledge_age_ms();
+        match self.watch_once(Duration::ZERO).await {
+            Ok(changes) => {
+                log::info!(
+                    event = "caught_up", changes = changes, knowledge_age_ms = age_ms;
+                    "whoever is followed told nothing of changes that the store has"
+                );
+                Ok(())
             }
+            Err(MetadataError::HistoryGone) => self.read_everything().await,
+            Err(error) => Err(error),
         }
     }
 
