perf(proxy): first primaries are looked for in 32 groups at a time

Cause: before there are records the holder of the duty asked the servers of all groups at once. Change: at most 32 such looks run at a time; changes because of failures are not bounded.

--- a/crates/proxy/src/control/duty.rs
+++ b/crates/proxy/src/control/duty.rs
@@ -27,6 +27,10 @@
 
 /// How often the duty's holder looks at the groups if nothing wakes it.
 pub(crate) const LOOK_EVERY: Duration = Duration::from_millis(200);
+/// Groups in which whoever leads is looked for at a time, before there are records. Each takes three connections and a
+/// write; 700 groups at once left a daemon with an eighth of a core no time to read a single answer within a command's
+/// 150 ms, so that most had no primary after 14 s.
+const MOST_FIRST_AT_ONCE: usize = 32;
 /// How long the holder rests at the least after a look.
 const SHORTEST_REST: Duration = Duration::from_millis(5);
 /// How much longer it rests than the look took, so that looks take a fifth of its time at the most.
@@ -221,10 +225,14 @@
     pub(crate) fn look_after_groups(self: &Rc<Self>) {
         let services: Vec<Name> = self.state.borrow().catalog.services.keys().cloned().collect();
         for service in services {
+            if self.changes_running.borrow().contains_key(&service) {
+                continue;
+            }
             let Some(reason) = self.reason_to_change(&service) else { continue };
-            if !self.changes_running.borrow_mut().insert(service.clone()) {
+            if !self.may_begin(reason) {
                 continue;
             }
+            self.changes_running.borrow_mut().insert(service.clone(), reason);
             let control = self.clone();
             tokio::task::spawn_local(async move {
                 control.change_and_log(&service, reason).await;
@@ -234,6 +242,15 @@
         }
     }
 
+    /// Whether one more change for this reason may begin beside those that run.
+    fn may_begin(&self, reason: Reason) -> bool {
+        if reason != Reason::Unknown {
+            return true;
+        }
+        let running = self.changes_running.borrow();
+        running.values().filter(|reason| **reason == Reason::Unknown).count() < MOST_FIRST_AT_ONCE
+    }
+
     /// Says why a group's primary has to be changed; `None` if it need not be.
     pub(crate) fn reason_to_change(&self, service: &Name) -> Option<Reason> {
         let Some(known) = self.known_record(service) else {
--- a/crates/proxy/src/control/runner.rs
+++ b/crates/proxy/src/control/runner.rs
@@ -3,7 +3,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::{BTreeMap, BTreeSet, HashMap},
+    collections::{BTreeMap, HashMap},
     net::SocketAddr,
     rc::Rc,
     sync::Arc,
@@ -20,7 +20,7 @@
     catalog::Catalog,
     control::{
         beliefs::{Beliefs, Detours, Lead, Observation, Owners},
-        change::VersionedRecord,
+        change::{Reason, VersionedRecord},
         following::HeardOf,
         knowledge::{Knowledge, Sighting},
         mirror::Mirror,
@@ -277,7 +277,8 @@
     pub(crate) changed: Notify,
     /// Wakes the answers to daemons that follow the store through this one.
     pub(crate) news: Notify,
-    pub(crate) changes_running: RefCell<BTreeSet<Name>>,
+    /// Changes of primary that this daemon makes now, with their reasons.
+    pub(crate) changes_running: RefCell<BTreeMap<Name, Reason>>,
     pub(crate) change_count: Cell<u64>,
     pub(crate) format: P::Format,
     pub(crate) beliefs: watch::Sender<Arc<Beliefs>>,
