--- a/crates/proxy/src/control/membership.rs
+++ b/crates/proxy/src/control/membership.rs
@@ -38,6 +38,10 @@
                         why = error.to_string().as_str();
                         "the lease was not renewed"
                     );
+                    if !self.is_member() {
+                        pause.wait().await;
+                        continue;
+                    }
                     tokio::select! {
                         () = self.await_store(&mut pause) => {}
                         () = self.await_last_try() => {}
@@ -47,6 +51,12 @@
         }
     }
 
+    /// Whether this daemon has a lease and a key by what it knows; who has not may use no primary by the store's word.
+    fn is_member(&self) -> bool {
+        let state = self.state.borrow();
+        state.lease.is_some() && state.members.contains_key(&self.settings.host)
+    }
+
     /// Waits until the lease has just the time left that one more try to renew it takes.
     async fn await_last_try(&self) {
         let lease = self.state.borrow().lease;
--- a/crates/proxy/src/control/runner.rs
+++ b/crates/proxy/src/control/runner.rs
@@ -405,9 +405,13 @@
     /// is back, or for a while that grows.
     pub(crate) async fn await_store(&self, pause: &mut Pause) {
         let is_silent = || self.state.borrow().is_store_silent(self.patience());
-        if !is_silent() || self.zone_reader().is_none() {
+        if self.zone_reader().is_none() {
             return pause.wait().await;
         }
+        if !is_silent() {
+            // Others reach it: only this daemon is turned away, and no reading tells when that ends.
+            return pause.wait_as_follower(false).await;
+        }
         let is_back = async {
             while is_silent() {
                 self.news.notified().await;
