fix(proxy): catching up takes no time of the rights, and the first daemon of all does it first

Change: a loop of its own; a daemon that follows another one waits 1.4 s, the first one 0.9; a watch that brings nothing is followed by a reading of everything.

--- a/crates/proxy/src/control/rights.rs
+++ b/crates/proxy/src/control/rights.rs
@@ -41,7 +41,7 @@
                     () = self.refresh_now.notified() => {}
                 }
             }
-            if self.is_reading_shared() && !self.is_behind() {
+            if self.is_reading_shared() {
                 tokio::select! {
                     () = tokio::time::sleep(every / LOOKS_PER_READING) => {}
                     () = self.refresh_now.notified() => {}
@@ -102,9 +102,6 @@
     /// bytes instead of some hundred for each daemon of the fleet; the whole is read only by who is behind.
     async fn renew_rights(&self, asked_at: Instant) -> Result<(), MetadataError> {
         let own = self.read_below(&self.member_key()).await?;
-        if self.is_behind() {
-            self.catch_up().await?;
-        }
         if self.state.borrow().own_followed_to >= own.revision {
             self.on_own_reading(own.revision, asked_at);
             return Ok(());
--- a/crates/proxy/src/control/runner.rs
+++ b/crates/proxy/src/control/runner.rs
@@ -342,6 +342,7 @@
     let work = async {
         tokio::join!(
             control.clone().watch_loop(),
+            control.clone().catch_up_loop(),
             control.clone().refresh_loop(),
             control.clone().lease_loop(),
             control.clone().evidence_loop(),
--- a/crates/proxy/src/control/watching.rs
+++ b/crates/proxy/src/control/watching.rs
@@ -22,6 +22,11 @@
 /// of daemons a change of a few kilobytes takes some 10 ms, and goes along with the next reading, within 450 ms, where it
 /// is none to be told at once.
 const BEHIND_FOR: Duration = Duration::from_millis(900);
+/// The same for a daemon that follows another one, which asks first and passes on what it hears: with one time for all,
+/// 71 daemons read everything because the watch of the first one had heard nothing for a second.
+const FOLLOWER_BEHIND_FOR: Duration = Duration::from_millis(1_400);
+/// How often it is looked whether something is missing.
+const LOOK_BEHIND_EVERY: Duration = Duration::from_millis(150);
 /// How long nothing is watched then, so that one call brings many changes.
 const BURST_REST: Duration = Duration::from_millis(20);
 /// How long the first reading waits for this daemon to be a member: two calls to the store, which take some ten
@@ -107,46 +112,73 @@
         }
     }
 
-    /// Asks the store once what has changed since the last change that is known, and takes that over; returns how
-    /// much it was.
-    async fn watch_once(&self, wait: Duration) -> Result<usize, MetadataError> {
+    /// Asks the store once what has changed since the last change that is known, and takes that over.
+    async fn watch_once(&self, wait: Duration) -> Result<(), MetadataError> {
         let after = self.state.borrow().mirror.followed_to();
         // One watch over all keys costs one call where three prefixes would cost three.
         let changes = self.store.watch("", after, wait).await;
         self.count_call("watch", &changes);
         let Changes { changes, revision } = changes?;
-        let count = changes.len();
         self.take_over(changes);
         let mut state = self.state.borrow_mut();
         state.note_followed(revision);
         state.own_followed_to = state.own_followed_to.max(revision);
-        Ok(count)
+        Ok(())
+    }
+
+    /// Asks the store for what is missing once whoever is followed, or the watch, has told nothing of it for too long.
+    ///
+    /// This is what bounds the age of a configuration wherever the store answers: by the time until a reading is asked
+    /// for (0.7 of `right_ms`), [`FOLLOWER_BEHIND_FOR`] and a look, 2.3 s in all by default. Without it twelve daemons that reached the
+    /// store served by a former configuration for as long as those that they followed were cut off, seven seconds. It
+    /// takes no time of the rights, which are renewed beside it. See `docs/CONFIGURATION-SPREAD.md`.
+    pub(crate) async fn catch_up_loop(self: Rc<Self>) {
+        let mut pause = Pause::default();
+        loop {
+            tokio::time::sleep(LOOK_BEHIND_EVERY).await;
+            if !self.is_behind() {
+                pause.reset();
+                continue;
+            }
+            let age_ms = self.knowledge_age_ms();
+            match self.catch_up().await {
+                Ok(()) => log::info!(
+                    event = "caught_up", knowledge_age_ms = age_ms, is_behind = self.is_behind();
+                    "whoever is followed told nothing of changes that the store has"
+                ),
+                Err(error) => {
+                    log::info!(
+                        event = "store_unreachable", call = "catch_up",
+                        why = error.to_string().as_str();
+                        "the store did not answer"
+                    );
+                    self.await_store(&mut pause).await;
+                }
+            }
+        }
     }
 
     /// Whether something has been missing for so long that whoever is followed can't be waited for.
-    pub(crate) fn is_behind(&self) -> bool {
+    fn is_behind(&self) -> bool {
         let behind_for = self.state.borrow().knowledge.behind_for(Instant::now());
-        behind_for.is_some_and(|time| time > BEHIND_FOR)
+        match behind_for {
+            Some(time) if time > FOLLOWER_BEHIND_FOR => true,
+            Some(time) if time > BEHIND_FOR => self.zone_reader().is_none(),
+            Some(_) | None => false,
+        }
     }
 
-    /// Asks the store for what is missing, past whoever is followed.
-    ///
-    /// This is what bounds the age of a configuration wherever the store answers: by the time until a reading is asked
-    /// for (0.7 of `right_ms`), [`BEHIND_FOR`], and the time between two readings, 2.1 s in all by default. Without it
-    /// twelve daemons that reached the store served by a former configuration for as long as those that they followed were
-    /// cut off, seven seconds. See `docs/CONFIGURATION-SPREAD.md`.
-    pub(crate) async fn catch_up(&self) -> Result<(), MetadataError> {
-        let age_ms = self.knowledge_age_ms();
-        match self.watch_once(Duration::ZERO).await {
-            Ok(changes) => {
-                log::info!(
-                    event = "caught_up", changes = changes, knowledge_age_ms = age_ms;
-                    "whoever is followed told nothing of changes that the store has"
-                );
+    /// Asks for the changes, and for everything where that brings nothing: watches may be deaf for a while.
+    async fn catch_up(&self) -> Result<(), MetadataError> {
+        let asked =
+            tokio::time::timeout(self.read_timeout(), self.watch_once(Duration::ZERO)).await;
+        match asked {
+            Ok(Ok(())) if !self.is_behind() => {
+                self.publish();
                 Ok(())
             }
-            Err(MetadataError::HistoryGone) => self.read_everything().await,
-            Err(error) => Err(error),
+            Ok(Err(MetadataError::NotDone(why))) => Err(MetadataError::NotDone(why)),
+            Ok(Ok(()) | Err(_)) | Err(_) => self.read_everything().await,
         }
     }
 
