--- a/crates/proxy/src/control/duty.rs
+++ b/crates/proxy/src/control/duty.rs
@@ -20,7 +20,8 @@
         move_times::MoveTimes,
         outside::Outside,
         record::is_primary_lost,
-        runner::{Control, HeldLease, RENEWALS_PER_LEASE},
+        runner::{Control, RENEWALS_PER_LEASE},
+        state::HeldLease,
     },
     metadata::{MetadataStore, Revision, Transaction, TransactionOutcome},
 };
--- a/crates/proxy/src/control/fencing.rs
+++ b/crates/proxy/src/control/fencing.rs
@@ -14,7 +14,8 @@
         commands::{ASK_EVERY, Commands},
         outside::Outside,
         record::{LeadershipRecord, RightBounds, StopProgress, StoppedServer, majority},
-        runner::{Control, SeenMember},
+        runner::Control,
+        state::SeenMember,
     },
     statement::{EndpointStatus, EndpointText},
 };
--- a/crates/proxy/src/control/membership.rs
+++ b/crates/proxy/src/control/membership.rs
@@ -9,7 +9,9 @@
 
 use crate::{
     control::outside::Outside,
-    control::runner::{Control, HeldLease, MemberValue, Pause, RENEWALS_PER_LEASE},
+    control::pause::Pause,
+    control::runner::{Control, RENEWALS_PER_LEASE},
+    control::state::{HeldLease, MemberValue},
     metadata::{LeaseId, MetadataError, MetadataStore, Transaction, TransactionOutcome},
 };
 
--- a/crates/proxy/src/control/owning.rs
+++ b/crates/proxy/src/control/owning.rs
@@ -5,11 +5,7 @@
     sync::Arc,
 };
 
-use crate::control::{
-    beliefs::Owners,
-    outside::Outside,
-    runner::{Control, State},
-};
+use crate::control::{beliefs::Owners, outside::Outside, runner::Control, state::State};
 
 impl<P: Outside> Control<P> {
     /// Takes over which daemons stand in this one's zone, where members have changed.
--- a/crates/proxy/src/control/records.rs
+++ b/crates/proxy/src/control/records.rs
@@ -15,7 +15,8 @@
         change::VersionedRecord,
         outside::Outside,
         record::{LeadershipRecord, PrimaryChange},
-        runner::{Ask, Control, MemberValue, SeenMember, State},
+        runner::{Ask, Control},
+        state::{MemberValue, SeenMember, State},
     },
     metadata::Transaction,
 };
--- a/crates/proxy/src/control/rights.rs
+++ b/crates/proxy/src/control/rights.rs
@@ -11,8 +11,10 @@
     control::{
         beliefs::Basis,
         outside::Outside,
+        pause::Pause,
         peers::{SharedReading, StoreReading, judge_reading},
-        runner::{Control, Pause, State},
+        runner::Control,
+        state::State,
     },
     metadata::{Consistency, MetadataError, MetadataStore, Revision, Snapshot},
 };
--- a/crates/proxy/src/control/runner.rs
+++ b/crates/proxy/src/control/runner.rs
@@ -3,7 +3,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::{BTreeMap, HashMap},
+    collections::BTreeMap,
     net::SocketAddr,
     rc::Rc,
     sync::Arc,
@@ -13,42 +13,23 @@
 use config::{LeadershipSettings, MetadataSettings};
 use model::Name;
 use rand::RngExt;
-use serde::{Deserialize, Serialize};
 use tokio::sync::{Notify, oneshot, watch};
 
 use crate::{
-    catalog::Catalog,
     control::{
-        beliefs::{Beliefs, Detours, Lead, Observation, Owners},
-        change::{Reason, VersionedRecord},
-        following::HeardOf,
-        knowledge::{Knowledge, Sighting},
-        mirror::Mirror,
+        beliefs::{Beliefs, Observation},
+        change::Reason,
         outside::Outside,
         packing::Packer,
         peer_link::{Asker, HandedOver},
-        peers::{Evidence, PrimarySample, StoreReading},
-        servers::{ServerList, ServersByService},
+        state::State,
     },
     events::ProxyMetrics,
-    metadata::{LeaseId, MetadataError, Revision, Transaction},
+    metadata::{MetadataError, Transaction},
     serve::share::Sharers,
     statement::{EndpointStatus, EndpointText},
 };
 
-/// The pause after a failed call, at first; it doubles with each failure, with jitter.
-const FIRST_PAUSE: Duration = Duration::from_millis(80);
-/// The longest pause after failed calls.
-const LONGEST_PAUSE: Duration = Duration::from_millis(800);
-/// How much longer the pauses of a daemon are that follows the store through another one, which tries too and
-/// passes on what it reads: a store that is away for five seconds was asked 3,000 times by 295 daemons, a quarter
-/// of all calls of that day.
-const FOLLOWER_PAUSES: u32 = 4;
-/// The same while that one answers, so that it is heard of at once when the store is back.
-const LISTENER_PAUSES: u32 = 8;
-/// How long after an answer the daemon that is followed counts as one that answers; a little more than a question
-/// may wait there.
-const ANSWERED_WITHIN: Duration = Duration::from_secs(1);
 /// Renewals of a lease within the time that it lasts, so that one may fail.
 pub(crate) const RENEWALS_PER_LEASE: u32 = 3;
 
@@ -83,150 +64,6 @@
     pub answer: oneshot::Sender<EndpointStatus>,
 }
 
-/// What a member says of itself in the store.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
-pub(crate) struct MemberValue {
-    pub(crate) availability_zone: String,
-    /// Where other daemons ask it.
-    pub(crate) peer_address: Option<SocketAddr>,
-}
-
-/// Another daemon, as it was last seen.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct SeenMember {
-    pub(crate) seen_at: Instant,
-    /// Whether it stands in this daemon's zone.
-    pub(crate) is_near: bool,
-}
-
-/// The lease of this daemon, under which its keys stand.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct HeldLease {
-    pub(crate) id: LeaseId,
-    /// Counted from when the last renewal was sent, so it ends here before it ends in the store.
-    pub(crate) valid_until: Instant,
-}
-
-/// What the tasks of the control thread share.
-#[derive(Default)]
-pub(crate) struct State {
-    pub(crate) mirror: Mirror,
-    /// How old what the mirror holds may be.
-    pub(crate) knowledge: Knowledge,
-    pub(crate) servers: ServerList,
-    pub(crate) catalog: Arc<Catalog>,
-    pub(crate) servers_known: bool,
-    pub(crate) leads: Arc<HashMap<Name, Lead>>,
-    /// Every leadership record that can be read, by service.
-    pub(crate) records: HashMap<Name, Arc<VersionedRecord>>,
-    /// Every daemon that has a key, by host.
-    pub(crate) members: BTreeMap<Name, Arc<MemberValue>>,
-    /// Rises whenever those change.
-    pub(crate) members_version: u64,
-    /// When callers of this daemon last asked for a service.
-    pub(crate) used_at: HashMap<Name, Instant>,
-    pub(crate) lease: Option<HeldLease>,
-    /// The lease of the duty to promote, while this daemon holds the duty or tries to.
-    pub(crate) duty_lease: Option<HeldLease>,
-    /// When this daemon itself last asked for a reading of the store.
-    pub(crate) own_read_at: Option<Instant>,
-    /// The youngest reading of the store, by whomever.
-    pub(crate) reading: Option<StoreReading>,
-    /// How many there were.
-    pub(crate) reading_number: u64,
-    /// Every change of the daemons' own keys up to here is known.
-    pub(crate) own_followed_to: Revision,
-    /// The latest change that those who follow the store through this daemon should hear of at once.
-    pub(crate) urgent_to: Revision,
-    /// Who leads by the word of a majority of the servers, for others.
-    pub(crate) evidence: Vec<Evidence>,
-    /// A number that rises with each change of that.
-    pub(crate) evidence_number: u64,
-    /// When the last shared reading that was of use here was asked for.
-    pub(crate) shared_reading_at: Option<Instant>,
-    pub(crate) heard_of: HeardOf,
-    /// The latest sample of each primary's log that a daemon of the zone took.
-    pub(crate) samples: Arc<HashMap<Name, PrimarySample>>,
-    /// When another zone was last asked for such samples.
-    pub(crate) samples_asked_at: Option<Instant>,
-    /// When each other daemon was last known to be a member.
-    pub(crate) members_seen: HashMap<Name, SeenMember>,
-    /// Since when members have been watched, which bounds what may have been missed.
-    pub(crate) watching_since: Option<Instant>,
-    pub(crate) last_read_at: Option<Instant>,
-    pub(crate) member_put_at: Option<Instant>,
-    /// Since when the recorded primary of a service has had no entry.
-    pub(crate) primary_missing_since: HashMap<Name, Instant>,
-    /// When the replicas of a service were last found too far behind for the reads there are.
-    pub(crate) replicas_behind: HashMap<Name, Instant>,
-    /// When the holder of the duty was last told so by this daemon.
-    pub(crate) behind_told: HashMap<Name, Instant>,
-    /// When this daemon last moved the lead of a service for that reason.
-    pub(crate) lead_moved: HashMap<Name, Instant>,
-    /// When it last looked whether a replica could take the lead over for that reason.
-    pub(crate) lead_checked: HashMap<Name, Instant>,
-    pub(crate) acknowledged: HashMap<Name, String>,
-    /// Servers that this daemon can't reach, and when it last tried.
-    pub(crate) suspected: HashMap<(Name, Name), Instant>,
-    /// When the store was last found again after a time without it.
-    pub(crate) store_back_at: Option<Instant>,
-    pub(crate) published_servers: Arc<ServersByService>,
-    pub(crate) published_detours: Arc<Detours>,
-    pub(crate) published_owners: Arc<Owners>,
-    /// Of which members those are.
-    pub(crate) owners_of_members: Option<u64>,
-    /// Availability zones that have members.
-    pub(crate) zones: u32,
-}
-
-impl State {
-    /// Whether no reading of the store has come for so long.
-    pub(crate) fn is_store_silent(&self, patience: Duration) -> bool {
-        self.last_read_at.is_none_or(|at| at.elapsed() > patience)
-    }
-
-    /// Notes a reading of the store; `true` if it is the first one after a time without any.
-    pub(crate) fn note_read(&mut self, now: Instant, patience: Duration) -> bool {
-        let is_back = self.is_store_silent(patience);
-        if is_back {
-            self.store_back_at = Some(now);
-        }
-        self.last_read_at = Some(now);
-        is_back
-    }
-
-    /// Notes that every change up to a revision is known.
-    pub(crate) fn note_followed(&mut self, revision: Revision) {
-        self.mirror.note_followed(revision);
-        self.knowledge.note_followed(self.mirror.followed_to());
-    }
-
-    /// Notes which revision the store stood at, by any reading, whether it gives a right or not.
-    pub(crate) fn note_sighting(&mut self, reading: &StoreReading) {
-        let seen = Sighting { revision: reading.revision, asked_at: reading.asked_at };
-        self.knowledge.note_reading(seen, self.mirror.followed_to());
-    }
-
-    /// Keeps a reading for others if it is the youngest.
-    pub(crate) fn keep_reading(&mut self, reading: StoreReading) {
-        if self.reading.is_none_or(|known| known.asked_at < reading.asked_at) {
-            self.reading = Some(reading);
-            self.reading_number += 1;
-        }
-    }
-
-    /// Keeps evidence for others if it is the youngest of its service.
-    pub(crate) fn keep_evidence(&mut self, evidence: &Evidence) {
-        let known = self.evidence.iter().position(|it| it.service == evidence.service);
-        match known {
-            Some(place) if self.evidence[place].asked_at >= evidence.asked_at => return,
-            Some(place) => self.evidence[place] = evidence.clone(),
-            None => self.evidence.push(evidence.clone()),
-        }
-        self.evidence_number += 1;
-    }
-}
-
 /// The settings of the control thread.
 #[derive(Clone, Debug)]
 pub struct ControlSettings {
@@ -396,34 +233,6 @@
         Duration::from_millis(self.settings.leadership.evidence_ms)
     }
 
-    /// Whether the daemon that this one follows the store through answered a moment ago.
-    pub(crate) fn does_reader_answer(&self) -> bool {
-        let heard_of = self.state.borrow().heard_of;
-        heard_of.clock.is_some_and(|(_, heard_at)| heard_at.elapsed() < ANSWERED_WITHIN)
-    }
-
-    /// Waits after a call that failed until the store is worth another try: until a reading by whomever shows that it
-    /// is back, or for a while that grows.
-    pub(crate) async fn await_store(&self, pause: &mut Pause) {
-        let is_silent = || self.state.borrow().is_store_silent(self.patience());
-        if self.zone_reader().is_none() {
-            return pause.wait().await;
-        }
-        if !is_silent() {
-            // Others reach it: only this daemon is turned away, and no reading tells when that ends.
-            return pause.wait_as_follower(false).await;
-        }
-        let is_back = async {
-            while is_silent() {
-                self.news.notified().await;
-            }
-        };
-        tokio::select! {
-            () = pause.wait_as_follower(self.does_reader_answer()) => {}
-            () = is_back => pause.reset(),
-        }
-    }
-
     pub(crate) fn count_call<T>(&self, kind: &str, result: &Result<T, MetadataError>) {
         let outcome = if result.is_ok() { "answered" } else { "failed" };
         self.metrics.store_calls.with_label_values(&[kind, outcome]).inc();
@@ -480,37 +289,6 @@
     }
 }
 
-/// A pause that grows with each failure, with jitter so that daemons do not move in step.
-#[derive(Default)]
-pub(crate) struct Pause {
-    failures: u32,
-}
-
-impl Pause {
-    pub(crate) fn reset(&mut self) {
-        self.failures = 0;
-    }
-
-    pub(crate) async fn wait(&mut self) {
-        let pause = self.next();
-        tokio::time::sleep(pause).await;
-    }
-
-    /// The pause of a daemon that hears of the store's return from another one, if that is there.
-    pub(crate) async fn wait_as_follower(&mut self, reader_answers: bool) {
-        let times = if reader_answers { LISTENER_PAUSES } else { FOLLOWER_PAUSES };
-        let pause = self.next() * times;
-        tokio::time::sleep(pause).await;
-    }
-
-    fn next(&mut self) -> Duration {
-        let longest = FIRST_PAUSE.saturating_mul(1 << self.failures.min(8)).min(LONGEST_PAUSE);
-        self.failures += 1;
-        let part: f64 = rand::rng().random_range(0.5..1.0);
-        longest.mul_f64(part)
-    }
-}
-
 /// Waits for all futures on this task.
 pub(crate) async fn join_all<F: Future>(futures: impl IntoIterator<Item = F>) -> Vec<F::Output> {
     let mut waiting: Vec<_> = futures.into_iter().map(|future| (Box::pin(future), None)).collect();
--- /dev/null
+++ b/crates/proxy/src/control/state.rs
@@ -0,0 +1,169 @@
+//! What the tasks of the control thread share.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use model::Name;
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    catalog::Catalog,
+    control::{
+        beliefs::{Detours, Lead, Owners},
+        change::VersionedRecord,
+        following::HeardOf,
+        knowledge::{Knowledge, Sighting},
+        mirror::Mirror,
+        peers::{Evidence, PrimarySample, StoreReading},
+        servers::{ServerList, ServersByService},
+    },
+    metadata::{LeaseId, Revision},
+};
+
+/// What a member says of itself in the store.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub(crate) struct MemberValue {
+    pub(crate) availability_zone: String,
+    /// Where other daemons ask it.
+    pub(crate) peer_address: Option<SocketAddr>,
+}
+
+/// Another daemon, as it was last seen.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct SeenMember {
+    pub(crate) seen_at: Instant,
+    /// Whether it stands in this daemon's zone.
+    pub(crate) is_near: bool,
+}
+
+/// The lease of this daemon, under which its keys stand.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct HeldLease {
+    pub(crate) id: LeaseId,
+    /// Counted from when the last renewal was sent, so it ends here before it ends in the store.
+    pub(crate) valid_until: Instant,
+}
+
+/// What the tasks of the control thread share.
+#[derive(Default)]
+pub(crate) struct State {
+    pub(crate) mirror: Mirror,
+    /// How old what the mirror holds may be.
+    pub(crate) knowledge: Knowledge,
+    pub(crate) servers: ServerList,
+    pub(crate) catalog: Arc<Catalog>,
+    pub(crate) servers_known: bool,
+    pub(crate) leads: Arc<HashMap<Name, Lead>>,
+    /// Every leadership record that can be read, by service.
+    pub(crate) records: HashMap<Name, Arc<VersionedRecord>>,
+    /// Every daemon that has a key, by host.
+    pub(crate) members: BTreeMap<Name, Arc<MemberValue>>,
+    /// Rises whenever those change.
+    pub(crate) members_version: u64,
+    /// When callers of this daemon last asked for a service.
+    pub(crate) used_at: HashMap<Name, Instant>,
+    pub(crate) lease: Option<HeldLease>,
+    /// The lease of the duty to promote, while this daemon holds the duty or tries to.
+    pub(crate) duty_lease: Option<HeldLease>,
+    /// When this daemon itself last asked for a reading of the store.
+    pub(crate) own_read_at: Option<Instant>,
+    /// The youngest reading of the store, by whomever.
+    pub(crate) reading: Option<StoreReading>,
+    /// How many there were.
+    pub(crate) reading_number: u64,
+    /// Every change of the daemons' own keys up to here is known.
+    pub(crate) own_followed_to: Revision,
+    /// The latest change that those who follow the store through this daemon should hear of at once.
+    pub(crate) urgent_to: Revision,
+    /// Who leads by the word of a majority of the servers, for others.
+    pub(crate) evidence: Vec<Evidence>,
+    /// A number that rises with each change of that.
+    pub(crate) evidence_number: u64,
+    /// When the last shared reading that was of use here was asked for.
+    pub(crate) shared_reading_at: Option<Instant>,
+    pub(crate) heard_of: HeardOf,
+    /// The latest sample of each primary's log that a daemon of the zone took.
+    pub(crate) samples: Arc<HashMap<Name, PrimarySample>>,
+    /// When another zone was last asked for such samples.
+    pub(crate) samples_asked_at: Option<Instant>,
+    /// When each other daemon was last known to be a member.
+    pub(crate) members_seen: HashMap<Name, SeenMember>,
+    /// Since when members have been watched, which bounds what may have been missed.
+    pub(crate) watching_since: Option<Instant>,
+    pub(crate) last_read_at: Option<Instant>,
+    pub(crate) member_put_at: Option<Instant>,
+    /// Since when the recorded primary of a service has had no entry.
+    pub(crate) primary_missing_since: HashMap<Name, Instant>,
+    /// When the replicas of a service were last found too far behind for the reads there are.
+    pub(crate) replicas_behind: HashMap<Name, Instant>,
+    /// When the holder of the duty was last told so by this daemon.
+    pub(crate) behind_told: HashMap<Name, Instant>,
+    /// When this daemon last moved the lead of a service for that reason.
+    pub(crate) lead_moved: HashMap<Name, Instant>,
+    /// When it last looked whether a replica could take the lead over for that reason.
+    pub(crate) lead_checked: HashMap<Name, Instant>,
+    pub(crate) acknowledged: HashMap<Name, String>,
+    /// Servers that this daemon can't reach, and when it last tried.
+    pub(crate) suspected: HashMap<(Name, Name), Instant>,
+    /// When the store was last found again after a time without it.
+    pub(crate) store_back_at: Option<Instant>,
+    pub(crate) published_servers: Arc<ServersByService>,
+    pub(crate) published_detours: Arc<Detours>,
+    pub(crate) published_owners: Arc<Owners>,
+    /// The [`State::members_version`] that they were made from.
+    pub(crate) owners_of_members: Option<u64>,
+    /// Availability zones that have members.
+    pub(crate) zones: u32,
+}
+
+impl State {
+    /// Whether no reading of the store has come for so long.
+    pub(crate) fn is_store_silent(&self, patience: Duration) -> bool {
+        self.last_read_at.is_none_or(|at| at.elapsed() > patience)
+    }
+
+    /// Notes a reading of the store; `true` if it is the first one after a time without any.
+    pub(crate) fn note_read(&mut self, now: Instant, patience: Duration) -> bool {
+        let is_back = self.is_store_silent(patience);
+        if is_back {
+            self.store_back_at = Some(now);
+        }
+        self.last_read_at = Some(now);
+        is_back
+    }
+
+    /// Notes that every change up to a revision is known.
+    pub(crate) fn note_followed(&mut self, revision: Revision) {
+        self.mirror.note_followed(revision);
+        self.knowledge.note_followed(self.mirror.followed_to());
+    }
+
+    /// Notes which revision the store stood at, by any reading, whether it gives a right or not.
+    pub(crate) fn note_sighting(&mut self, reading: &StoreReading) {
+        let seen = Sighting { revision: reading.revision, asked_at: reading.asked_at };
+        self.knowledge.note_reading(seen, self.mirror.followed_to());
+    }
+
+    /// Keeps a reading for others if it is the youngest.
+    pub(crate) fn keep_reading(&mut self, reading: StoreReading) {
+        if self.reading.is_none_or(|known| known.asked_at < reading.asked_at) {
+            self.reading = Some(reading);
+            self.reading_number += 1;
+        }
+    }
+
+    /// Keeps evidence for others if it is the youngest of its service.
+    pub(crate) fn keep_evidence(&mut self, evidence: &Evidence) {
+        let known = self.evidence.iter().position(|it| it.service == evidence.service);
+        match known {
+            Some(place) if self.evidence[place].asked_at >= evidence.asked_at => return,
+            Some(place) => self.evidence[place] = evidence.clone(),
+            None => self.evidence.push(evidence.clone()),
+        }
+        self.evidence_number += 1;
+    }
+}
--- a/crates/proxy/src/control/suspicion.rs
+++ b/crates/proxy/src/control/suspicion.rs
@@ -9,7 +9,8 @@
     control::{
         beliefs::{Detours, Observation},
         outside::Outside,
-        runner::{Ask, Control, State},
+        runner::{Ask, Control},
+        state::State,
     },
     metadata::{MetadataStore, Transaction},
 };
--- a/crates/proxy/src/control/watching.rs
+++ b/crates/proxy/src/control/watching.rs
@@ -9,7 +9,8 @@
 use crate::{
     catalog::CatalogFormat,
     control::outside::Outside,
-    control::runner::{Control, Pause},
+    control::pause::Pause,
+    control::runner::Control,
     metadata::{
         Change, Changes, Consistency, Item, MetadataError, MetadataStore, Patience, Snapshot,
     },
