fix(proxy): a slow answer of the store makes no daemon read everything

An answer that has begun is waited for now (an error of its own says so), and changes that are on their way are not asked for again for 2.5 s (must_ask_store, tested by itself). A watch that is not answered at all still leads to a reading of everything.

--- a/crates/proxy/src/control/change.rs
+++ b/crates/proxy/src/control/change.rs
@@ -189,7 +189,8 @@
         self.count_call("commit", &written);
         match written {
             Ok(TransactionOutcome::Done(revision)) => Ok(revision),
-            Ok(TransactionOutcome::Conflict) | Err(MetadataError::NoAnswer(_)) => {
+            Ok(TransactionOutcome::Conflict)
+            | Err(MetadataError::NoAnswer(_) | MetadataError::Unfinished) => {
                 // The answer to an earlier attempt may have been lost: what stands there decides.
                 let read = self.store.get(&key, self.read_timeout()).await;
                 self.count_call("get", &read);
--- a/crates/proxy/src/control/following.rs
+++ b/crates/proxy/src/control/following.rs
@@ -104,6 +104,8 @@
         let heard_of = self.state.borrow().heard_of;
         let lasts = self.right().mul_f64(SHARED_LASTS_PART);
         let is_old = heard_of.reading_at.is_none_or(|at| at.elapsed() > lasts);
+        // Readings wait behind changes that are on their way.
+        let is_old = is_old && self.asker.receives_for(Instant::now()).is_none();
         if let Some(reader) = heard_of.reader.filter(|_| is_old) {
             log::info!(
                 event = "peer_behind", peer = reader.to_string().as_str();
--- a/crates/proxy/src/control/knowledge.rs
+++ b/crates/proxy/src/control/knowledge.rs
@@ -8,6 +8,17 @@
 
 use crate::metadata::Revision;
 
+/// How long a reading may have shown a change that is not known here before the store is asked for it. Through three steps
+/// of daemons a change of a few kilobytes takes some 10 ms, and goes along with the next reading, within 450 ms, where it
+/// is none to be told at once.
+pub(crate) const BEHIND_FOR: Duration = Duration::from_millis(900);
+/// The same for a daemon that follows another one, which asks first and passes on what it hears: with one time for all,
+/// 71 daemons read everything because the watch of the first one had heard nothing for a second.
+const FOLLOWER_BEHIND_FOR: Duration = Duration::from_millis(1_400);
+/// How long changes that another daemon has begun to send are waited for beyond [`FOLLOWER_BEHIND_FOR`]: a configuration
+/// of a megabyte, packed to a tenth, over the links of three daemons that each pass it on to eight others.
+const RECEIVES_FOR: Duration = Duration::from_millis(2_500);
+
 /// That the store stood at a revision when it was asked.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Sighting {
@@ -63,3 +74,16 @@
         self.missing.map(|(first, _)| now.saturating_duration_since(first.asked_at))
     }
 }
+
+/// Whether a daemon that has missed something for `behind_for` asks the store itself, if it follows another daemon, and
+/// for how long that one has been sending changes, if it does.
+///
+/// Changes that are on their way come sooner than they would from the store, over the same link and beside them: three
+/// hundred daemons that asked while a large configuration came down to them each read the whole store.
+pub fn must_ask_store(behind_for: Duration, follows: bool, receives_for: Option<Duration>) -> bool {
+    if !follows {
+        return behind_for > BEHIND_FOR;
+    }
+    let is_on_its_way = receives_for.is_some_and(|time| time < RECEIVES_FOR);
+    behind_for > FOLLOWER_BEHIND_FOR && !is_on_its_way
+}
--- a/crates/proxy/src/control/peer_link.rs
+++ b/crates/proxy/src/control/peer_link.rs
@@ -1,7 +1,7 @@
 //! The connections over which daemons ask each other; what passes stands in [`super::peers`].
 
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     collections::HashMap,
     net::SocketAddr,
     rc::Rc,
@@ -162,6 +162,8 @@
 pub(crate) struct Asker {
     open: Rc<RefCell<HashMap<SocketAddr, Frames>>>,
     silent_until: Rc<RefCell<HashMap<SocketAddr, Instant>>>,
+    /// Since when changes behind an answer are on their way.
+    receives_since: Rc<Cell<Option<Instant>>>,
 }
 
 impl Asker {
@@ -170,6 +172,11 @@
         self.silent_until.borrow().get(&address).is_some_and(|until| now < *until)
     }
 
+    /// Returns for how long changes have been on their way from another daemon, if they are.
+    pub(crate) fn receives_for(&self, now: Instant) -> Option<Duration> {
+        self.receives_since.get().map(|since| now.saturating_duration_since(since))
+    }
+
     /// Passes a daemon over for a while.
     pub(crate) fn pass_over(&self, address: SocketAddr, now: Instant) {
         self.silent_until.borrow_mut().insert(address, now + SILENT_FOR);
@@ -194,7 +201,10 @@
         let asked = tokio::time::timeout(within, self.ask_first(address, request)).await;
         let (mut frames, mut answer) = asked.ok()??;
         if answer.changes_follow {
-            let frame = tokio::time::timeout(CHANGES_WITHIN, frames.next()).await.ok()??.ok()?;
+            self.receives_since.set(Some(Instant::now()));
+            let received = tokio::time::timeout(CHANGES_WITHIN, frames.next()).await;
+            self.receives_since.set(None);
+            let frame = received.ok()??.ok()?;
             answer.changes = ChangesMessage::decode(frame).ok()?.changes;
         }
         for change in &mut answer.changes {
--- a/crates/proxy/src/control/watching.rs
+++ b/crates/proxy/src/control/watching.rs
@@ -8,6 +8,7 @@
 
 use crate::{
     catalog::CatalogFormat,
+    control::knowledge::{BEHIND_FOR, must_ask_store},
     control::outside::Outside,
     control::pause::Pause,
     control::runner::Control,
@@ -19,13 +20,6 @@
 /// A watch that is answered so soon is taken for one of a burst, as when many daemons join or say that
 /// they have stopped.
 const BURST_WITHIN: Duration = Duration::from_millis(50);
-/// How long a reading may have shown a change that is not known here before the store is asked for it. Through three steps
-/// of daemons a change of a few kilobytes takes some 10 ms, and goes along with the next reading, within 450 ms, where it
-/// is none to be told at once.
-const BEHIND_FOR: Duration = Duration::from_millis(900);
-/// The same for a daemon that follows another one, which asks first and passes on what it hears: with one time for all,
-/// 71 daemons read everything because the watch of the first one had heard nothing for a second.
-const FOLLOWER_BEHIND_FOR: Duration = Duration::from_millis(1_400);
 /// How often it is looked whether something is missing.
 const LOOK_BEHIND_EVERY: Duration = Duration::from_millis(150);
 /// How long nothing is watched then, so that one call brings many changes.
@@ -130,7 +124,7 @@
     /// Asks the store for what is missing once whoever is followed, or the watch, has told nothing of it for too long.
     ///
     /// This is what bounds the age of a configuration wherever the store answers: by the time until a reading is asked
-    /// for (0.7 of `right_ms`), [`FOLLOWER_BEHIND_FOR`] and a look, 2.3 s in all by default. Without it twelve daemons that reached the
+    /// for (0.7 of `right_ms`), [`FOLLOWER_BEHIND_FOR`](super::knowledge) and a look, 2.3 s in all by default. Without it twelve daemons that reached the
     /// store served by a former configuration for as long as those that they followed were cut off, seven seconds. It
     /// takes no time of the rights, which are renewed beside it. See `docs/CONFIGURATION-SPREAD.md`.
     pub(crate) async fn catch_up_loop(self: Rc<Self>) {
@@ -161,25 +155,25 @@
 
     /// Whether something has been missing for so long that whoever is followed can't be waited for.
     fn is_behind(&self) -> bool {
-        let behind_for = self.state.borrow().knowledge.behind_for(Instant::now());
-        match behind_for {
-            Some(time) if time > FOLLOWER_BEHIND_FOR => true,
-            Some(time) if time > BEHIND_FOR => self.zone_reader().is_none(),
-            Some(_) | None => false,
-        }
+        let now = Instant::now();
+        let behind_for = self.state.borrow().knowledge.behind_for(now);
+        let Some(behind_for) = behind_for.filter(|time| *time > BEHIND_FOR) else { return false };
+        let follows = self.zone_reader().is_some();
+        must_ask_store(behind_for, follows, self.asker.receives_for(now))
     }
 
     /// Asks for the changes, and for everything where that brings nothing: watches may be deaf for a while.
+    ///
+    /// An answer that has begun is waited for, and asked for again if it does not end: everything is more than the changes,
+    /// and would come over the same link.
     async fn catch_up(&self) -> Result<(), MetadataError> {
-        let asked =
-            tokio::time::timeout(self.read_timeout(), self.watch_once(Duration::ZERO)).await;
-        match asked {
-            Ok(Ok(())) if !self.is_behind() => {
+        match self.watch_once(Duration::ZERO).await {
+            Ok(()) if !self.is_behind() => {
                 self.publish();
                 Ok(())
             }
-            Ok(Err(MetadataError::NotDone(why))) => Err(MetadataError::NotDone(why)),
-            Ok(Ok(()) | Err(_)) | Err(_) => self.read_everything().await,
+            Err(error @ (MetadataError::NotDone(_) | MetadataError::Unfinished)) => Err(error),
+            Ok(()) | Err(_) => self.read_everything().await,
         }
     }
 
--- a/crates/proxy/src/metadata.rs
+++ b/crates/proxy/src/metadata.rs
@@ -112,6 +112,8 @@
     NotDone(String),
     /// No answer came; a write may have been done, or may be done later.
     NoAnswer(String),
+    /// An answer began and did not end in time: the link is full or slow, not the store away. A write may have been done.
+    Unfinished,
     /// The history that a watch asked for is gone.
     HistoryGone,
     /// The store answered something that can't be understood.
@@ -123,6 +125,9 @@
         match self {
             MetadataError::NotDone(why) => write!(f, "the store did nothing: {why}"),
             MetadataError::NoAnswer(why) => write!(f, "the store's answer is missing: {why}"),
+            MetadataError::Unfinished => {
+                f.write_str("only part of the store's answer came in time")
+            }
             MetadataError::HistoryGone => f.write_str("the store's history is gone"),
             MetadataError::Malformed(why) => write!(f, "the store's answer is malformed: {why}"),
         }
--- a/crates/proxy/tests/knowledge.rs
+++ b/crates/proxy/tests/knowledge.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use proptest::prelude::*;
-use proxy::control::knowledge::{Knowledge, Sighting};
+use proxy::control::knowledge::{Knowledge, Sighting, must_ask_store};
 
 fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
@@ -87,3 +87,27 @@
         }
     }
 }
+
+/// A configuration of a megabyte takes seconds to come down to three hundred daemons. Its readings wait behind it, so each
+/// daemon reads its own key for its rights meanwhile and sees that something is missing; if all of them asked the
+/// store then, it would send the same megabyte three hundred times over links that are full already.
+#[test]
+fn changes_that_are_on_their_way_are_not_asked_for_again() {
+    let cases = [
+        // Behind for, follows another daemon, which has been sending for; asks.
+        (800, false, None, false),
+        (1_000, false, None, true),
+        (1_000, true, None, false),
+        (1_500, true, None, true),
+        (1_500, true, Some(800), false),
+        (3_000, true, Some(2_400), false),
+        // A daemon that froze as it sent must not keep others from the store.
+        (3_300, true, Some(2_600), true),
+        // Whoever follows nobody waits for nobody.
+        (1_000, false, Some(100), true),
+    ];
+    for (behind_ms, follows, receives_ms, expected) in cases {
+        let asks = must_ask_store(ms(behind_ms), follows, receives_ms.map(ms));
+        assert_eq!(asks, expected, "{behind_ms} {follows} {receives_ms:?}");
+    }
+}
