--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -29,7 +29,7 @@
 };
 pub use problem::{Problem, Problems};
 pub use proxy_settings::{
-    LeadershipSettings, MetadataSettings, ProxyDaemonSettings, ProxySettings,
+    AccountLimitSettings, LeadershipSettings, MetadataSettings, ProxyDaemonSettings, ProxySettings,
 };
 pub use reference::reference_page;
 pub use section::{OptionDoc, Section};
--- a/crates/config/src/proxy_settings.rs
+++ b/crates/config/src/proxy_settings.rs
@@ -81,6 +81,18 @@
     }
 }
 
+section! {
+    /// By which windows the limits of client accounts are judged; the limits are the configuration's.
+    AccountLimitSettings in "limits" named "" {
+        /// The length of a window; every span of that length counts.
+        window_ms: u64 = 1_000,
+        /// The part of a window's operations that may be run beyond the limit.
+        overage: f64 = 0.0,
+        /// Operations that may be run beyond that in a window, whatever the limit.
+        slack: f64 = 0.0,
+    }
+}
+
 /// Every setting of one host.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct ProxySettings {
@@ -90,14 +102,17 @@
     pub metadata: MetadataSettings,
     /// Who leads.
     pub leadership: LeadershipSettings,
+    /// Limits of client accounts.
+    pub limits: AccountLimitSettings,
     /// Logs.
     pub log: LogSettings,
 }
 
-const KINDS: [&str; 4] = [
+const KINDS: [&str; 5] = [
     ProxyDaemonSettings::KIND,
     MetadataSettings::KIND,
     LeadershipSettings::KIND,
+    AccountLimitSettings::KIND,
     LogSettings::KIND,
 ];
 
@@ -120,6 +135,9 @@
                 LeadershipSettings::KIND => {
                     settings.leadership = read_section(&section, &mut problems);
                 }
+                AccountLimitSettings::KIND => {
+                    settings.limits = read_section(&section, &mut problems);
+                }
                 LogSettings::KIND => settings.log = read_section(&section, &mut problems),
                 other => problems.add_with(
                     section.line,
@@ -151,6 +169,9 @@
         if self.leadership.refresh_ms * 2 > self.leadership.right_ms {
             problems.add(1, "refresh_ms", "must be at most half of right_ms");
         }
+        if self.limits.window_ms == 0 {
+            problems.add(1, "window_ms", "must be above 0");
+        }
         if self.leadership.evidence_ms > self.leadership.right_ms {
             problems.add(1, "evidence_ms", "must be at most right_ms");
         }
--- a/crates/config/src/reference.rs
+++ b/crates/config/src/reference.rs
@@ -3,10 +3,10 @@
 use std::fmt::Write;
 
 use crate::{
-    ControlSettings, DaemonSettings, EndpointSettings, FailoverOptions, GroupOptions, KindOptions,
-    LeadershipSettings, LeavingOptions, LimitOptions, LogSettings, MetadataSettings,
-    PlatformSettings, ProxyDaemonSettings, RuleOptions, Section, ServerOptions, ServiceOptions,
-    TlsSettings, TraceSettings, UserOptions,
+    AccountLimitSettings, ControlSettings, DaemonSettings, EndpointSettings, FailoverOptions,
+    GroupOptions, KindOptions, LeadershipSettings, LeavingOptions, LimitOptions, LogSettings,
+    MetadataSettings, PlatformSettings, ProxyDaemonSettings, RuleOptions, Section, ServerOptions,
+    ServiceOptions, TlsSettings, TraceSettings, UserOptions,
 };
 
 /// Returns the tables of every section, as the page holds them between its markers.
@@ -33,6 +33,7 @@
     render_section::<ProxyDaemonSettings>(&mut page);
     render_section::<MetadataSettings>(&mut page);
     render_section::<LeadershipSettings>(&mut page);
+    render_section::<AccountLimitSettings>(&mut page);
     render_section::<LogSettings>(&mut page);
     page
 }
--- /dev/null
+++ b/crates/limits/src/allotment.rs
@@ -0,0 +1,100 @@
+//! What a daemon holds of an account's limit.
+
+use std::time::{Duration, Instant};
+
+/// How far ahead a daemon asks for operations, by the rate that it has seen: one question a fifth of a second, and no
+/// more is held by daemons whose callers have gone than they would use in that time.
+const AHEAD: Duration = Duration::from_millis(200);
+/// The part of an allotment that is left when the next is asked for, ahead of need.
+const LOW_PART: f64 = 0.4;
+/// The time over which the rate is averaged.
+const RATE_OVER: Duration = Duration::from_millis(500);
+
+/// Whether an operation may be run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Taken {
+    /// It may.
+    Yes {
+        /// Whether more should be asked for meanwhile.
+        ask_ahead: bool,
+    },
+    /// Nothing is held: the keeper has to be asked.
+    Ask,
+    /// The account is at its limit until this moment.
+    Full(Instant),
+}
+
+/// Operations that the keeper lent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Lent {
+    /// How many.
+    pub count: u32,
+    /// When they were asked for; they last from then on, by this daemon's clock.
+    pub asked_at: Instant,
+    /// For how long.
+    pub lasts: Duration,
+}
+
+/// What this daemon holds of one account's limit.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Allotment {
+    held: u32,
+    asked_for: u32,
+    until: Option<Instant>,
+    full_until: Option<Instant>,
+    /// Operations a second, lately.
+    rate_per_s: f64,
+    last_at: Option<Instant>,
+}
+
+impl Allotment {
+    /// Takes one operation.
+    pub fn take(&mut self, now: Instant) -> Taken {
+        if self.until.is_none_or(|until| now >= until) {
+            self.held = 0;
+        }
+        if self.held > 0 {
+            self.held -= 1;
+            let low = (f64::from(self.asked_for) * LOW_PART) as u32;
+            return Taken::Yes { ask_ahead: self.asked_for > 1 && self.held <= low };
+        }
+        match self.full_until {
+            Some(until) if now < until => Taken::Full(until),
+            _ => Taken::Ask,
+        }
+    }
+
+    /// Returns how many operations are held and how many to ask for beside them, where `waiting` wait already.
+    pub fn wanted(&self, waiting: u32, now: Instant) -> (u32, u32) {
+        let unused = if self.until.is_some_and(|until| now < until) { self.held } else { 0 };
+        let ahead = (self.rate_per_s * AHEAD.as_secs_f64()).round() as u32;
+        (unused, (waiting + ahead).max(1))
+    }
+
+    /// Takes over what was lent. What was held before lasts as long from then on: the keeper was told of it.
+    pub fn take_over(&mut self, lent: Lent, now: Instant) {
+        if self.until.is_none_or(|until| now >= until) {
+            self.held = 0;
+        }
+        self.held += lent.count;
+        self.asked_for = lent.count;
+        self.until = Some(lent.asked_at + lent.lasts);
+        self.full_until = None;
+    }
+
+    /// Notes that nothing was left.
+    pub fn note_full(&mut self, until: Instant) {
+        self.full_until = Some(until);
+    }
+
+    /// Notes that a caller asks for an operation.
+    pub fn note_demand(&mut self, now: Instant) {
+        let over = RATE_OVER.as_secs_f64();
+        if let Some(last_at) = self.last_at {
+            let gap = now.saturating_duration_since(last_at).as_secs_f64();
+            self.rate_per_s *= (-gap / over).exp();
+        }
+        self.rate_per_s += 1.0 / over;
+        self.last_at = Some(now);
+    }
+}
--- /dev/null
+++ b/crates/limits/src/election.rs
@@ -0,0 +1,226 @@
+//! Who keeps the limits: one daemon at a time, by the votes of the others.
+//!
+//! A vote binds its voter for a time by the voter's clock, and counts for the candidate for a little less, from when it
+//! asked. Two keepers at a time would need a voter that is bound to both. A daemon that starts knows nothing of its
+//! former life's votes and waits for as long as one binds, unless every member answers and none is bound.
+
+use std::{
+    collections::HashMap,
+    time::{Duration, Instant},
+};
+
+use model::Name;
+
+/// Votes that a keeper needs, as a part of the members: above a half, since two daemons may know of somewhat different
+/// members while some come and go. Any two such sets that differ by less than two fifths of the members have a voter in
+/// common.
+const QUORUM_PART: f64 = 0.55;
+/// How often a daemon's part of what is lent without a keeper may be used in a window: by a candidate that it supported
+/// at the end of one window and still lends, by the next one, and once more where the daemon started anew and does not
+/// know. The part is divided by it.
+const USES_IN_WINDOW: f64 = 3.0;
+
+/// The times of an election.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ElectionTimes {
+    /// How long a vote binds its voter.
+    pub binds: Duration,
+    /// How long it counts for the candidate; less, by what clocks may drift in that time.
+    pub counts: Duration,
+    /// The window of the limits: in one of them a voter supports one candidate that is not proved.
+    pub window: Duration,
+}
+
+/// A candidate's question.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct VoteRequest {
+    /// The candidate's host.
+    pub host: Name,
+    /// A number of this life of it.
+    pub life: u64,
+    /// Whether it has a quorum.
+    pub is_keeper: bool,
+}
+
+/// The answer.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Vote {
+    /// Whether the voter is bound to the candidate now, and was bound to nobody else in any life of it.
+    pub is_granted: bool,
+    /// Whether the voter is bound to the candidate, as far as this life of it knows.
+    pub is_bound: bool,
+    /// Whether its part of what may be lent without a keeper goes to the candidate.
+    pub is_provisional: bool,
+}
+
+/// A daemon as a voter.
+#[derive(Clone, Debug)]
+pub struct Voter {
+    times: ElectionTimes,
+    /// Until when a former life of this daemon may be bound.
+    fresh_until: Instant,
+    bound: Option<Bound>,
+    supported_at: Option<Instant>,
+}
+
+#[derive(Clone, Debug)]
+struct Bound {
+    request: VoteRequest,
+    until: Instant,
+    supports: bool,
+}
+
+impl Voter {
+    /// Makes the voter of a daemon that starts now.
+    pub fn new(times: ElectionTimes, now: Instant) -> Voter {
+        Voter { times, fresh_until: now + times.binds, bound: None, supported_at: None }
+    }
+
+    /// Answers a candidate. Only a daemon whose lease stands by its own clock votes: others may count it no more.
+    pub fn vote(&mut self, request: &VoteRequest, is_member: bool, now: Instant) -> Vote {
+        let is_other = |bound: &&Bound| {
+            now < bound.until
+                && (bound.request.host != request.host || bound.request.life != request.life)
+        };
+        if !is_member || self.bound.as_ref().is_some_and(|bound| is_other(&bound)) {
+            return Vote::default();
+        }
+        let is_same = |bound: &Bound| {
+            bound.request.host == request.host && bound.request.life == request.life
+        };
+        let supported = self.bound.as_ref().is_some_and(|bound| is_same(bound) && bound.supports);
+        let may_support =
+            self.supported_at.is_none_or(|at| now.duration_since(at) >= self.times.window);
+        let supports = supported || (!request.is_keeper && may_support);
+        if supports && !supported {
+            self.supported_at = Some(now);
+        }
+        let until = now + self.times.binds;
+        self.bound = Some(Bound { request: request.clone(), until, supports });
+        Vote { is_granted: now >= self.fresh_until, is_bound: true, is_provisional: supports }
+    }
+
+    /// Returns whom this daemon takes for the keeper, or for the one to be.
+    pub fn keeper(&self, now: Instant) -> Option<&Name> {
+        self.bound.as_ref().filter(|bound| now < bound.until).map(|bound| &bound.request.host)
+    }
+}
+
+/// What a daemon is in an election.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Standing {
+    /// It keeps the limits.
+    Keeper {
+        /// Rises with each time that it came to keep them.
+        term: u64,
+        /// Since when.
+        since: Instant,
+    },
+    /// It wants to, and may lend this share of what is for that time.
+    Candidate {
+        /// The term that it would have.
+        term: u64,
+        /// The share, 1 at the most.
+        share: f64,
+    },
+    /// It does not, or nobody answers it.
+    None,
+}
+
+/// An answer with when it was asked for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Ballot {
+    /// The voter.
+    pub host: Name,
+    /// When the candidate asked.
+    pub asked_at: Instant,
+    /// What was answered.
+    pub vote: Vote,
+}
+
+/// A daemon as a candidate, or as the keeper.
+#[derive(Clone, Debug)]
+pub struct Candidacy {
+    times: ElectionTimes,
+    ballots: HashMap<Name, Ballot>,
+    term: u64,
+    since: Option<Instant>,
+    valid_until: Option<Instant>,
+}
+
+impl Candidacy {
+    /// Begins one; `term` is above those of former candidacies of this life.
+    pub fn new(times: ElectionTimes, term: u64) -> Candidacy {
+        Candidacy { times, ballots: HashMap::new(), term, since: None, valid_until: None }
+    }
+
+    /// Takes over an answer.
+    pub fn count(&mut self, ballot: Ballot) {
+        self.ballots.insert(ballot.host.clone(), ballot);
+    }
+
+    /// Works out until when the votes of these members hold.
+    pub fn settle(&mut self, members: &[Name], now: Instant) {
+        let counted = |ballot: &&Ballot| now < ballot.asked_at + self.times.counts;
+        let ballots = || members.iter().filter_map(|host| self.ballots.get(host)).filter(counted);
+        let mut granted: Vec<Instant> =
+            ballots().filter(|it| it.vote.is_granted).map(|it| it.asked_at).collect();
+        let bound: Vec<Instant> =
+            ballots().filter(|it| it.vote.is_bound).map(|it| it.asked_at).collect();
+        let quorum = (members.len() as f64 * QUORUM_PART) as usize + 1;
+        granted.sort_unstable();
+        let by_quorum = granted.len().checked_sub(quorum).map(|place| granted[place]);
+        let is_unanimous = !members.is_empty() && bound.len() == members.len();
+        let by_all = bound.iter().min().copied().filter(|_| is_unanimous);
+        let asked_at = by_quorum.max(by_all);
+        self.valid_until = asked_at.map(|at| at + self.times.counts);
+        match (self.valid_until, self.since) {
+            (Some(_), None) => {
+                self.since = Some(now);
+                self.term += 1;
+            }
+            // Whoever lost the quorum begins anew, with nothing saved up.
+            (None, Some(_)) => self.since = None,
+            _ => {}
+        }
+    }
+
+    /// Returns what this daemon is now.
+    pub fn standing(&self, members: usize, now: Instant) -> Standing {
+        match (self.since, self.valid_until) {
+            (Some(since), Some(until)) if now < until => {
+                Standing::Keeper { term: self.term, since }
+            }
+            (Some(_), _) => Standing::None,
+            (None, _) => {
+                let supports = self
+                    .ballots
+                    .values()
+                    .filter(|it| it.vote.is_provisional && now < it.asked_at + self.times.counts);
+                let parts = supports.count() as f64 / members.max(1) as f64;
+                let share = parts.min(1.0) / USES_IN_WINDOW;
+                Standing::Candidate { term: self.term, share }
+            }
+        }
+    }
+
+    /// Returns the term that the next candidacy of this life begins with.
+    pub fn next_term(&self) -> u64 {
+        self.term + 1
+    }
+
+    /// Whether it has a quorum.
+    pub fn is_keeper(&self, now: Instant) -> bool {
+        matches!(self.standing(1, now), Standing::Keeper { .. })
+    }
+}
+
+/// How long nothing may be heard of a keeper before a daemon asks for votes itself, by its place among the members: one
+/// after the other, so that they don't take each other's votes.
+pub fn campaign_after(silence: Duration, place: usize) -> Duration {
+    /// A round of votes and the scheduling of a busy host.
+    const EACH: Duration = Duration::from_millis(120);
+    /// Places that are told apart; with so many silent daemons at the head of the order the rest begin together.
+    const PLACES: u32 = 12;
+    silence + EACH * (place as u32).min(PLACES)
+}
--- /dev/null
+++ b/crates/limits/src/lib.rs
@@ -0,0 +1,18 @@
+//! How much a client account may ask of all daemons together.
+//!
+//! One daemon, the keeper, lends each account's operations to the daemons at which its callers are; it is elected by
+//! the daemons themselves, so that limits hold also while the platform's store is away. Everything here is a small
+//! state machine without input, output or clock: the daemon feeds it and carries out what it returns. The guarantee
+//! and its proof stand in `docs/ACCOUNTS.md`.
+
+mod allotment;
+mod budget;
+mod election;
+mod ledger;
+
+pub use allotment::{Allotment, Lent, Taken};
+pub use budget::{Budget, RateLimit, WindowRule};
+pub use election::{
+    Ballot, Candidacy, ElectionTimes, Standing, Vote, VoteRequest, Voter, campaign_after,
+};
+pub use ledger::{Grant, Ledger, Wanted};
--- a/crates/proxy/src/catalog.rs
+++ b/crates/proxy/src/catalog.rs
@@ -4,6 +4,8 @@
 
 use model::Name;
 
+use crate::accounts::Accounts;
+
 /// What a session that names a database is given.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Route {
@@ -21,6 +23,8 @@
     pub priority: u8,
     /// How often a statement may be sent to a server in all.
     pub attempts: u32,
+    /// Whether callers without an account are served.
+    pub is_public: bool,
 }
 
 /// How old the data of a read may be.
@@ -69,7 +73,7 @@
 }
 
 /// A configuration, whole.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Catalog {
     /// Rises with every change; 0 before the first configuration.
     pub version: u64,
@@ -79,6 +83,8 @@
     pub services: HashMap<Name, ServiceRule>,
     /// How long a transaction may rest before it may be ended; `None` for as long as it likes.
     pub idle_transaction: Option<Duration>,
+    /// The client accounts; `None` where the configuration has none, so that whoever comes is served.
+    pub accounts: Option<Arc<Accounts>>,
 }
 
 /// What a server says of itself in the store.
--- a/crates/proxy/src/control/beliefs.rs
+++ b/crates/proxy/src/control/beliefs.rs
@@ -124,6 +124,10 @@
     pub samples: Arc<HashMap<Name, PrimarySample>>,
     /// Whether the servers' entries have been read at least once.
     pub servers_known: bool,
+    /// Every member that can be asked, by host.
+    pub members: Arc<BTreeMap<Name, SocketAddr>>,
+    /// Until when this daemon is a member by its own clock.
+    pub member_until: Option<Instant>,
 }
 
 impl Beliefs {
@@ -132,6 +136,16 @@
         self.catalog.version > 0 && self.servers_known
     }
 
+    /// Whether this daemon is a member, so that others count it as one too.
+    pub fn is_member(&self, now: Instant) -> bool {
+        self.member_until.is_some_and(|until| now < until)
+    }
+
+    /// Whether any client account has a limit.
+    pub fn has_limits(&self) -> bool {
+        self.catalog.accounts.as_ref().is_some_and(|accounts| accounts.has_limits())
+    }
+
     /// Returns who leads a service if that may be acted on now.
     pub fn lead_in_force(&self, service: &str, now: Instant) -> Option<&Lead> {
         self.leads.get(service).filter(|lead| lead.is_valid(now))
--- a/crates/proxy/src/control/commands.rs
+++ b/crates/proxy/src/control/commands.rs
@@ -10,11 +10,12 @@
 use tokio::sync::oneshot;
 
 use crate::{
+    accounts::Principal,
     catalog::ServerEntry,
     control::outside::Outside,
     control::runner::{Ask, CommandAsk, Control, join_all},
     dialect::EndpointDialect,
-    serve::connection::{ConnectionLost, EndpointConnection},
+    serve::connection::{ConnectionLost, EndpointConnection, Introduction},
     statement::{EndpointCommand, EndpointStatus, EndpointText, ErrorCode},
 };
 
@@ -156,8 +157,9 @@
         let mut connection = match open {
             Some(connection) if connection.is_quiet() => connection,
             _ => {
-                let host = &self.settings.host;
-                EndpointConnection::open(&self.dialect, &entry, host, within).await?
+                let introduction =
+                    Introduction { host: &self.settings.host, principal: &Principal::Daemon };
+                EndpointConnection::open(&self.dialect, &entry, introduction, within).await?
             }
         };
         loop {
--- a/crates/proxy/src/control/membership.rs
+++ b/crates/proxy/src/control/membership.rs
@@ -139,6 +139,7 @@
             Ok(true) => {
                 let lease = HeldLease { valid_until: sent_at + lasts, ..lease };
                 self.state.borrow_mut().lease = Some(lease);
+                self.publish();
                 if self.is_key_gone() {
                     log::info!(event = "member_key_gone"; "this daemon's key is written again");
                     self.put_member(lease.id).await?;
--- a/crates/proxy/src/control/runner.rs
+++ b/crates/proxy/src/control/runner.rs
@@ -283,6 +283,8 @@
             owners: state.published_owners.clone(),
             samples: state.samples.clone(),
             servers_known: state.servers_known,
+            members: state.published_members.clone(),
+            member_until: state.lease.map(|lease| lease.valid_until),
         };
         drop(state);
         self.beliefs.send_replace(Arc::new(beliefs));
--- a/crates/proxy/src/control/state.rs
+++ b/crates/proxy/src/control/state.rs
@@ -114,6 +114,8 @@
     pub(crate) published_servers: Arc<ServersByService>,
     pub(crate) published_detours: Arc<Detours>,
     pub(crate) published_owners: Arc<Owners>,
+    /// Every member that can be asked, by host.
+    pub(crate) published_members: Arc<BTreeMap<Name, SocketAddr>>,
     /// The [`State::members_version`] that they were made from.
     pub(crate) owners_of_members: Option<u64>,
     /// Availability zones that have members.
--- a/crates/proxy/src/daemon.rs
+++ b/crates/proxy/src/daemon.rs
@@ -18,6 +18,7 @@
 
 use config::ProxySettings;
 use eyre::{OptionExt, WrapErr};
+use limits::WindowRule;
 use tokio::{net::TcpListener, runtime::Runtime, sync::watch, task::LocalSet};
 
 use crate::{
@@ -183,6 +184,11 @@
         stop_transactions_after: grace.mul_f64(STOP_TRANSACTIONS_SHARE),
         stop_resting_after: STOP_RESTING_AFTER.min(grace.mul_f64(STOP_TRANSACTIONS_SHARE)),
         most_callers: settings.daemon.descriptors / 2,
+        window_rule: WindowRule {
+            window: Duration::from_millis(settings.limits.window_ms),
+            overage: settings.limits.overage,
+            slack: settings.limits.slack,
+        },
     }
 }
 
@@ -199,6 +205,7 @@
     log::info!(event = "started", host = &*engine.settings.host; "the daemon runs");
     tokio::task::spawn_local(answer_asks(engine.clone(), asks));
     tokio::task::spawn_local(engine.clone().end_rested_connections());
+    tokio::task::spawn_local(engine.clone().keep_limits());
     let accepting = {
         let engine = engine.clone();
         tokio::task::spawn_local(async move {
--- a/crates/proxy/src/dialect.rs
+++ b/crates/proxy/src/dialect.rs
@@ -5,8 +5,9 @@
 use bytes::{Bytes, BytesMut};
 use model::{LogPoint, Name};
 
-use crate::statement::{
-    EndpointCommand, EndpointStatus, Request, StatementError, TransactionState,
+use crate::{
+    accounts::AccountKey,
+    statement::{EndpointCommand, EndpointStatus, Request, StatementError, TransactionState},
 };
 
 /// A message of a caller.
@@ -16,6 +17,8 @@
     Startup {
         /// The database that the caller names.
         database: Name,
+        /// What it shows to be of a client account.
+        key: AccountKey,
     },
     /// A request.
     Request(Request),
@@ -81,8 +84,8 @@
 pub struct EndpointStartup {
     /// The service.
     pub service: Name,
-    /// Who connects.
-    pub host: Name,
+    /// Who connects: a client account's name, or the host's for work of no account.
+    pub who: Name,
     /// The server that must answer; another at the same address refuses.
     pub server: Name,
 }
--- a/crates/proxy/src/events.rs
+++ b/crates/proxy/src/events.rs
@@ -22,6 +22,8 @@
     pub promotion_steps: IntCounterVec,
     /// Answers of primaries that contradict the right that they were used by; none may ever be seen.
     pub contradictions: IntCounterVec,
+    /// Operations refused for their client account, by why: its limit, or a key that nobody holds.
+    pub refused: IntCounterVec,
     /// Numbers as they are now: callers, version of the configuration, members.
     pub now: IntGaugeVec,
 }
@@ -70,6 +72,11 @@
             "Answers of primaries that contradict the right that they were used by.",
             &["how"],
         );
+        let refused = counter(
+            "wardtiller_proxy_refused_total",
+            "Operations refused for their client account, by reason.",
+            &["why"],
+        );
         let statement_seconds = HistogramVec::new(
             HistogramOpts::new(
                 "wardtiller_proxy_statement_seconds",
@@ -97,6 +104,7 @@
             store_calls,
             promotion_steps,
             contradictions,
+            refused,
             now,
         }
     }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -5,6 +5,7 @@
 //! no wire: [`dialect`], [`metadata`] and [`order`] are what an adapter fills. `docs/PLATFORM.md` says
 //! which programs run where and what was weighed.
 
+pub mod accounts;
 pub mod catalog;
 pub mod control;
 pub mod daemon;
--- a/crates/proxy/src/relay/answering.rs
+++ b/crates/proxy/src/relay/answering.rs
@@ -13,6 +13,7 @@
 use prost::Message;
 
 use crate::{
+    accounts::Principal,
     control::peer_link::{Frames, HandedOver},
     dialect::{CallerDialect, EndpointDialect},
     relay::{
@@ -105,6 +106,13 @@
     let (lease, number) = (request.lease, request.number);
     let at_once = match &request.task {
         Some(RelayTask::Ping(_)) => Some(RelayOutcome::Pong(true)),
+        Some(RelayTask::Vote(asked)) => {
+            Some(RelayOutcome::Voted(engine.vote(&asked.request()).into()))
+        }
+        Some(RelayTask::Lend(asked)) => {
+            let account = Name::from(request.account.as_str());
+            Some(RelayOutcome::Lent(engine.lend(&account, &asked.wanted()).into()))
+        }
         Some(RelayTask::Release(_)) => {
             let lease = leases.borrow_mut().remove(&lease);
             if let Some(lease) = lease {
@@ -299,6 +307,10 @@
         priority: request.priority.min(u32::from(u8::MAX)) as u8,
         yields: request.yields,
         is_handed_over: true,
+        principal: match &request.task {
+            Some(RelayTask::Command(_)) => None,
+            _ => Some(Principal::from_told(&request.account)),
+        },
     };
     let wait_until = received_at + request.waits();
     let acquired = engine.acquire(group, wish, &errand.values, wait_until).await;
--- a/crates/proxy/src/relay/lease.rs
+++ b/crates/proxy/src/relay/lease.rs
@@ -9,6 +9,7 @@
 use model::Name;
 
 use crate::{
+    accounts::Principal,
     relay::{
         link::RelayLink,
         links::RelayLinks,
@@ -37,6 +38,8 @@
     pub leads: bool,
     /// Whether it leaves room at the primary for others.
     pub yields: bool,
+    /// For whom it runs.
+    pub principal: Principal,
 }
 
 /// The right to run statements on an owner's connections. Dropped, it ends with whatever is open.
@@ -95,7 +98,10 @@
                 Err((Progress::NotSent, ConnectionLost::NotGranted(why)))
             }
             RelayOutcome::Lost(why) => Err((Progress::Sent, ConnectionLost::Broken(why))),
-            RelayOutcome::Pong(_) | RelayOutcome::Sampled(_) => {
+            RelayOutcome::Pong(_)
+            | RelayOutcome::Sampled(_)
+            | RelayOutcome::Voted(_)
+            | RelayOutcome::Lent(_) => {
                 let why = "an owner's answer".to_owned();
                 Err((Progress::Sent, ConnectionLost::Garbled(why)))
             }
@@ -124,6 +130,7 @@
             priority: u32::from(self.terms.priority),
             leads: self.terms.leads,
             yields: self.terms.yields,
+            account: self.terms.principal.told().to_owned(),
             ..RelayRequest::default()
         }
     }
--- a/crates/proxy/src/relay/messages.rs
+++ b/crates/proxy/src/relay/messages.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use limits::{Grant, Vote, VoteRequest, Wanted};
 use model::{LogPoint, Name, Position, StatementClass, Term};
 use prost::{Message, Oneof};
 
@@ -59,8 +60,11 @@
     /// By the owner's clock, as its answers tell it, until when the owner may begin with it at the server.
     #[prost(uint64, tag = "22")]
     pub begin_until_ms: u64,
+    /// The client account for whom it runs; empty for none.
+    #[prost(string, tag = "24")]
+    pub account: String,
     /// What is to be done; none if it is of a later version than this daemon knows.
-    #[prost(oneof = "RelayTask", tags = "13, 14, 15, 16, 17, 18, 19, 20, 21, 23")]
+    #[prost(oneof = "RelayTask", tags = "13, 14, 15, 16, 17, 18, 19, 20, 21, 23, 25, 26")]
     pub task: Option<RelayTask>,
 }
 
@@ -98,6 +102,12 @@
     /// Tell where the server's log stood when it was asked as the primary, not longer ago than so many milliseconds.
     #[prost(uint64, tag = "23")]
     Sample(u64),
+    /// Vote for the asker as the keeper of the accounts' limits.
+    #[prost(message, tag = "25")]
+    Vote(VoteMessage),
+    /// Lend operations of the account's limit.
+    #[prost(message, tag = "26")]
+    Lend(LendMessage),
 }
 
 /// A value of a session.
@@ -157,7 +167,7 @@
     #[prost(uint64, tag = "6")]
     pub clock_ms: u64,
     /// What became of it.
-    #[prost(oneof = "RelayOutcome", tags = "2, 3, 4, 5, 7")]
+    #[prost(oneof = "RelayOutcome", tags = "2, 3, 4, 5, 7, 8, 9")]
     pub outcome: Option<RelayOutcome>,
 }
 
@@ -179,6 +189,120 @@
     /// Where the primary's log stood.
     #[prost(message, tag = "7")]
     Sampled(SampledMessage),
+    /// Whether the asker has the vote.
+    #[prost(message, tag = "8")]
+    Voted(VotedMessage),
+    /// What was lent.
+    #[prost(message, tag = "9")]
+    Lent(LentMessage),
+}
+
+/// A candidate's question, see [`limits::VoteRequest`].
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct VoteMessage {
+    /// The candidate's host.
+    #[prost(string, tag = "1")]
+    pub host: String,
+    /// A number of this life of it.
+    #[prost(uint64, tag = "2")]
+    pub life: u64,
+    /// Whether it has a quorum.
+    #[prost(bool, tag = "3")]
+    pub is_keeper: bool,
+}
+
+/// The answer, see [`limits::Vote`].
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub struct VotedMessage {
+    /// Whether the voter is bound to the candidate, in every life of it.
+    #[prost(bool, tag = "1")]
+    pub is_granted: bool,
+    /// Whether it is as far as this life knows.
+    #[prost(bool, tag = "2")]
+    pub is_bound: bool,
+    /// Whether its part of what is lent without a keeper goes to the candidate.
+    #[prost(bool, tag = "3")]
+    pub is_provisional: bool,
+}
+
+/// A question for operations of an account's limit, see [`limits::Wanted`].
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct LendMessage {
+    /// The asker's host.
+    #[prost(string, tag = "1")]
+    pub host: String,
+    /// Operations that it still holds.
+    #[prost(uint32, tag = "2")]
+    pub unused: u32,
+    /// Operations that it wants.
+    #[prost(uint32, tag = "3")]
+    pub wanted: u32,
+}
+
+/// What was lent, see [`limits::Grant`]; neither where the asked daemon is not the keeper.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub struct LentMessage {
+    /// So many operations.
+    #[prost(uint32, tag = "1")]
+    pub count: u32,
+    /// Where nothing is left, when to ask again, in milliseconds.
+    #[prost(uint64, tag = "2")]
+    pub wait_ms: u64,
+}
+
+impl From<&VoteRequest> for VoteMessage {
+    fn from(request: &VoteRequest) -> VoteMessage {
+        let VoteRequest { host, life, is_keeper } = request;
+        VoteMessage { host: host.to_string(), life: *life, is_keeper: *is_keeper }
+    }
+}
+
+impl VoteMessage {
+    /// Returns the question.
+    pub fn request(&self) -> VoteRequest {
+        let host = Name::from(self.host.as_str());
+        VoteRequest { host, life: self.life, is_keeper: self.is_keeper }
+    }
+}
+
+impl From<Vote> for VotedMessage {
+    fn from(vote: Vote) -> VotedMessage {
+        let Vote { is_granted, is_bound, is_provisional } = vote;
+        VotedMessage { is_granted, is_bound, is_provisional }
+    }
+}
+
+impl VotedMessage {
+    /// Returns the answer.
+    pub fn vote(self) -> Vote {
+        let VotedMessage { is_granted, is_bound, is_provisional } = self;
+        Vote { is_granted, is_bound, is_provisional }
+    }
+}
+
+impl LendMessage {
+    /// Returns how a question is told.
+    pub fn of(wanted: &Wanted) -> LendMessage {
+        let Wanted { host, unused, wanted } = wanted;
+        LendMessage { host: host.to_string(), unused: *unused, wanted: *wanted }
+    }
+
+    /// Returns the question.
+    pub fn wanted(&self) -> Wanted {
+        let host = Name::from(self.host.as_str());
+        Wanted { host, unused: self.unused, wanted: self.wanted }
+    }
+}
+
+impl From<Grant> for LentMessage {
+    fn from(grant: Grant) -> LentMessage {
+        match grant {
+            Grant::Lent(count) => LentMessage { count, wait_ms: 0 },
+            // Rounded up, so that it is never taken for the answer of who does not keep the limits.
+            Grant::Empty(wait) => LentMessage { count: 0, wait_ms: wait.as_millis() as u64 + 1 },
+            Grant::NotKeeper => LentMessage { count: 0, wait_ms: 0 },
+        }
+    }
 }
 
 /// Where a primary's log stood, if the owner knows.
@@ -288,7 +412,11 @@
                 arguments: execute.arguments.clone(),
             }),
             RelayTask::Command(command) => Task::Command(command.text()?),
-            RelayTask::Release(_) | RelayTask::Ping(_) | RelayTask::Sample(_) => return None,
+            RelayTask::Release(_)
+            | RelayTask::Ping(_)
+            | RelayTask::Sample(_)
+            | RelayTask::Vote(_)
+            | RelayTask::Lend(_) => return None,
         })
     }
 }
--- a/crates/proxy/src/serve/connection.rs
+++ b/crates/proxy/src/serve/connection.rs
@@ -14,6 +14,7 @@
 };
 
 use crate::{
+    accounts::Principal,
     catalog::ServerEntry,
     control::{detour::open_detour, peers::DetourRequest},
     dialect::{EndpointDialect, EndpointMessage, EndpointStartup},
@@ -60,6 +61,26 @@
     }
 }
 
+/// Who connects to a server.
+#[derive(Clone, Copy, Debug)]
+pub struct Introduction<'a> {
+    /// This daemon's host.
+    pub host: &'a Name,
+    /// For whom the connection works.
+    pub principal: &'a Principal,
+}
+
+impl Introduction<'_> {
+    /// Returns what the server is told.
+    fn who(&self, is_direct: bool) -> Name {
+        match self.principal {
+            Principal::Account(name) => name.clone(),
+            Principal::Daemon if is_direct => self.host.clone(),
+            Principal::Daemon => Name::from(format!("{}{DETOUR_MARK}", self.host)),
+        }
+    }
+}
+
 /// The server at the other end of a connection, and how it is reached.
 #[derive(Clone, Debug)]
 pub struct Reached {
@@ -79,6 +100,8 @@
     outgoing: BytesMut,
     /// The server's identity, as it was expected and confirmed.
     pub server: Name,
+    /// For whom it works, for as long as it stands.
+    pub principal: Principal,
     /// What the server's side holds for sessions.
     pub environment: Environment,
     /// Whether it goes to the server itself, and not through another daemon.
@@ -92,7 +115,7 @@
     pub async fn open(
         dialect: &E,
         entry: &ServerEntry,
-        host: &Name,
+        introduction: Introduction<'_>,
         within: Duration,
     ) -> Result<EndpointConnection<E>, ConnectionLost> {
         let deadline = Instant::now() + within;
@@ -101,7 +124,7 @@
             Ok(Err(error)) => return Err(ConnectionLost::Broken(error.to_string())),
             Err(_) => return Err(ConnectionLost::Silent),
         };
-        EndpointConnection::accept(dialect, stream, true, entry, host, deadline).await
+        EndpointConnection::accept(dialect, stream, true, entry, introduction, deadline).await
     }
 
     /// The same through the daemon at `peer`, for a server that can't be reached from here.
@@ -109,7 +132,7 @@
         peer: SocketAddr,
         dialect: &E,
         entry: &ServerEntry,
-        host: &Name,
+        introduction: Introduction<'_>,
         within: Duration,
     ) -> Result<EndpointConnection<E>, ConnectionLost> {
         let deadline = Instant::now() + within;
@@ -120,8 +143,7 @@
             Ok(Err(none)) => return Err(ConnectionLost::Broken(none.to_string())),
             Err(_) => return Err(ConnectionLost::Silent),
         };
-        let host = Name::from(format!("{host}{DETOUR_MARK}"));
-        EndpointConnection::accept(dialect, stream, false, entry, &host, deadline).await
+        EndpointConnection::accept(dialect, stream, false, entry, introduction, deadline).await
     }
 
     /// Tells the server at the other end what is wanted and waits until it agrees.
@@ -130,7 +152,7 @@
         stream: TcpStream,
         is_direct: bool,
         entry: &ServerEntry,
-        host: &Name,
+        introduction: Introduction<'_>,
         deadline: Instant,
     ) -> Result<EndpointConnection<E>, ConnectionLost> {
         stream.set_nodelay(true).map_err(|error| ConnectionLost::Broken(error.to_string()))?;
@@ -142,12 +164,13 @@
             incoming: BytesMut::new(),
             outgoing: BytesMut::new(),
             server: entry.server.clone(),
+            principal: introduction.principal.clone(),
             environment: Environment::default(),
             last_point: None,
         };
         let startup = EndpointStartup {
             service: entry.service.clone(),
-            host: host.clone(),
+            who: introduction.who(is_direct),
             server: entry.server.clone(),
         };
         connection.dialect.encode_startup(&startup, &mut connection.outgoing);
--- a/crates/proxy/src/serve/engine.rs
+++ b/crates/proxy/src/serve/engine.rs
@@ -9,20 +9,23 @@
     time::{Duration, Instant},
 };
 
+use limits::WindowRule;
 use model::Name;
 use routing::RetryBudget;
 use session::StalenessSamples;
 use tokio::sync::{Notify, watch};
 
 use crate::{
+    accounts::Principal,
     catalog::ServerEntry,
     control::beliefs::{Beliefs, Detours, Observation, Owners},
     dialect::{CallerDialect, EndpointDialect},
     events::ProxyMetrics,
     relay::links::RelayLinks,
     serve::{
-        connection::{ConnectionLost, EndpointConnection},
-        lent::Lent,
+        connection::{ConnectionLost, EndpointConnection, Introduction},
+        lent::{Lent, OpeningPlace},
+        limits::Limits,
         pool::{GroupPool, NoConnection, Offer, Wish},
         reachability::ProbeState,
         replay::SessionValues,
@@ -127,6 +130,8 @@
     pub stop_resting_after: Duration,
     /// Callers at a time; one more is refused.
     pub most_callers: u64,
+    /// By which windows the limits of client accounts are judged.
+    pub window_rule: WindowRule,
 }
 
 /// The shared state of the serving thread.
@@ -146,7 +151,8 @@
     /// Callers connected now.
     pub callers: Cell<u64>,
     pub(crate) observations: flume::Sender<Observation>,
-    relays: Rc<RelayLinks>,
+    pub(crate) relays: Rc<RelayLinks>,
+    pub(crate) limits: Limits,
     /// Where this daemon's clock begins, by which others tell it until when it may begin with their statements.
     epoch: Instant,
     groups: RefCell<HashMap<Name, Rc<Group<E>>>>,
@@ -184,7 +190,9 @@
 impl<C: CallerDialect, E: EndpointDialect> Engine<C, E> {
     /// Joins the pieces.
     pub fn new(parts: EngineParts<C, E>) -> Engine<C, E> {
+        let limits = Limits::new(parts.settings.window_rule);
         Engine {
+            limits,
             caller_dialect: parts.caller_dialect,
             endpoint_dialect: parts.endpoint_dialect,
             settings: parts.settings,
@@ -291,7 +299,7 @@
             };
             let server = place.entry.server.clone();
             let detour = group.pool.detour_to(&server);
-            match self.open(&place.entry, detour).await {
+            match self.open(&place, detour).await {
                 Ok(connection) => {
                     self.metrics.connections_opened.with_label_values(&["opened"]).inc();
                     if connection.is_direct {
@@ -315,18 +323,25 @@
         }
     }
 
+    /// Returns what a server is told of who connects.
+    pub(crate) fn introduce<'a>(&'a self, principal: &'a Principal) -> Introduction<'a> {
+        Introduction { host: &self.settings.host, principal }
+    }
+
     /// Opens a connection, through another daemon where there is a detour.
     async fn open(
         &self,
-        entry: &ServerEntry,
+        place: &OpeningPlace<E>,
         detour: Option<SocketAddr>,
     ) -> Result<EndpointConnection<E>, ConnectionLost> {
-        let (dialect, host) = (&self.endpoint_dialect, &self.settings.host);
+        let (dialect, entry) = (&self.endpoint_dialect, &*place.entry);
+        let introduction = self.introduce(&place.principal);
         let Some(peer) = detour else {
-            return EndpointConnection::open(dialect, entry, host, CONNECT_WITHIN).await;
+            return EndpointConnection::open(dialect, entry, introduction, CONNECT_WITHIN).await;
         };
         let opened =
-            EndpointConnection::open_through(peer, dialect, entry, host, CONNECT_WITHIN).await?;
+            EndpointConnection::open_through(peer, dialect, entry, introduction, CONNECT_WITHIN)
+                .await?;
         self.metrics.connections_opened.with_label_values(&["detour"]).inc();
         log::info!(
             event = "detour_opened", service = &*entry.service, server = &*entry.server,
--- a/crates/proxy/src/serve/execute.rs
+++ b/crates/proxy/src/serve/execute.rs
@@ -187,6 +187,7 @@
             priority: job.route.priority,
             yields: class == StatementClass::Read && job.route.reads != ReadRule::Primary,
             is_handed_over: false,
+            principal: Some(job.principal.clone()),
         };
         // The wait for a primary is over only now, and the wait for a connection begins.
         let wait_until = job.wait_until(Instant::now());
--- a/crates/proxy/src/serve/job.rs
+++ b/crates/proxy/src/serve/job.rs
@@ -9,6 +9,7 @@
 use model::{LogPoint, StatementClass};
 
 use crate::{
+    accounts::Principal,
     catalog::Route,
     serve::{
         errand::{Errand, Task},
@@ -81,6 +82,8 @@
     pub own: Option<LogPoint>,
     /// When it arrived.
     pub arrived: Instant,
+    /// For whom it runs.
+    pub principal: Principal,
 }
 
 impl Job<'_> {
--- a/crates/proxy/src/serve/lent.rs
+++ b/crates/proxy/src/serve/lent.rs
@@ -10,13 +10,14 @@
 use model::Name;
 
 use crate::{
+    accounts::Principal,
     catalog::ServerEntry,
     dialect::EndpointDialect,
     relay::lease::Lease,
     serve::{
         connection::{ConnectionLost, EndpointConnection, Reached},
         errand::Errand,
-        pool::{GroupPool, Offer},
+        pool::{GroupPool, Offer, Waiter, Wish},
         verdict::Progress,
     },
     statement::Answer,
@@ -29,6 +30,8 @@
     pub entry: Arc<ServerEntry>,
     pub(super) yields: bool,
     pub(super) settled: bool,
+    /// For whom the connection will work.
+    pub principal: Principal,
 }
 
 /// What one statement or transaction has for itself.
@@ -132,6 +135,9 @@
             self.pool.with_slot(self.server(), |slot| slot.yielding -= 1);
         }
         while let Some(waiter) = self.pool.next_waiter(self.server()) {
+            if !self.works_for(&waiter.wish) {
+                return self.make_room_for(waiter);
+            }
             if waiter.wish.yields {
                 self.yields = true;
                 self.pool.with_slot(self.server(), |slot| slot.yielding += 1);
@@ -153,6 +159,27 @@
     }
 }
 
+impl<E: EndpointDialect> Lent<E> {
+    /// Whether whoever has this wish may use this very connection.
+    fn works_for(&self, wish: &Wish) -> bool {
+        match &self.held {
+            Held::Own(connection) => wish.may_use(&connection.principal),
+            Held::Owners(_) | Held::Nothing => false,
+        }
+    }
+
+    /// Ends this connection, so that another one can be opened in its place for who waits and may not use it.
+    fn make_room_for(mut self, waiter: Waiter<E>) {
+        let Held::Own(connection) = std::mem::replace(&mut self.held, Held::Nothing) else {
+            return;
+        };
+        let server = connection.server.clone();
+        drop(connection);
+        self.pool.with_slot(&server, |slot| slot.leave(false));
+        self.pool.offer_place(&server, waiter);
+    }
+}
+
 impl<E: EndpointDialect> Drop for Lent<E> {
     fn drop(&mut self) {
         match std::mem::replace(&mut self.held, Held::Nothing) {
--- a/crates/proxy/src/serve/mod.rs
+++ b/crates/proxy/src/serve/mod.rs
@@ -11,6 +11,7 @@
 pub mod floor;
 pub mod job;
 pub mod lent;
+pub(crate) mod limits;
 pub mod pool;
 pub(crate) mod reachability;
 pub mod replay;
--- a/crates/proxy/src/serve/pool.rs
+++ b/crates/proxy/src/serve/pool.rs
@@ -17,6 +17,7 @@
 use tokio::sync::oneshot;
 
 use crate::{
+    accounts::Principal,
     catalog::ServerEntry,
     control::beliefs::{Detours, Owners},
     dialect::EndpointDialect,
@@ -55,6 +56,15 @@
     pub yields: bool,
     /// Whether another daemon handed it over; then it runs on a connection of this one, whoever owns them.
     pub is_handed_over: bool,
+    /// For whom the connection must work; `None` for a command of the daemon's own, which any will do for.
+    pub principal: Option<Principal>,
+}
+
+impl Wish {
+    /// Whether a connection that works for `principal` will do.
+    pub(super) fn may_use(&self, principal: &Principal) -> bool {
+        self.principal.as_ref().is_none_or(|wanted| wanted == principal)
+    }
 }
 
 /// A statement that waits for a connection.
@@ -163,13 +173,13 @@
                 if let Some(lent) = self.lease(index, &wish, deadline) {
                     return Ok(Offer::Lent(lent));
                 }
-                if let Some(connection) = self.take_idle(index, values, wish.yields) {
+                if let Some(connection) = self.take_idle(index, values, &wish) {
                     return Ok(Offer::Lent(self.lent(connection, wish.yields)));
                 }
                 // Every idle connection had ended; there is room for a new one now.
-                Ok(Offer::Open(self.place(index, wish.yields)))
+                Ok(Offer::Open(self.place(index, &wish)))
             }
-            Choice::Open(index) => Ok(Offer::Open(self.place(index, wish.yields))),
+            Choice::Open(index) => Ok(Offer::Open(self.place(index, &wish))),
             Choice::Wait => self.wait(wish, deadline).await,
             Choice::Nowhere => Err(NoConnection::Nowhere),
         }
@@ -188,6 +198,7 @@
             priority: wish.priority,
             leads: wish.primary.as_ref() == Some(&slot.entry.server),
             yields: wish.yields,
+            principal: wish.principal.clone().unwrap_or(Principal::Daemon),
         };
         let lease = Lease::new(self.relays.clone(), link, terms);
         let held = Held::Owners(lease);
@@ -274,7 +285,7 @@
                 near: slot.entry.availability_zone == self.availability_zone
                     && slot.detours.is_empty(),
                 leads: wish.primary.as_ref() == Some(&slot.entry.server),
-                idle: slot.idle.len() as u32,
+                idle: slot.idle_for(wish),
                 in_use: slot.in_use,
                 limit: slot.limit_at(now),
                 full: slot.is_full_for(wish),
@@ -289,26 +300,47 @@
         &self,
         index: usize,
         values: &SessionValues,
-        yields: bool,
+        wish: &Wish,
     ) -> Option<Box<EndpointConnection<E>>> {
         let mut state = self.state.borrow_mut();
         let slot = &mut state.servers[index];
         slot.idle.retain(|(_, connection)| connection.is_quiet());
         let fitting = |wanted: fn(&Environment, &SessionValues) -> bool| {
-            slot.idle.iter().rposition(|(_, idle)| wanted(&idle.environment, values))
+            slot.idle.iter().rposition(|(_, idle)| {
+                wish.may_use(&idle.principal) && wanted(&idle.environment, values)
+            })
         };
         let best = fitting(Environment::has_values)
             .or_else(|| fitting(Environment::can_become))
-            .or_else(|| slot.idle.len().checked_sub(1))?;
-        slot.take(yields);
+            .or_else(|| fitting(|_, _| true))?;
+        slot.take(wish.yields);
         Some(slot.idle.remove(best).1)
     }
 
-    fn place(self: &Rc<Self>, index: usize, yields: bool) -> OpeningPlace<E> {
+    fn place(self: &Rc<Self>, index: usize, wish: &Wish) -> OpeningPlace<E> {
         let mut state = self.state.borrow_mut();
         let slot = &mut state.servers[index];
-        slot.take(yields);
-        OpeningPlace { pool: self.clone(), entry: slot.entry.clone(), yields, settled: false }
+        slot.make_room();
+        slot.take(wish.yields);
+        OpeningPlace {
+            pool: self.clone(),
+            entry: slot.entry.clone(),
+            yields: wish.yields,
+            settled: false,
+            principal: wish.principal.clone().unwrap_or(Principal::Daemon),
+        }
+    }
+
+    /// Gives who waits leave to open a connection to a server, if it still waits.
+    pub(super) fn offer_place(self: &Rc<Self>, server: &str, waiter: Waiter<E>) {
+        let place = {
+            let state = self.state.borrow();
+            state.servers.iter().position(|slot| &*slot.entry.server == server)
+        };
+        let Some(index) = place else { return };
+        let place = self.place(index, &waiter.wish);
+        // A place that nobody takes any more gives itself up when it is dropped.
+        let _ = waiter.grant.send(Offer::Open(place));
     }
 
     pub(super) fn lent(
@@ -448,11 +480,7 @@
             };
             let Some(entry) = free else { return };
             let Some(waiter) = self.next_waiter(&entry.server) else { return };
-            let yields = waiter.wish.yields;
-            self.with_slot(&entry.server, |slot| slot.take(yields));
-            let place = OpeningPlace { pool: self.clone(), entry, yields, settled: false };
-            // A place that nobody takes any more gives itself up when it is dropped.
-            let _ = waiter.grant.send(Offer::Open(place));
+            self.offer_place(&entry.server, waiter);
         }
     }
 
--- a/crates/proxy/src/serve/reachability.rs
+++ b/crates/proxy/src/serve/reachability.rs
@@ -9,6 +9,7 @@
 use tokio::time::timeout;
 
 use crate::{
+    accounts::Principal,
     catalog::ServerEntry,
     control::beliefs::Observation,
     dialect::{CallerDialect, EndpointDialect},
@@ -114,8 +115,9 @@
     }
 
     async fn is_alive(&self, entry: &ServerEntry) -> bool {
-        let (dialect, host) = (&self.endpoint_dialect, &self.settings.host);
-        let opened = EndpointConnection::open(dialect, entry, host, PROBE_WITHIN).await;
+        let dialect = &self.endpoint_dialect;
+        let introduction = self.introduce(&Principal::Daemon);
+        let opened = EndpointConnection::open(dialect, entry, introduction, PROBE_WITHIN).await;
         matches!(opened, Ok(_) | Err(ConnectionLost::Refused(ErrorCode::TooManyConnections)))
     }
 
--- a/crates/proxy/src/serve/session.rs
+++ b/crates/proxy/src/serve/session.rs
@@ -12,6 +12,7 @@
 use tokio::net::TcpStream;
 
 use crate::{
+    accounts::{Account, AccountKey, Principal},
     catalog::Route,
     dialect::{CallerDialect, CallerMessage, EndpointDialect},
     serve::{
@@ -58,10 +59,20 @@
     StopsNow,
 }
 
+/// The key belongs to no account of the configuration.
+struct UnknownKey;
+
+fn unknown_key() -> StatementError {
+    StatementError::new(ErrorCode::Forbidden, "the key belongs to no client account")
+}
+
 struct Session<C, E: EndpointDialect> {
     engine: Rc<Engine<C, E>>,
     link: CallerLink<C>,
     database: Name,
+    key: AccountKey,
+    /// Whether the session ends with the answer that is under way.
+    is_over: bool,
     values: SessionValues,
     prepared: HashMap<Name, PreparedShape>,
     own_points: HashMap<Name, LogPoint>,
@@ -79,6 +90,8 @@
         engine: engine.clone(),
         link,
         database: Name::from(""),
+        key: AccountKey::default(),
+        is_over: false,
         values: SessionValues::new(),
         prepared: HashMap::new(),
         own_points: HashMap::new(),
@@ -122,7 +135,7 @@
     /// Reads the first message; `false` if the connection ends with it.
     async fn start(&mut self) -> bool {
         let first = tokio::time::timeout(STARTUP_WITHIN, self.link.read_message()).await;
-        let Ok(Ok(CallerMessage::Startup { database })) = first else {
+        let Ok(Ok(CallerMessage::Startup { database, key })) = first else {
             if let Ok(Ok(_)) = first {
                 let error = StatementError::new(ErrorCode::Malformed, "a startup must come first");
                 self.link.put_error(error);
@@ -150,6 +163,15 @@
             return false;
         }
         self.database = database;
+        self.key = key;
+        if let Some(route) = self.route()
+            && self.account(&route).is_err()
+        {
+            self.note_unknown_key("startup");
+            self.link.put_error(unknown_key());
+            let _ = self.link.flush().await;
+            return false;
+        }
         self.link.put_ready(TransactionState::Idle, None);
         self.link.flush().await.is_ok()
     }
@@ -239,7 +261,7 @@
         };
         self.link.put_answer(answer);
         self.link.rest();
-        self.link.flush().await.is_ok()
+        self.link.flush().await.is_ok() && !self.is_over
     }
 
     async fn on_request(&mut self, request: Request, arrived: Instant) -> Answer {
@@ -305,12 +327,15 @@
         if self.transaction.is_some() {
             return self.local_error(ErrorCode::Malformed, "a transaction is open already");
         }
-        match self.route() {
-            Some(route) => {
-                self.transaction = Some(Transaction::new(route, read_only));
+        let Some(route) = self.route() else {
+            return self.local_error(ErrorCode::UnknownDatabase, "the route was removed");
+        };
+        match self.account(&route) {
+            Ok(account) => {
+                self.transaction = Some(Transaction::new(route, account, read_only));
                 self.local_success()
             }
-            None => self.local_error(ErrorCode::UnknownDatabase, "the route was removed"),
+            Err(UnknownKey) => self.end_for_unknown_key("begin"),
         }
     }
 
@@ -332,11 +357,30 @@
         let Some(route) = route else {
             return self.local_error(ErrorCode::UnknownDatabase, "the route was removed");
         };
+        let Ok(account) = self.account(&route) else {
+            return self.end_for_unknown_key("statement");
+        };
+        let principal = Principal::of(account.as_ref());
+        let is_first = match &self.transaction {
+            // What was begun for one account is not carried on for another one.
+            Some(transaction) if transaction.principal() != principal => {
+                return self.local_error(ErrorCode::Aborted, "the key belongs to another account");
+            }
+            Some(transaction) => transaction.lent.is_none(),
+            None => true,
+        };
+        if is_first
+            && let Some(account) = &account
+            && let Err(error) = self.engine.admit(account, &id).await
+        {
+            self.fail_if_open();
+            return refusal(error, self.state());
+        }
         let writes = work.class() == model::StatementClass::Write;
         let is_commit = work == Work::Commit;
         let own = self.own_points.get(&route.service).copied();
         let values = std::mem::take(&mut self.values);
-        let job = Job { id, work, route: &route, values: &values, own, arrived };
+        let job = Job { id, work, route: &route, values: &values, own, arrived, principal };
         let engine = self.engine.clone();
         let answer = match &mut self.transaction {
             Some(transaction) => engine.run_in_transaction(&job, transaction).await,
@@ -382,6 +426,36 @@
         self.engine.beliefs().catalog.routes.get(&self.database).cloned()
     }
 
+    /// Returns the account that this session's key belongs to by the configuration in force; none where the
+    /// configuration has no accounts, or the route asks for none.
+    fn account(&self, route: &Route) -> Result<Option<Arc<Account>>, UnknownKey> {
+        let beliefs = self.engine.beliefs();
+        let Some(accounts) = &beliefs.catalog.accounts else { return Ok(None) };
+        match accounts.holder(&self.key) {
+            Some(account) => Ok(Some(account.clone())),
+            None if route.is_public => Ok(None),
+            None => Err(UnknownKey),
+        }
+    }
+
+    /// Ends the session: its key was taken away. Nothing more runs for it, and what is open is rolled back.
+    fn end_for_unknown_key(&mut self, at: &'static str) -> Answer {
+        self.note_unknown_key(at);
+        self.fail_if_open();
+        self.transaction = None;
+        self.is_over = true;
+        refusal(unknown_key(), TransactionState::Idle)
+    }
+
+    fn note_unknown_key(&self, at: &'static str) {
+        self.engine.metrics.refused.with_label_values(&["key"]).inc();
+        log::info!(
+            event = "unknown_key", database = &*self.database, at = at,
+            configuration = self.engine.beliefs().catalog.version;
+            "a caller's key belongs to no client account"
+        );
+    }
+
     fn state(&self) -> TransactionState {
         match &self.transaction {
             None => TransactionState::Idle,
--- a/crates/proxy/src/serve/slot.rs
+++ b/crates/proxy/src/serve/slot.rs
@@ -118,6 +118,19 @@
         }
     }
 
+    /// Returns how many resting connections will do for a wish.
+    pub(crate) fn idle_for(&self, wish: &Wish) -> u32 {
+        self.idle.iter().filter(|(_, idle)| wish.may_use(&idle.principal)).count() as u32
+    }
+
+    /// Ends the connection that rested longest where another one is to be opened and all places are taken.
+    pub(crate) fn make_room(&mut self) {
+        let most = (self.limit + self.loan).max(1);
+        while !self.idle.is_empty() && self.idle.len() as u32 + self.in_use >= most {
+            self.idle.remove(0);
+        }
+    }
+
     pub(crate) fn take(&mut self, yields: bool) {
         self.in_use += 1;
         self.yielding += u32::from(yields);
--- a/crates/proxy/src/serve/transaction.rs
+++ b/crates/proxy/src/serve/transaction.rs
@@ -9,6 +9,7 @@
 use model::StatementClass;
 
 use crate::{
+    accounts::{Account, Principal},
     catalog::Route,
     control::beliefs::Lead,
     dialect::{CallerDialect, EndpointDialect},
@@ -31,6 +32,8 @@
 pub struct Transaction<E: EndpointDialect> {
     /// The route in force when it began.
     pub route: Arc<Route>,
+    /// The account that it began for; none for a caller without one.
+    pub account: Option<Arc<Account>>,
     /// Whether it only reads.
     pub read_only: bool,
     /// Its connection; none before the first statement that a server has to run.
@@ -45,8 +48,25 @@
 
 impl<E: EndpointDialect> Transaction<E> {
     /// A transaction of which no server knows yet.
-    pub fn new(route: Arc<Route>, read_only: bool) -> Transaction<E> {
-        Transaction { route, read_only, lent: None, lead: None, wrote: false, failed: false }
+    pub fn new(
+        route: Arc<Route>,
+        account: Option<Arc<Account>>,
+        read_only: bool,
+    ) -> Transaction<E> {
+        Transaction {
+            route,
+            account,
+            read_only,
+            lent: None,
+            lead: None,
+            wrote: false,
+            failed: false,
+        }
+    }
+
+    /// Returns for whom it runs.
+    pub fn principal(&self) -> Principal {
+        Principal::of(self.account.as_ref())
     }
 }
 
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -13,7 +13,7 @@
 
 pub use admission::{Admission, AdmissionQueue, Next, Request, Ticket};
 pub use connection_share::{Demand, connection_share};
-pub use ownership::{OWNERS_EACH_ZONE, owned_connections, owners_of};
+pub use ownership::{OWNERS_EACH_ZONE, owned_connections, owners_of, ranked};
 pub use read_route::{Candidate, ReadQuestion, ReadRoute, route_read};
 pub use retry_budget::RetryBudget;
 pub use server_load::LatencyAverage;
--- a/crates/routing/src/ownership.rs
+++ b/crates/routing/src/ownership.rs
@@ -21,11 +21,18 @@
 /// Each host scores the server by a hash of both names. One that comes or goes then moves only the servers that
 /// it scores highest for, and every daemon finds the same owners without asking.
 pub fn owners_of<'a>(server: &str, hosts: impl IntoIterator<Item = &'a str>) -> Vec<&'a str> {
-    let seed = xxh3_64_with_seed(server.as_bytes(), 0);
+    let mut ranked = ranked(server, hosts);
+    ranked.truncate(OWNERS_EACH_ZONE);
+    ranked
+}
+
+/// Ranks hosts for something by its name, best first; the same on every daemon that knows the same hosts.
+pub fn ranked<'a>(name: &str, hosts: impl IntoIterator<Item = &'a str>) -> Vec<&'a str> {
+    let seed = xxh3_64_with_seed(name.as_bytes(), 0);
     let score = |host: &str| xxh3_64_with_seed(host.as_bytes(), seed);
     let mut scored: Vec<(u64, &str)> = hosts.into_iter().map(|host| (score(host), host)).collect();
     scored.sort_unstable_by(|one, other| other.cmp(one));
-    scored.into_iter().take(OWNERS_EACH_ZONE).map(|(_, host)| host).collect()
+    scored.into_iter().map(|(_, host)| host).collect()
 }
 
 /// Returns how many connections to a server one owner may have, where `granted` of them are shared by the owners
