fix(proxy): a change whose duty can't be renewed ends its pauses while the duty still holds

The replicas stayed paused, and the group had no primary until the store was back.

Ruled out: resuming the servers after the lease has ended. Another daemon may have begun a change by then, and a resumed replica would give the old primary a majority again.

The wait for the daemons ends now while 300 ms of the lease are left, as a change without the store, so that the pauses end under the duty.

--- a/crates/proxy/src/control/duty.rs
+++ b/crates/proxy/src/control/duty.rs
@@ -92,6 +92,13 @@
         ours.then_some(HeldDuty { fencing_token: item.created, revision: item.revision })
     }
 
+    /// Returns how much is left of the duty's lease by this daemon's own clock; nothing if it does not hold the duty.
+    pub(crate) fn duty_left(&self, now: Instant) -> Duration {
+        let held = self.held_duty();
+        let lease = self.state.borrow().duty_lease.filter(|_| held.is_some());
+        lease.map_or(Duration::ZERO, |lease| lease.valid_until.saturating_duration_since(now))
+    }
+
     /// The value names the lease too, so that a restarted daemon does not take over its former life's.
     pub(crate) fn duty_value(&self, lease: u64) -> Bytes {
         Bytes::from(format!("{} {lease}", self.settings.host))
--- a/crates/proxy/src/control/fencing.rs
+++ b/crates/proxy/src/control/fencing.rs
@@ -17,11 +17,17 @@
         runner::Control,
         state::SeenMember,
     },
+    metadata::MetadataError,
     statement::{EndpointStatus, EndpointText},
 };
 
 /// How long a planned change waits for daemons to stop before it pauses the replicas.
 const ANSWERS_WITHIN: Duration = Duration::from_millis(300);
+/// How much of the duty's lease must be left for the servers' pauses to be ended under it: a command and its answer on
+/// busy servers.
+const DUTY_LEFT_TO_RESUME: Duration = Duration::from_millis(300);
+/// How often it is looked whether so much is left.
+const LOOK_AT_DUTY_EVERY: Duration = Duration::from_millis(50);
 /// How long a change may look for a majority before it is called off.
 const FENCE_WITHIN: Duration = Duration::from_secs(3);
 
@@ -46,7 +52,7 @@
             let stopped = self.stop_servers(service, &entries, run, commands).await;
             if stopped.fenced >= majority(entries.len()) {
                 self.step("fenced", service, run);
-                self.await_daemons(service, run, Instant::now()).await;
+                self.await_daemons(service, run, Instant::now()).await?;
                 self.step("stopped", service, run);
                 return Ok(stopped.servers);
             }
@@ -119,7 +125,16 @@
     }
 
     /// Waits until every daemon that may hold a right has said that it stopped, or the rights ended.
-    pub(crate) async fn await_daemons(&self, service: &Name, run: &ChangeRun, fenced_at: Instant) {
+    ///
+    /// A duty that can't be renewed ends the wait while it still holds: nobody else can have begun a change then, so the
+    /// pauses can be ended and evidence serves the group. Once it has ended they can't, and the group would have no
+    /// primary until the store is back; where the last renewal was half a second old as a planned change began, it had not.
+    pub(crate) async fn await_daemons(
+        &self,
+        service: &Name,
+        run: &ChangeRun,
+        fenced_at: Instant,
+    ) -> Result<(), ChangeEnd> {
         let bounds = RightBounds { store: self.right(), evidence: self.evidence() };
         loop {
             let progress = StopProgress {
@@ -127,12 +142,18 @@
                 fenced_at: Some(fenced_at),
                 all_answered: self.all_answered(service, run),
             };
-            let Some(complete_at) = progress.complete_at(bounds) else { return };
-            if Instant::now() >= complete_at {
-                return;
+            let Some(complete_at) = progress.complete_at(bounds) else { return Ok(()) };
+            let now = Instant::now();
+            if now >= complete_at {
+                return Ok(());
+            }
+            if self.duty_left(now) < DUTY_LEFT_TO_RESUME {
+                let why = "the duty could not be renewed".to_owned();
+                return Err(ChangeEnd::Store(MetadataError::NotDone(why)));
             }
+            let look_at = complete_at.min(now + LOOK_AT_DUTY_EVERY);
             tokio::select! {
-                () = tokio::time::sleep_until(complete_at.into()) => {}
+                () = tokio::time::sleep_until(look_at.into()) => {}
                 () = self.changed.notified() => {}
             }
         }
