perf(limits): a keeper is found sooner, and what is short for a moment is waited for

- Who hears of a keeper asks it, whoever it is bound to, and gives its own candidacy up.
- Votes bind for 0.6 s instead of 1 s, asked for every 190 ms; a daemon that has heard of none since it started waits a second.
- A keeper that stops frees its voters, and the first in order asks at once.
- An account that has been at its limit for less than 250 ms is waited for.

--- a/crates/limits/src/allotment.rs
+++ b/crates/limits/src/allotment.rs
@@ -7,6 +7,9 @@
 const AHEAD: Duration = Duration::from_millis(200);
 /// The part of an allotment that is left when the next is asked for, ahead of need.
 const LOW_PART: f64 = 0.4;
+/// How long an account must have been at its limit before its operations are refused at once. A new keeper begins with
+/// nothing saved up, and what is short for a moment is there in the next.
+const WAITS_FOR: Duration = Duration::from_millis(250);
 /// The time over which the rate is averaged.
 const RATE_OVER: Duration = Duration::from_millis(500);
 
@@ -20,8 +23,13 @@
     },
     /// Nothing is held: the keeper has to be asked.
     Ask,
-    /// The account is at its limit until this moment.
-    Full(Instant),
+    /// The account is at its limit until this moment, at the least.
+    Full {
+        /// When the keeper may be asked again.
+        until: Instant,
+        /// Whether it has been at its limit for so long that whoever asks now would wait in vain.
+        lasts: bool,
+    },
 }
 
 /// Operations that the keeper lent.
@@ -42,6 +50,8 @@
     asked_for: u32,
     until: Option<Instant>,
     full_until: Option<Instant>,
+    /// Since when nothing was lent.
+    full_since: Option<Instant>,
     /// Operations a second, lately.
     rate_per_s: f64,
     last_at: Option<Instant>,
@@ -59,7 +69,10 @@
             return Taken::Yes { ask_ahead: self.asked_for > 1 && self.held <= low };
         }
         match self.full_until {
-            Some(until) if now < until => Taken::Full(until),
+            Some(until) if now < until => {
+                let since = self.full_since.unwrap_or(now);
+                Taken::Full { until, lasts: now.duration_since(since) >= WAITS_FOR }
+            }
             _ => Taken::Ask,
         }
     }
@@ -80,10 +93,12 @@
         self.asked_for = lent.count;
         self.until = Some(lent.asked_at + lent.lasts);
         self.full_until = None;
+        self.full_since = None;
     }
 
     /// Notes that nothing was left.
-    pub fn note_full(&mut self, until: Instant) {
+    pub fn note_full(&mut self, now: Instant, until: Instant) {
+        self.full_since = self.full_since.or(Some(now));
         self.full_until = Some(until);
     }
 
--- a/crates/limits/src/election.rs
+++ b/crates/limits/src/election.rs
@@ -40,6 +40,8 @@
     pub life: u64,
     /// Whether it has a quorum.
     pub is_keeper: bool,
+    /// Whether it has stopped lending and frees those that are bound to it.
+    pub ends: bool,
 }
 
 /// The answer.
@@ -61,6 +63,8 @@
     fresh_until: Instant,
     bound: Option<Bound>,
     supported_at: Option<Instant>,
+    /// Who last said to be the keeper, and when; whoever it is bound to.
+    heard: Option<(Name, Instant)>,
 }
 
 #[derive(Clone, Debug)]
@@ -73,11 +77,23 @@
 impl Voter {
     /// Makes the voter of a daemon that starts now.
     pub fn new(times: ElectionTimes, now: Instant) -> Voter {
-        Voter { times, fresh_until: now + times.binds, bound: None, supported_at: None }
+        Voter {
+            times,
+            fresh_until: now + times.binds,
+            bound: None,
+            supported_at: None,
+            heard: None,
+        }
     }
 
     /// Answers a candidate. Only a daemon whose lease stands by its own clock votes: others may count it no more.
     pub fn vote(&mut self, request: &VoteRequest, is_member: bool, now: Instant) -> Vote {
+        if request.ends {
+            return self.release(request);
+        }
+        if request.is_keeper {
+            self.heard = Some((request.host.clone(), now));
+        }
         let is_other = |bound: &&Bound| {
             now < bound.until
                 && (bound.request.host != request.host || bound.request.life != request.life)
@@ -100,9 +116,24 @@
         Vote { is_granted: now >= self.fresh_until, is_bound: true, is_provisional: supports }
     }
 
-    /// Returns whom this daemon takes for the keeper, or for the one to be.
+    /// Frees this voter of a keeper that has stopped lending.
+    fn release(&mut self, request: &VoteRequest) -> Vote {
+        let is_same = |it: &VoteRequest| it.host == request.host && it.life == request.life;
+        self.bound.take_if(|bound| is_same(&bound.request));
+        self.heard.take_if(|(host, _)| *host == request.host);
+        Vote::default()
+    }
+
+    /// Returns whom this daemon takes for the keeper: who last said so, else the one that it is bound to.
     pub fn keeper(&self, now: Instant) -> Option<&Name> {
-        self.bound.as_ref().filter(|bound| now < bound.until).map(|bound| &bound.request.host)
+        let heard = self.heard.as_ref().filter(|(_, at)| now < *at + self.times.binds);
+        let bound = self.bound.as_ref().filter(|bound| now < bound.until);
+        heard.map(|(host, _)| host).or(bound.map(|bound| &bound.request.host))
+    }
+
+    /// Returns when another daemon last said that it is the keeper.
+    pub fn heard_keeper_at(&self) -> Option<Instant> {
+        self.heard.as_ref().map(|(_, at)| *at)
     }
 }
 
@@ -219,7 +250,7 @@
 /// after the other, so that they don't take each other's votes.
 pub fn campaign_after(silence: Duration, place: usize) -> Duration {
     /// A round of votes and the scheduling of a busy host.
-    const EACH: Duration = Duration::from_millis(120);
+    const EACH: Duration = Duration::from_millis(60);
     /// Places that are told apart; with so many silent daemons at the head of the order the rest begin together.
     const PLACES: u32 = 12;
     silence + EACH * (place as u32).min(PLACES)
--- a/crates/proxy/src/relay/messages.rs
+++ b/crates/proxy/src/relay/messages.rs
@@ -209,6 +209,9 @@
     /// Whether it has a quorum.
     #[prost(bool, tag = "3")]
     pub is_keeper: bool,
+    /// Whether it has stopped lending and frees those that are bound to it.
+    #[prost(bool, tag = "4")]
+    pub ends: bool,
 }
 
 /// The answer, see [`limits::Vote`].
@@ -252,8 +255,8 @@
 
 impl From<&VoteRequest> for VoteMessage {
     fn from(request: &VoteRequest) -> VoteMessage {
-        let VoteRequest { host, life, is_keeper } = request;
-        VoteMessage { host: host.to_string(), life: *life, is_keeper: *is_keeper }
+        let VoteRequest { host, life, is_keeper, ends } = request;
+        VoteMessage { host: host.to_string(), life: *life, is_keeper: *is_keeper, ends: *ends }
     }
 }
 
@@ -261,7 +264,7 @@
     /// Returns the question.
     pub fn request(&self) -> VoteRequest {
         let host = Name::from(self.host.as_str());
-        VoteRequest { host, life: self.life, is_keeper: self.is_keeper }
+        VoteRequest { host, life: self.life, is_keeper: self.is_keeper, ends: self.ends }
     }
 }
 
--- a/crates/proxy/src/serve/limits.rs
+++ b/crates/proxy/src/serve/limits.rs
@@ -31,25 +31,25 @@
 
 /// How long a vote binds its voter: three rounds, so that a lost one costs nothing, and as long as an account waits at
 /// the most where the keeper died.
-const VOTE_BINDS: Duration = Duration::from_millis(1_000);
+const VOTE_BINDS: Duration = Duration::from_millis(600);
 /// How long it counts for the candidate: less, by far more than two steady clocks drift apart in a second.
-const VOTE_COUNTS: Duration = Duration::from_millis(950);
+const VOTE_COUNTS: Duration = Duration::from_millis(570);
 /// How often votes are asked for.
-const ROUND_EVERY: Duration = Duration::from_millis(330);
+const ROUND_EVERY: Duration = Duration::from_millis(190);
 /// How long an answer to a candidate may take: a round trip between zones, on busy hosts.
-const VOTE_WITHIN: Duration = Duration::from_millis(250);
+const VOTE_WITHIN: Duration = Duration::from_millis(180);
 /// How long nothing may be heard of a keeper before the first in order asks for votes: two rounds and a little.
-const SILENT_FOR: Duration = Duration::from_millis(700);
+const SILENT_FOR: Duration = Duration::from_millis(420);
 /// The same for a daemon that has heard of none since it started, so that all accounts are served soon after all
 /// daemons were started anew: as long as the members must have been the same.
-const SILENT_AT_START: Duration = Duration::from_millis(100);
+const SILENT_AT_START: Duration = Duration::from_millis(20);
 /// How long the members must have been the same before somebody becomes keeper by their votes: while a fleet starts for
 /// the first time each daemon sees more of them from moment to moment.
-const MEMBERS_SETTLED: Duration = Duration::from_millis(250);
+const MEMBERS_SETTLED: Duration = Duration::from_millis(200);
 /// How long a candidate without a quorum goes on before it lets others have its voters.
-const CANDIDATE_FOR: Duration = Duration::from_millis(1_500);
+const CANDIDATE_FOR: Duration = Duration::from_millis(1_200);
 /// How often it is looked whether somebody has to become the keeper.
-const LOOK_EVERY: Duration = Duration::from_millis(50);
+const LOOK_EVERY: Duration = Duration::from_millis(25);
 /// The same where no account has a limit.
 const IDLE_LOOK_EVERY: Duration = Duration::from_millis(1_000);
 
@@ -60,6 +60,10 @@
 const LENT_WITHIN: Duration = Duration::from_millis(150);
 /// How long an operation waits for the keeper, also for one to be found, before it is refused.
 const ADMITTED_WITHIN: Duration = Duration::from_millis(220);
+/// The same while this daemon has heard of no keeper since it started: one is found within a second, and callers that are
+/// refused meanwhile would come back to daemons that have just started too. 2,500 of 3,400 operations in the two
+/// seconds after all daemons of a site were killed were refused for want of a keeper with the shorter time.
+const ADMITTED_AT_START_WITHIN: Duration = Duration::from_millis(1_000);
 /// The pause before the keeper is looked for again.
 const LOOK_AGAIN: Duration = Duration::from_millis(40);
 /// How long an account is refused without a question where no keeper was found.
@@ -92,13 +96,13 @@
 pub(crate) struct Limits {
     rule: WindowRule,
     life: u64,
-    started_at: Instant,
     voter: RefCell<Voter>,
     candidacy: RefCell<Option<Candidacy>>,
     began_at: Cell<Instant>,
     next_term: Cell<u64>,
     rests_until: Cell<Option<Instant>>,
     heard_at: Cell<Option<Instant>>,
+    member_since: Cell<Option<Instant>>,
     electorate: RefCell<Electorate>,
     ledger: RefCell<Ledger>,
     held: RefCell<HashMap<Name, Rc<Held>>>,
@@ -111,19 +115,25 @@
         Limits {
             rule,
             life: rand::rng().random(),
-            started_at: now,
             voter: RefCell::new(Voter::new(times(rule.window), now)),
             candidacy: RefCell::default(),
             began_at: Cell::new(now),
             next_term: Cell::new(1),
             rests_until: Cell::new(None),
             heard_at: Cell::new(None),
+            member_since: Cell::new(None),
             electorate: RefCell::default(),
             ledger: RefCell::default(),
             held: RefCell::default(),
         }
     }
 
+    /// Returns how long an operation may wait for a keeper.
+    fn admits_within(&self) -> Duration {
+        let is_found = self.heard_at.get().is_some() || self.candidacy.borrow().is_some();
+        if is_found { ADMITTED_WITHIN } else { ADMITTED_AT_START_WITHIN }
+    }
+
     fn held_of(&self, account: &Name) -> Rc<Held> {
         self.held.borrow_mut().entry(account.clone()).or_default().clone()
     }
@@ -141,8 +151,18 @@
     /// Answers a candidate.
     fn vote(&self, request: &VoteRequest, beliefs: &Beliefs, now: Instant) -> Vote {
         let vote = self.voter.borrow_mut().vote(request, beliefs.is_member(now), now);
-        if vote.is_bound && request.life != self.life {
+        if request.life == self.life {
+            return vote;
+        }
+        if request.ends {
+            // The first in order asks for votes at once.
+            self.heard_at.set(now.checked_sub(SILENT_FOR));
+        } else if vote.is_bound {
             self.heard_at.set(Some(now));
+        } else if request.is_keeper && !self.is_keeper(now) {
+            // Another one has a quorum: whoever goes on to ask for votes only keeps them from it.
+            self.heard_at.set(Some(now));
+            self.resign();
         }
         vote
     }
@@ -193,7 +213,7 @@
         let held = self.limits.held_of(&account.name);
         let arrived = Instant::now();
         held.allotment.borrow_mut().note_demand(arrived);
-        let until = arrived + ADMITTED_WITHIN;
+        let until = arrived + self.limits.admits_within();
         loop {
             let answered = held.answered.notified();
             tokio::pin!(answered);
@@ -208,9 +228,13 @@
                     }
                     return Ok(());
                 }
-                Taken::Full(full_until) => {
-                    let wait = full_until.saturating_duration_since(now);
-                    return Err(self.at_limit(account, limit, wait, id));
+                Taken::Full { until: full_until, lasts } => {
+                    if lasts || full_until >= until {
+                        let wait = full_until.saturating_duration_since(now);
+                        return Err(self.at_limit(account, limit, wait, id));
+                    }
+                    tokio::time::sleep_until(full_until.into()).await;
+                    continue;
                 }
                 Taken::Ask if now >= until => {
                     return Err(self.at_limit(account, limit, Duration::ZERO, id));
@@ -261,14 +285,16 @@
                         break;
                     }
                     Grant::Empty(wait) => {
-                        held.allotment.borrow_mut().note_full(Instant::now() + wait);
+                        let now = Instant::now();
+                        held.allotment.borrow_mut().note_full(now, now + wait);
                         break;
                     }
-                    Grant::NotKeeper if begun.elapsed() < ADMITTED_WITHIN => {
+                    Grant::NotKeeper if begun.elapsed() < engine.limits.admits_within() => {
                         tokio::time::sleep(LOOK_AGAIN).await;
                     }
                     Grant::NotKeeper => {
-                        held.allotment.borrow_mut().note_full(Instant::now() + NO_KEEPER_FOR);
+                        let now = Instant::now();
+                        held.allotment.borrow_mut().note_full(now, now + NO_KEEPER_FOR);
                         break;
                     }
                 }
@@ -326,7 +352,9 @@
             let beliefs = self.beliefs();
             if !beliefs.has_limits() {
                 self.limits.resign();
-                tokio::time::sleep(IDLE_LOOK_EVERY).await;
+                // Before the first configuration nobody knows whether there are limits.
+                let rest = if beliefs.is_ready() { IDLE_LOOK_EVERY } else { LOOK_EVERY };
+                tokio::time::sleep(rest).await;
                 continue;
             }
             let now = Instant::now();
@@ -343,13 +371,20 @@
     }
 
     /// Whether this daemon is to ask for votes now.
-    fn may_keep(&self, beliefs: &Beliefs, now: Instant) -> bool {
+    fn may_keep(self: &Rc<Self>, beliefs: &Arc<Beliefs>, now: Instant) -> bool {
         let limits = &self.limits;
         let own = &self.settings.host;
+        if self.is_stopping() && limits.is_keeper(now) {
+            limits.resign();
+            self.free_voters(beliefs, now);
+        }
         if self.is_stopping() || !beliefs.is_member(now) || !beliefs.members.contains_key(own) {
             limits.resign();
+            limits.member_since.set(None);
             return false;
         }
+        let member_since = limits.member_since.get().unwrap_or(now);
+        limits.member_since.set(Some(member_since));
         let is_candidate = limits.candidacy.borrow().is_some();
         if is_candidate {
             let is_long = now.duration_since(limits.began_at.get()) > CANDIDATE_FOR;
@@ -370,7 +405,7 @@
         let place = order.iter().position(|host| **host == **own).unwrap_or(order.len());
         let (since, silence) = match limits.heard_at.get() {
             Some(at) => (at, SILENT_FOR),
-            None => (limits.started_at, SILENT_AT_START),
+            None => (member_since, SILENT_AT_START),
         };
         if now.duration_since(since) < campaign_after(silence, place) {
             return false;
@@ -381,11 +416,24 @@
         true
     }
 
+    /// Tells every member that this daemon lends nothing more, so that another one need not wait for its votes to end: the
+    /// daemons of a fleet that is restarted in turn stop one after the other, and each may be the keeper.
+    fn free_voters(self: &Rc<Self>, beliefs: &Arc<Beliefs>, now: Instant) {
+        let own = &self.settings.host;
+        let host = own.clone();
+        let request = VoteRequest { host, life: self.limits.life, is_keeper: false, ends: true };
+        self.limits.vote(&request, beliefs, now);
+        for (host, address) in beliefs.members.iter().filter(|(host, _)| *host != own) {
+            self.ask_for_vote(host, *address, &request, now);
+        }
+    }
+
     /// Asks every member for its vote; answers are counted as they come.
     fn ask_for_votes(self: &Rc<Self>, beliefs: &Arc<Beliefs>, now: Instant) {
         let own = self.settings.host.clone();
         let is_keeper = self.limits.is_keeper(now);
-        let request = VoteRequest { host: own.clone(), life: self.limits.life, is_keeper };
+        let request =
+            VoteRequest { host: own.clone(), life: self.limits.life, is_keeper, ends: false };
         let vote = self.limits.vote(&request, beliefs, now);
         if !vote.is_bound {
             // It has voted for somebody else a moment ago.
