fix(proxy): an entry that can't be read names no server, and a server that starts again is another one

- A server's life (when it was started) is read.
In a new one its connections, point, latency and marks are dropped, rights that rest on its word end, and a primary is replaced: the leadership record names the life that led (`reborn` as reason).

Not built: looking once more, right before the order, whether the servers that were stopped are still paused; a replica that starts again between the two is not noticed.

--- a/crates/proxy/src/catalog.rs
+++ b/crates/proxy/src/catalog.rs
@@ -104,9 +104,20 @@
     pub leaving: bool,
     /// Whether it regards itself as the primary, which proves nothing.
     pub claims_lead: bool,
+    /// When it was started, by its own word; `None` where servers don't say. A server that starts again under its
+    /// identity holds nothing of before, so it is another one to whoever knew it.
+    pub life: Option<ServerLife>,
 }
 
-/// An item that can't be understood; what was known before stays in force.
+/// One life of a server: the Unix millisecond of its start.
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, serde::Serialize, serde::Deserialize,
+)]
+#[serde(transparent)]
+pub struct ServerLife(pub u64);
+
+/// An item that can't be understood. A configuration that was known before stays in force; a server whose entry can't be
+/// read is none that may be used.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct CatalogError(pub String);
 
--- a/crates/proxy/src/control/change.rs
+++ b/crates/proxy/src/control/change.rs
@@ -81,6 +81,8 @@
     LeftUnfinished,
     /// The primary's entry is gone.
     Gone,
+    /// The primary started again and holds nothing of what it led with.
+    Reborn,
     /// The primary is leaving.
     Leaving,
     /// Too many daemons can't reach the primary.
@@ -96,6 +98,7 @@
             Reason::Unknown => "unknown",
             Reason::LeftUnfinished => "left_unfinished",
             Reason::Gone => "gone",
+            Reason::Reborn => "reborn",
             Reason::Leaving => "leaving",
             Reason::Unreachable => "unreachable",
             Reason::ReplicasBehind => "replicas_behind",
@@ -343,7 +346,8 @@
             running = self.order(service, &mut run, &chosen).await?;
             self.step("ordered", service, &run);
             if let Some(term) = self.await_lead(service, &run, &chosen, commands).await {
-                let record = run.record.settled(&chosen, term);
+                let life = self.life_of(service, &chosen.server);
+                let record = run.record.settled(&chosen, life, term);
                 self.write_record(service, &record, run.revision).await?;
                 self.step("settled", service, &run);
                 let old = run.record.primary.as_str();
@@ -455,6 +459,7 @@
         let record = LeadershipRecord {
             term: status.term.0,
             primary: entry.server.to_string(),
+            primary_life: entry.life,
             ..LeadershipRecord::default()
         };
         self.write_record(service, &record, 0).await?;
--- a/crates/proxy/src/control/duty.rs
+++ b/crates/proxy/src/control/duty.rs
@@ -14,7 +14,7 @@
 use rand::RngExt;
 
 use crate::{
-    catalog::ServerEntry,
+    catalog::{ServerEntry, ServerLife},
     control::{
         change::{Reason, VersionedRecord},
         move_times::MoveTimes,
@@ -274,6 +274,9 @@
             return is_gone.then_some(Reason::Gone);
         };
         self.state.borrow_mut().primary_missing_since.remove(service);
+        if self.state.borrow_mut().is_primary_reborn(service, &known.record) {
+            return Some(Reason::Reborn);
+        }
         if primary.leaving {
             let other = entries.iter().any(|entry| !entry.leaving);
             return other.then_some(Reason::Leaving);
@@ -292,6 +295,11 @@
         times.allow_move(Instant::now()).then_some(Reason::ReplicasBehind)
     }
 
+    /// Returns the life of a service's server as its entry tells it.
+    pub(crate) fn life_of(&self, service: &Name, server: &str) -> Option<ServerLife> {
+        self.state.borrow_mut().servers.life_of(service, server)
+    }
+
     /// Whether the primary's entry has been missing for so long, in readings of a store that answered
     /// all the while, that it did not just lapse while the store was away.
     pub(crate) fn is_missing_for_long(&self, service: &Name) -> bool {
--- a/crates/proxy/src/control/record.rs
+++ b/crates/proxy/src/control/record.rs
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 use session::{Standing, TermHistory};
 
-use crate::statement::EndpointStatus;
+use crate::{catalog::ServerLife, statement::EndpointStatus};
 
 /// The record of one service.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -18,6 +18,9 @@
     pub term: u64,
     /// The server that leads in it.
     pub primary: String,
+    /// The life of that server as it came to lead, where servers tell of lives: in another one it leads nothing.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub primary_life: Option<ServerLife>,
     /// Where terms began, oldest first, as far as promotions of this system made them.
     pub starts: Vec<TermStart>,
     /// A change of primary that is under way.
@@ -49,7 +52,12 @@
 
 impl LeadershipRecord {
     /// Returns the record once the chosen server leads in `term`.
-    pub fn settled(&self, chosen: &ChosenServer, term: u64) -> LeadershipRecord {
+    pub fn settled(
+        &self,
+        chosen: &ChosenServer,
+        life: Option<ServerLife>,
+        term: u64,
+    ) -> LeadershipRecord {
         let mut starts = self.starts.clone();
         // A primary that only started anew goes on in its term.
         if term > self.term {
@@ -58,7 +66,8 @@
         }
         let surplus = starts.len().saturating_sub(KEPT_STARTS);
         starts.drain(..surplus);
-        LeadershipRecord { term, primary: chosen.server.clone(), starts, change: None }
+        let primary = chosen.server.clone();
+        LeadershipRecord { term, primary, primary_life: life, starts, change: None }
     }
 }
 
--- a/crates/proxy/src/control/rights.rs
+++ b/crates/proxy/src/control/rights.rs
@@ -198,7 +198,7 @@
         let valid_until = asked_at + self.right();
         let shown: Option<HashSet<&Name>> = services.map(|services| services.iter().collect());
         let mut state = self.state.borrow_mut();
-        let State { leads, records, .. } = &mut *state;
+        let State { leads, records, servers, .. } = &mut *state;
         let leads = Arc::make_mut(leads);
         for (service, known) in records {
             let record = &known.record;
@@ -206,7 +206,9 @@
                 continue;
             }
             // The lead may not say so any more: evidence from before the change overrules it.
-            if record.change.is_some() {
+            if record.change.is_some()
+                || servers.is_reborn(service, &record.primary, record.primary_life)
+            {
                 continue;
             }
             let Some(lead) = leads.get_mut(service) else { continue };
--- a/crates/proxy/src/control/servers.rs
+++ b/crates/proxy/src/control/servers.rs
@@ -8,7 +8,7 @@
 
 use model::Name;
 
-use crate::catalog::ServerEntry;
+use crate::catalog::{ServerEntry, ServerLife};
 
 struct Known {
     entry: Arc<ServerEntry>,
@@ -41,6 +41,27 @@
 }
 
 impl ServerList {
+    /// Drops a server at once: its entry says nothing that can be read, so it is none that may be used.
+    pub fn discard(&mut self, key: &str) -> bool {
+        let Some(known) = self.known.remove(key) else { return false };
+        self.lapsed -= usize::from(known.lapsed_at.is_some());
+        self.by_service = None;
+        true
+    }
+
+    /// Returns the life of a service's server that is listed now, if servers tell of lives.
+    pub fn life_of(&mut self, service: &str, server: &str) -> Option<ServerLife> {
+        let by_service = self.by_service();
+        let entries = by_service.get(service)?;
+        entries.iter().find(|entry| &*entry.server == server)?.life
+    }
+
+    /// Whether a server that was known in the life `then` is listed in another one.
+    pub fn is_reborn(&mut self, service: &str, server: &str, then: Option<ServerLife>) -> bool {
+        let Some(then) = then else { return false };
+        self.life_of(service, server).is_some_and(|now| now != then)
+    }
+
     /// Takes over an entry; returns whether anything that matters changed.
     pub fn put(&mut self, key: &str, entry: ServerEntry) -> bool {
         match self.known.get_mut(key) {
--- a/crates/proxy/src/control/state.rs
+++ b/crates/proxy/src/control/state.rs
@@ -19,6 +19,7 @@
         knowledge::{Knowledge, Sighting},
         mirror::Mirror,
         peers::{Evidence, PrimarySample, StoreReading},
+        record::LeadershipRecord,
         servers::{ServerList, ServersByService},
     },
     metadata::{LeaseId, Revision},
@@ -150,6 +151,24 @@
         self.knowledge.note_reading(seen, self.mirror.followed_to());
     }
 
+    /// Forgets what was believed of a server's former life: rights to use it, what it showed of its log, and that it was out
+    /// of reach.
+    pub(crate) fn forget_life(&mut self, service: &Name, server: &Name) {
+        let now = Instant::now();
+        if let Some(lead) = Arc::make_mut(&mut self.leads).get_mut(service)
+            && lead.server == *server
+        {
+            lead.valid_until = now;
+        }
+        self.evidence.retain(|evidence| evidence.server != *server);
+        self.suspected.remove(&(service.clone(), server.clone()));
+    }
+
+    /// Whether the server that a record names as primary has started again since it came to lead.
+    pub(crate) fn is_primary_reborn(&mut self, service: &Name, record: &LeadershipRecord) -> bool {
+        self.servers.is_reborn(service, &record.primary, record.primary_life)
+    }
+
     /// Keeps a reading for others if it is the youngest.
     pub(crate) fn keep_reading(&mut self, reading: StoreReading) {
         if self.reading.is_none_or(|known| known.asked_at < reading.asked_at) {
--- a/crates/proxy/src/control/watching.rs
+++ b/crates/proxy/src/control/watching.rs
@@ -261,6 +261,8 @@
                 let mut state = self.state.borrow_mut();
                 let (server, leaving, leads) =
                     (entry.server.clone(), entry.leaving, entry.claims_lead);
+                let (service, life) = (entry.service.clone(), entry.life);
+                let before = state.servers.life_of(&service, &server);
                 if state.servers.put(&item.key, entry) {
                     log::info!(
                         event = "server", server = &*server, leaving = leaving,
@@ -268,12 +270,23 @@
                         "a server's entry changed"
                     );
                 }
+                if before.is_some() && before != life {
+                    state.forget_life(&service, &server);
+                    log::info!(
+                        event = "server_reborn", service = &*service, server = &*server,
+                        revision = item.revision;
+                        "a server started again and knows nothing of before"
+                    );
+                }
+            }
+            Err(error) => {
+                self.state.borrow_mut().servers.discard(&item.key);
+                log::warn!(
+                    event = "server_unreadable", key = item.key.as_str(),
+                    why = error.to_string().as_str();
+                    "a server's entry can't be read and names none that may be used"
+                );
             }
-            Err(error) => log::warn!(
-                event = "server_unreadable", key = item.key.as_str(),
-                why = error.to_string().as_str();
-                "a server's entry can't be read and is passed over"
-            ),
         }
     }
 }
--- a/crates/proxy/src/serve/connection.rs
+++ b/crates/proxy/src/serve/connection.rs
@@ -15,7 +15,7 @@
 
 use crate::{
     accounts::Principal,
-    catalog::ServerEntry,
+    catalog::{ServerEntry, ServerLife},
     control::{detour::open_detour, peers::DetourRequest},
     dialect::{EndpointDialect, EndpointMessage, EndpointStartup},
     links::bound_silence,
@@ -102,6 +102,8 @@
     pub server: Name,
     /// For whom it works, for as long as it stands.
     pub principal: Principal,
+    /// The server's life as it was opened, by the entry; nothing is true of it in another one.
+    pub life: Option<ServerLife>,
     /// What the server's side holds for sessions.
     pub environment: Environment,
     /// Whether it goes to the server itself, and not through another daemon.
@@ -165,6 +167,7 @@
             outgoing: BytesMut::new(),
             server: entry.server.clone(),
             principal: introduction.principal.clone(),
+            life: entry.life,
             environment: Environment::default(),
             last_point: None,
         };
--- a/crates/proxy/src/serve/lent.rs
+++ b/crates/proxy/src/serve/lent.rs
@@ -130,6 +130,10 @@
 
     /// Gives a connection of this daemon to whoever waits for it, or lets it rest.
     fn hand_on(mut self) {
+        if self.is_of_former_life() {
+            // Dropped, it makes room for a connection to the server as it is now.
+            return;
+        }
         self.lent_at = Instant::now();
         if std::mem::take(&mut self.yields) {
             self.pool.with_slot(self.server(), |slot| slot.yielding -= 1);
@@ -160,6 +164,13 @@
 }
 
 impl<E: EndpointDialect> Lent<E> {
+    /// Whether the server at the other end has started again since this connection was opened.
+    fn is_of_former_life(&self) -> bool {
+        let Held::Own(connection) = &self.held else { return false };
+        let now = self.pool.entry_of(&connection.server).and_then(|entry| entry.life);
+        connection.life != now
+    }
+
     /// Whether whoever has this wish may use this very connection.
     fn works_for(&self, wish: &Wish) -> bool {
         match &self.held {
--- a/crates/proxy/src/serve/pool.rs
+++ b/crates/proxy/src/serve/pool.rs
@@ -134,7 +134,7 @@
         state.servers.retain(|slot| slot.listed || slot.in_use > 0);
         for entry in entries {
             match state.servers.iter_mut().find(|slot| slot.entry.server == entry.server) {
-                Some(slot) => slot.entry = entry.clone(),
+                Some(slot) => slot.set_entry(entry.clone()),
                 None => state.servers.push(ServerSlot::new(entry.clone())),
             }
         }
@@ -464,7 +464,8 @@
         let server = connection.server.clone();
         self.with_slot(&server, |slot| {
             slot.leave(false);
-            let is_wanted = connection.is_direct || !slot.detours.is_empty();
+            let is_wanted = (connection.is_direct || !slot.detours.is_empty())
+                && connection.life == slot.entry.life;
             if is_wanted
                 && slot.listed
                 && (slot.idle.len() as u32 + slot.in_use) < slot.limit + slot.loan
--- a/crates/proxy/src/serve/slot.rs
+++ b/crates/proxy/src/serve/slot.rs
@@ -118,6 +118,22 @@
         }
     }
 
+    /// Takes over what the server says of itself. One that started again is another server under the same name: what was
+    /// known of its former life, and the connections to that, are dropped.
+    pub(crate) fn set_entry(&mut self, entry: Arc<ServerEntry>) {
+        if self.entry.life != entry.life {
+            self.idle.clear();
+            self.point = None;
+            self.latency = LatencyAverage::default();
+            self.latency_at = None;
+            self.lagging_until = None;
+            self.failures = 0;
+            self.no_opening_until = None;
+            self.away_until = None;
+        }
+        self.entry = entry;
+    }
+
     /// Returns how many resting connections will do for a wish.
     pub(crate) fn idle_for(&self, wish: &Wish) -> u32 {
         self.idle.iter().filter(|(_, idle)| wish.may_use(&idle.principal)).count() as u32
--- a/crates/proxy/tests/control.rs
+++ b/crates/proxy/tests/control.rs
@@ -155,7 +155,7 @@
 fn a_successor_holds_nothing_that_a_promotion_took_back() {
     // Term 2 began with nine entries; its primary `b` is to be replaced.
     let keeps_nine = ChosenServer { server: "b".to_owned(), keeps: 9 };
-    let record = first_record().settled(&keeps_nine, 2);
+    let record = first_record().settled(&keeps_nine, None, 2);
     let server = |server: &str, term, received, replaced| StoppedServer {
         server: server.to_owned(),
         status: status(false, term, received, 3),
@@ -197,13 +197,13 @@
 fn a_settled_record_says_where_the_term_began() {
     let record =
         LeadershipRecord { term: 3, primary: "a".to_owned(), ..LeadershipRecord::default() };
-    let settled = record.settled(&ChosenServer { server: "b".to_owned(), keeps: 17 }, 4);
+    let settled = record.settled(&ChosenServer { server: "b".to_owned(), keeps: 17 }, None, 4);
     assert_eq!((settled.term, settled.primary.as_str()), (4, "b"));
     assert_eq!(settled.change, None);
     assert_eq!(settled.starts[0].term, Term(4));
     assert_eq!(settled.starts[0].start.0, 17);
     // The primary started anew under another identity: no term began.
-    let renamed = record.settled(&ChosenServer { server: "c".to_owned(), keeps: 17 }, 3);
+    let renamed = record.settled(&ChosenServer { server: "c".to_owned(), keeps: 17 }, None, 3);
     assert_eq!((renamed.term, renamed.primary.as_str()), (3, "c"));
     assert!(renamed.starts.is_empty());
 }
@@ -251,6 +251,7 @@
         slots: 3,
         leaving,
         claims_lead: false,
+        life: None,
     }
 }
 
--- a/crates/proxy/tests/history_model.rs
+++ b/crates/proxy/tests/history_model.rs
@@ -160,7 +160,7 @@
         let new = &mut self.servers[place];
         new.leads = true;
         new.term = term;
-        self.record = self.record.settled(chosen, term);
+        self.record = self.record.settled(chosen, None, term);
     }
 
     fn check(&self) -> Result<(), TestCaseError> {
