--- /dev/null
+++ b/crates/limits/tests/election.rs
@@ -0,0 +1,141 @@
+//! Who keeps the limits, and what a daemon holds of them.
+
+use std::time::{Duration, Instant};
+
+use limits::{
+    Allotment, Ballot, Candidacy, ElectionTimes, Grant, Ledger, Lent, RateLimit, Standing, Taken,
+    Vote, VoteRequest, Voter, Wanted, WindowRule, campaign_after,
+};
+use model::Name;
+
+const TIMES: ElectionTimes = ElectionTimes {
+    binds: Duration::from_millis(600),
+    counts: Duration::from_millis(570),
+    window: Duration::from_secs(5),
+};
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn request(host: &str, life: u64) -> VoteRequest {
+    VoteRequest { host: Name::from(host), life, is_keeper: false, ends: false }
+}
+
+fn hosts(count: usize) -> Vec<Name> {
+    (0..count).map(|number| Name::from(format!("h{number}"))).collect()
+}
+
+fn ballot(host: &Name, asked_at: Instant, vote: Vote) -> Ballot {
+    Ballot { host: host.clone(), asked_at, vote }
+}
+
+/// A daemon that starts again does not know whom its former life was bound to.
+#[test]
+fn a_voter_is_bound_to_one_candidate_at_a_time_in_all_of_its_lives() {
+    let start = Instant::now();
+    let mut voter = Voter::new(TIMES, start);
+    let first = voter.vote(&request("a", 1), true, start);
+    assert!(first.is_bound && !first.is_granted);
+    assert!(!voter.vote(&request("b", 1), true, start + ms(10)).is_bound);
+    // Another life of the same host is another candidate.
+    assert!(!voter.vote(&request("a", 2), true, start + ms(10)).is_bound);
+    assert!(voter.vote(&request("a", 1), true, start + ms(500)).is_bound);
+    assert!(!voter.vote(&request("b", 1), true, start + ms(1_050)).is_bound);
+    let later = voter.vote(&request("b", 1), true, start + ms(1_150));
+    assert!(later.is_bound && later.is_granted);
+    // Who is no member by its own clock is counted by nobody else.
+    assert_eq!(voter.vote(&request("b", 1), false, start + ms(1_200)), Vote::default());
+}
+
+#[test]
+fn a_keeper_that_stops_frees_its_voters_and_no_others() {
+    let start = Instant::now();
+    let mut voter = Voter::new(TIMES, start);
+    voter.vote(&request("a", 1), true, start);
+    let ends = |host, life| VoteRequest { ends: true, ..request(host, life) };
+    voter.vote(&ends("b", 1), true, start + ms(10));
+    voter.vote(&ends("a", 2), true, start + ms(10));
+    assert!(!voter.vote(&request("b", 1), true, start + ms(20)).is_bound);
+    voter.vote(&ends("a", 1), true, start + ms(30));
+    assert!(voter.vote(&request("b", 1), true, start + ms(40)).is_bound);
+}
+
+#[test]
+fn a_quorum_of_votes_or_the_word_of_all_makes_a_keeper_for_as_long_as_they_count() {
+    let now = Instant::now();
+    let members = hosts(9);
+    let granted = Vote { is_granted: true, is_bound: true, is_provisional: false };
+    let fresh = Vote { is_granted: false, ..granted.clone() };
+    // Votes granted, votes of daemons that have just started; keeps.
+    let cases =
+        [(4, 0, false), (5, 0, true), (4, 4, false), (4, 5, true), (0, 9, true), (0, 8, false)];
+    for (old, new, expected) in cases {
+        let mut candidacy = Candidacy::new(TIMES, 1);
+        for host in &members[..old] {
+            candidacy.count(ballot(host, now, granted.clone()));
+        }
+        for host in &members[old..old + new] {
+            candidacy.count(ballot(host, now, fresh.clone()));
+        }
+        candidacy.settle(&members, now + ms(10));
+        let keeps = matches!(candidacy.standing(9, now + ms(10)), Standing::Keeper { .. });
+        assert_eq!(keeps, expected, "{old} {new}");
+        assert!(!candidacy.is_keeper(now + ms(570)), "{old} {new}");
+    }
+}
+
+#[test]
+fn those_that_come_later_in_order_wait_longer() {
+    let waits: Vec<Duration> = (0..3).map(|place| campaign_after(ms(400), place)).collect();
+    assert!(waits[0] < waits[1] && waits[1] < waits[2]);
+    assert_eq!(campaign_after(ms(400), 70), campaign_after(ms(400), 300));
+}
+
+#[test]
+fn the_parts_of_a_limit_stay_within_the_bound_of_a_window() {
+    let rule = WindowRule { window: Duration::from_secs(5), overage: 0.1, slack: 20.0 };
+    for rate_per_s in [0.5, 2.0, 112.0, 370.0] {
+        for burst in [0.0, 1.0, 112.0, 1_000.0] {
+            let limit = RateLimit { rate_per_s, burst };
+            let budget = rule.budget(&limit);
+            let held = rate_per_s * 5.0 + budget.burst + budget.outstanding + budget.provisional;
+            assert!(held <= rule.bound(&limit), "{rate_per_s} {burst}");
+        }
+    }
+}
+
+/// One account at a hundred times its limit: what can't be served is refused by the daemon that it reaches, without a question.
+#[test]
+fn a_flood_costs_its_keeper_a_question_for_each_pause_and_not_for_each_operation() {
+    let start = Instant::now();
+    let rule = WindowRule { window: Duration::from_secs(1), overage: 0.0, slack: 0.0 };
+    let budget = rule.budget(&RateLimit { rate_per_s: 10.0, burst: 10.0 });
+    let (mut ledger, mut allotment) = (Ledger::default(), Allotment::default());
+    let (mut questions, mut ran, mut refused) = (0, 0, 0);
+    for tick in 0..10_000 {
+        let now = start + ms(tick);
+        allotment.note_demand(now);
+        match allotment.take(now) {
+            Taken::Yes { .. } => ran += 1,
+            Taken::Full { .. } => refused += 1,
+            Taken::Ask => {
+                questions += 1;
+                let (unused, wanted) = allotment.wanted(1, now);
+                let wanted = Wanted { host: Name::from("h"), unused, wanted };
+                let standing = Standing::Keeper { term: 1, since: start };
+                let lent = ledger.lend(&Name::from("a"), &budget, &wanted, standing, ms(500), now);
+                match lent {
+                    Grant::Lent(count) => {
+                        allotment.take_over(Lent { count, asked_at: now, lasts: ms(500) }, now);
+                    }
+                    Grant::Empty(wait) => allotment.note_full(now, now + wait),
+                    Grant::NotKeeper => unreachable!(),
+                }
+            }
+        }
+    }
+    assert!((85..=115).contains(&ran), "{ran}");
+    assert!(questions < 300, "{questions}");
+    assert!(refused > 9_000, "{refused}");
+}
