perf(limits): who hears of no keeper asks who that is

A daemon that knows no keeper asks a member, which lends or says who does; each loan says again that the keeper lives.

--- a/crates/limits/src/election.rs
+++ b/crates/limits/src/election.rs
@@ -131,9 +131,9 @@
         heard.map(|(host, _)| host).or(bound.map(|bound| &bound.request.host))
     }
 
-    /// Returns when another daemon last said that it is the keeper.
-    pub fn heard_keeper_at(&self) -> Option<Instant> {
-        self.heard.as_ref().map(|(_, at)| *at)
+    /// Notes that a daemon is the keeper, as it or another one has told.
+    pub fn note_keeper(&mut self, host: Name, now: Instant) {
+        self.heard = Some((host, now));
     }
 }
 
--- a/crates/proxy/src/relay/answering.rs
+++ b/crates/proxy/src/relay/answering.rs
@@ -111,7 +111,7 @@
         }
         Some(RelayTask::Lend(asked)) => {
             let account = Name::from(request.account.as_str());
-            Some(RelayOutcome::Lent(engine.lend(&account, &asked.wanted()).into()))
+            Some(RelayOutcome::Lent(engine.answer_lend(&account, &asked.wanted())))
         }
         Some(RelayTask::Release(_)) => {
             let lease = leases.borrow_mut().remove(&lease);
--- a/crates/proxy/src/relay/messages.rs
+++ b/crates/proxy/src/relay/messages.rs
@@ -243,7 +243,7 @@
 }
 
 /// What was lent, see [`limits::Grant`]; neither where the asked daemon is not the keeper.
-#[derive(Clone, Copy, PartialEq, Eq, Message)]
+#[derive(Clone, PartialEq, Eq, Message)]
 pub struct LentMessage {
     /// So many operations.
     #[prost(uint32, tag = "1")]
@@ -251,6 +251,9 @@
     /// Where nothing is left, when to ask again, in milliseconds.
     #[prost(uint64, tag = "2")]
     pub wait_ms: u64,
+    /// Whom the asked daemon takes for the keeper, where it is not itself and knows one.
+    #[prost(string, tag = "3")]
+    pub keeper: String,
 }
 
 impl From<&VoteRequest> for VoteMessage {
@@ -299,12 +302,13 @@
 
 impl From<Grant> for LentMessage {
     fn from(grant: Grant) -> LentMessage {
-        match grant {
-            Grant::Lent(count) => LentMessage { count, wait_ms: 0 },
+        let (count, wait_ms) = match grant {
+            Grant::Lent(count) => (count, 0),
             // Rounded up, so that it is never taken for the answer of who does not keep the limits.
-            Grant::Empty(wait) => LentMessage { count: 0, wait_ms: wait.as_millis() as u64 + 1 },
-            Grant::NotKeeper => LentMessage { count: 0, wait_ms: 0 },
-        }
+            Grant::Empty(wait) => (0, wait.as_millis() as u64 + 1),
+            Grant::NotKeeper => (0, 0),
+        };
+        LentMessage { count, wait_ms, keeper: String::new() }
     }
 }
 
--- a/crates/proxy/src/serve/limits.rs
+++ b/crates/proxy/src/serve/limits.rs
@@ -304,15 +304,22 @@
         });
     }
 
+    /// Asks the keeper, or whoever may know who that is.
+    ///
+    /// The keeper asks the members for their votes, so a daemon that the store turns away for longer than its lease lasts
+    /// hears of it no more, though it reaches it: a third of a fleet refused every limited account for six seconds.
     async fn lend_from_keeper(self: &Rc<Self>, account: &Name, unused: u32, wanted: u32) -> Grant {
         let now = Instant::now();
-        let keeper = self.limits.voter.borrow().keeper(now).cloned();
-        let Some(keeper) = keeper else { return Grant::NotKeeper };
+        let beliefs = self.beliefs();
         let wanted = Wanted { host: self.settings.host.clone(), unused, wanted };
-        if keeper == self.settings.host {
+        let keeper = self.limits.voter.borrow().keeper(now).cloned();
+        if keeper.as_ref() == Some(&self.settings.host) {
             return self.lend(account, &wanted);
         }
-        let address = self.beliefs().members.get(&keeper).copied();
+        let Some(asked) = keeper.or_else(|| self.somebody(&beliefs)) else {
+            return Grant::NotKeeper;
+        };
+        let address = beliefs.members.get(&asked).copied();
         let link = address.and_then(|address| self.relays.to_first(&[address], now));
         let Some(link) = link else { return Grant::NotKeeper };
         let request = RelayRequest {
@@ -320,10 +327,38 @@
             task: Some(RelayTask::Lend(LendMessage::of(&wanted))),
             ..RelayRequest::default()
         };
-        match link.ask(request, now + LENT_WITHIN).await {
-            Ok(RelayOutcome::Lent(lent)) => lent.grant(),
-            Ok(_) | Err(_) => Grant::NotKeeper,
+        let Ok(RelayOutcome::Lent(lent)) = link.ask(request, now + LENT_WITHIN).await else {
+            return Grant::NotKeeper;
+        };
+        let grant = lent.grant();
+        let told = (!lent.keeper.is_empty()).then(|| Name::from(lent.keeper.as_str()));
+        let keeper = if grant == Grant::NotKeeper { told } else { Some(asked) };
+        if let Some(keeper) = keeper {
+            self.limits.voter.borrow_mut().note_keeper(keeper, Instant::now());
         }
+        grant
+    }
+
+    /// Returns a member that may know who the keeper is; another one each time.
+    fn somebody(&self, beliefs: &Beliefs) -> Option<Name> {
+        let others: Vec<&Name> =
+            beliefs.members.keys().filter(|host| **host != self.settings.host).collect();
+        if others.is_empty() {
+            return None;
+        }
+        Some(others[rand::rng().random_range(0..others.len())].clone())
+    }
+
+    /// Answers another daemon that asks for operations: what there is, or who keeps the limits.
+    pub(crate) fn answer_lend(&self, account: &Name, wanted: &Wanted) -> LentMessage {
+        let grant = self.lend(account, wanted);
+        let keeper = match grant {
+            Grant::NotKeeper => self.limits.voter.borrow().keeper(Instant::now()).cloned(),
+            Grant::Lent(_) | Grant::Empty(_) => None,
+        };
+        let keeper = keeper.filter(|keeper| *keeper != self.settings.host);
+        let keeper = keeper.map_or_else(String::new, |keeper| keeper.to_string());
+        LentMessage { keeper, ..LentMessage::from(grant) }
     }
 
     /// Lends what there is of an account's limit, as the keeper or as one to be.
@@ -473,7 +508,7 @@
 const KEEPER_OF: &str = "account limits";
 
 impl LentMessage {
-    fn grant(self) -> Grant {
+    fn grant(&self) -> Grant {
         match (self.count, self.wait_ms) {
             (0, 0) => Grant::NotKeeper,
             (0, wait_ms) => Grant::Empty(Duration::from_millis(wait_ms)),
