fix(limits): what was lent ends by itself, whatever is lent after it

Cause, found in reading the code against the model: a later loan made what was held before last longer. Another keeper does not know of that, so after a change of keeper twice what may be lent and unused could lie with holders; the model keeps each loan's own end and so did not meet it. Each loan keeps its own end now; a test of the holder failed before.

--- a/crates/limits/src/allotment.rs
+++ b/crates/limits/src/allotment.rs
@@ -1,6 +1,9 @@
 //! What a daemon holds of an account's limit.
 
-use std::time::{Duration, Instant};
+use std::{
+    collections::VecDeque,
+    time::{Duration, Instant},
+};
 
 /// How far ahead a daemon asks for operations, by the rate that it has seen: one question a fifth of a second, and no
 /// more is held by daemons whose callers have gone than they would use in that time.
@@ -44,11 +47,11 @@
 }
 
 /// What this daemon holds of one account's limit.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Allotment {
-    held: u32,
+    /// What was lent and not used, with until when; oldest first. Nothing lengthens it: another keeper does not know of it.
+    held: VecDeque<(u32, Instant)>,
     asked_for: u32,
-    until: Option<Instant>,
     full_until: Option<Instant>,
     /// Since when nothing was lent.
     full_since: Option<Instant>,
@@ -60,13 +63,13 @@
 impl Allotment {
     /// Takes one operation.
     pub fn take(&mut self, now: Instant) -> Taken {
-        if self.until.is_none_or(|until| now >= until) {
-            self.held = 0;
+        while self.held.front().is_some_and(|(count, until)| *count == 0 || now >= *until) {
+            self.held.pop_front();
         }
-        if self.held > 0 {
-            self.held -= 1;
+        if let Some((count, _)) = self.held.front_mut() {
+            *count -= 1;
             let low = (f64::from(self.asked_for) * LOW_PART) as u32;
-            return Taken::Yes { ask_ahead: self.asked_for > 1 && self.held <= low };
+            return Taken::Yes { ask_ahead: self.asked_for > 1 && self.unused(now) <= low };
         }
         match self.full_until {
             Some(until) if now < until => {
@@ -79,19 +82,19 @@
 
     /// Returns how many operations are held and how many to ask for beside them, where `waiting` wait already.
     pub fn wanted(&self, waiting: u32, now: Instant) -> (u32, u32) {
-        let unused = if self.until.is_some_and(|until| now < until) { self.held } else { 0 };
         let ahead = (self.rate_per_s * AHEAD.as_secs_f64()).round() as u32;
-        (unused, (waiting + ahead).max(1))
+        (self.unused(now), (waiting + ahead).max(1))
     }
 
-    /// Takes over what was lent. What was held before lasts as long from then on: the keeper was told of it.
-    pub fn take_over(&mut self, lent: Lent, now: Instant) {
-        if self.until.is_none_or(|until| now >= until) {
-            self.held = 0;
-        }
-        self.held += lent.count;
+    fn unused(&self, now: Instant) -> u32 {
+        let held = self.held.iter().filter(|(_, until)| now < *until);
+        held.map(|(count, _)| *count).sum()
+    }
+
+    /// Takes over what was lent.
+    pub fn take_over(&mut self, lent: Lent) {
+        self.held.push_back((lent.count, lent.asked_at + lent.lasts));
         self.asked_for = lent.count;
-        self.until = Some(lent.asked_at + lent.lasts);
         self.full_until = None;
         self.full_since = None;
     }
--- a/crates/limits/tests/election.rs
+++ b/crates/limits/tests/election.rs
@@ -105,6 +105,22 @@
     }
 }
 
+/// Another keeper does not know what the one before it lent, so nothing that it says makes that last longer.
+#[test]
+fn what_was_lent_ends_by_itself_whatever_is_lent_after_it() {
+    let start = Instant::now();
+    let mut allotment = Allotment::default();
+    let lent = |count, at| Lent { count, asked_at: start + ms(at), lasts: ms(500) };
+    allotment.take_over(lent(3, 0));
+    allotment.take_over(lent(2, 400));
+    assert_eq!(allotment.wanted(0, start + ms(450)).0, 5);
+    assert_eq!(allotment.wanted(0, start + ms(500)).0, 2);
+    let at = start + ms(600);
+    let taken: Vec<bool> =
+        (0..3).map(|_| matches!(allotment.take(at), Taken::Yes { .. })).collect();
+    assert_eq!(taken, [true, true, false]);
+}
+
 /// One account at a hundred times its limit: what can't be served is refused by the daemon that it reaches, without a question.
 #[test]
 fn a_flood_costs_its_keeper_a_question_for_each_pause_and_not_for_each_operation() {
@@ -127,7 +143,7 @@
                 let lent = ledger.lend(&Name::from("a"), &budget, &wanted, standing, ms(500), now);
                 match lent {
                     Grant::Lent(count) => {
-                        allotment.take_over(Lent { count, asked_at: now, lasts: ms(500) }, now);
+                        allotment.take_over(Lent { count, asked_at: now, lasts: ms(500) });
                     }
                     Grant::Empty(wait) => allotment.note_full(now, now + wait),
                     Grant::NotKeeper => unreachable!(),
--- a/crates/proxy/src/serve/admission.rs
+++ b/crates/proxy/src/serve/admission.rs
@@ -143,7 +143,7 @@
                 match engine.lend_from_keeper(&account.name, unused, wanted).await {
                     Grant::Lent(count) => {
                         let lent = Lent { count, asked_at, lasts: LENT_LASTS };
-                        held.allotment.borrow_mut().take_over(lent, Instant::now());
+                        held.allotment.borrow_mut().take_over(lent);
                         break;
                     }
                     Grant::Empty(wait) => {
