--- a/crates/routing/src/ownership.rs
+++ b/crates/routing/src/ownership.rs
@@ -43,8 +43,8 @@
 /// tenths. The rest is for those that daemons which died leave behind for some seconds, and for commands.
 const ACCOUNTS_TENTHS: u32 = 8;
 /// The part that it keeps for good. What it had is counted by the server for three seconds after its host lost power: with
-/// eight tenths kept, a new life had nine of 26 places, and of scale-1's statements 0.924 were served instead of 0.942; with
-/// four kept alone, a quiet day opens 8,409 connections instead of 5,353.
+/// eight tenths kept, a new life had nine of 26 places, and of a day on which daemons stop in turn and then all lose power 0.924 was
+/// served instead of 0.942; with four at the most, a quiet day opens 8,409 connections instead of 5,353.
 const ACCOUNTS_KEPT_TENTHS: u32 = 4;
 
 /// Returns how many connections to a server its one owner may have, and how many of them it keeps for good, of so many that
