perf(limits): 75 members vote at the most, and no two begin to ask at the same moment

Read in the code: every member asked every other one for its vote, and from the thirteenth place in order on all of them at the same moment: 300 times 300 questions each 190 ms where nobody kept the limits.

The 75 members that rank first vote and stand, one after the other. Fleets of 75 and fewer vote as before, but for the order of those that come late.

--- a/crates/limits/src/election.rs
+++ b/crates/limits/src/election.rs
@@ -251,7 +251,5 @@
 pub fn campaign_after(silence: Duration, place: usize) -> Duration {
     /// A round of votes and the scheduling of a busy host.
     const EACH: Duration = Duration::from_millis(60);
-    /// Places that are told apart; with so many silent daemons at the head of the order the rest begin together.
-    const PLACES: u32 = 12;
-    silence + EACH * (place as u32).min(PLACES)
+    silence + EACH * place as u32
 }
--- a/crates/proxy/src/serve/admission.rs
+++ b/crates/proxy/src/serve/admission.rs
@@ -11,12 +11,10 @@
 
 use limits::{Allotment, Grant, Lent, RateLimit, Taken, Wanted};
 use model::Name;
-use rand::RngExt;
 use tokio::sync::Notify;
 
 use crate::{
     accounts::Account,
-    control::beliefs::Beliefs,
     dialect::{CallerDialect, EndpointDialect},
     relay::{
         limit_messages::{LendMessage, LentMessage},
@@ -178,7 +176,7 @@
         if keeper.as_ref() == Some(&self.settings.host) {
             return self.lend(account, &wanted);
         }
-        let Some(asked) = keeper.or_else(|| self.somebody(&beliefs)) else {
+        let Some(asked) = keeper.or_else(|| self.limits.somebody(&self.settings.host)) else {
             return Grant::NotKeeper;
         };
         let address = beliefs.members.get(&asked).copied();
@@ -201,16 +199,6 @@
         grant
     }
 
-    /// Returns a member that may know who the keeper is; another one each time.
-    fn somebody(&self, beliefs: &Beliefs) -> Option<Name> {
-        let others: Vec<&Name> =
-            beliefs.members.keys().filter(|host| **host != self.settings.host).collect();
-        if others.is_empty() {
-            return None;
-        }
-        Some(others[rand::rng().random_range(0..others.len())].clone())
-    }
-
     /// Answers another daemon that asks for operations: what there is, or who keeps the limits.
     pub(crate) fn answer_lend(&self, account: &Name, wanted: &Wanted) -> LentMessage {
         let grant = self.lend(account, wanted);
--- a/crates/proxy/src/serve/limits.rs
+++ b/crates/proxy/src/serve/limits.rs
@@ -5,7 +5,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::HashMap,
+    collections::{BTreeMap, HashMap},
     net::SocketAddr,
     rc::Rc,
     sync::Arc,
@@ -58,13 +58,20 @@
     ElectionTimes { binds: VOTE_BINDS, counts: VOTE_COUNTS, window }
 }
 
-/// The members as they were last seen, and since when they are the same.
+/// The members that vote, and since when they are the same.
 #[derive(Default)]
 struct Electorate {
+    /// Best first; the same on every daemon that knows the same members.
     hosts: Vec<Name>,
     since: Option<Instant>,
+    /// The members that they were found among.
+    members: Arc<BTreeMap<Name, SocketAddr>>,
 }
 
+/// Members that vote at the most. Each asks all of them while it wants to be the keeper: with 300 that asked 300 the daemons of a
+/// fleet did nothing else. So many still have a quorum among them when a third is cut off.
+const MOST_VOTERS: usize = 75;
+
 /// This daemon's part in the limits.
 pub(crate) struct Limits {
     rule: WindowRule,
@@ -180,12 +187,35 @@
     /// Takes over who the members are.
     fn note_members(&self, beliefs: &Beliefs, now: Instant) {
         let mut electorate = self.electorate.borrow_mut();
-        if !beliefs.members.keys().eq(electorate.hosts.iter()) {
-            electorate.hosts = beliefs.members.keys().cloned().collect();
+        if Arc::ptr_eq(&beliefs.members, &electorate.members) {
+            return;
+        }
+        electorate.members = beliefs.members.clone();
+        let ranked = routing::ranked(KEEPER_OF, beliefs.members.keys().map(|host| &**host));
+        let hosts: Vec<Name> = ranked.into_iter().take(MOST_VOTERS).map(Name::from).collect();
+        if hosts != electorate.hosts {
+            electorate.hosts = hosts;
             electorate.since = Some(now);
         }
     }
 
+    /// Returns a voter that may know who the keeper is; another one each time.
+    pub(super) fn somebody(&self, own: &Name) -> Option<Name> {
+        let electorate = self.electorate.borrow();
+        let others: Vec<&Name> = electorate.hosts.iter().filter(|host| *host != own).collect();
+        if others.is_empty() {
+            return None;
+        }
+        Some(others[rand::rng().random_range(0..others.len())].clone())
+    }
+
+    /// Returns where the voters other than this daemon are asked.
+    fn others(&self, own: &Name) -> Vec<(Name, SocketAddr)> {
+        let electorate = self.electorate.borrow();
+        let others = electorate.hosts.iter().filter(|host| *host != own);
+        others.filter_map(|host| Some((host.clone(), *electorate.members.get(host)?))).collect()
+    }
+
     fn resign(&self) {
         if let Some(candidacy) = self.candidacy.borrow_mut().take() {
             self.next_term.set(candidacy.next_term());
@@ -254,8 +284,8 @@
         if limits.rests_until.get().is_some_and(|until| now < until) {
             return false;
         }
-        let order = routing::ranked(KEEPER_OF, beliefs.members.keys().map(|host| &**host));
-        let place = order.iter().position(|host| **host == **own).unwrap_or(order.len());
+        let place = limits.electorate.borrow().hosts.iter().position(|host| host == own);
+        let Some(place) = place else { return false };
         let (since, silence) = match limits.heard_at.get() {
             Some(at) => (at, SILENT_FOR),
             None => (member_since, SILENT_AT_START),
@@ -269,19 +299,19 @@
         true
     }
 
-    /// Tells every member that this daemon lends nothing more, so that another one need not wait for its votes to end: the
+    /// Tells every voter that this daemon lends nothing more, so that another one need not wait for its votes to end: the
     /// daemons of a fleet that is restarted in turn stop one after the other, and each may be the keeper.
     fn free_voters(self: &Rc<Self>, beliefs: &Arc<Beliefs>, now: Instant) {
         let own = &self.settings.host;
         let host = own.clone();
         let request = VoteRequest { host, life: self.limits.life, is_keeper: false, ends: true };
         self.limits.vote(&request, beliefs, now);
-        for (host, address) in beliefs.members.iter().filter(|(host, _)| *host != own) {
-            self.ask_for_vote(host, *address, &request, now);
+        for (host, address) in self.limits.others(own) {
+            self.ask_for_vote(host, address, &request, now);
         }
     }
 
-    /// Asks every member for its vote; answers are counted as they come.
+    /// Asks every voter for its vote; answers are counted as they come.
     fn ask_for_votes(self: &Rc<Self>, beliefs: &Arc<Beliefs>, now: Instant) {
         let own = self.settings.host.clone();
         let is_keeper = self.limits.is_keeper(now);
@@ -294,16 +324,14 @@
             return;
         }
         self.limits.count(Ballot { host: own.clone(), asked_at: now, vote }, now);
-        for (host, address) in beliefs.members.iter() {
-            if *host != own {
-                self.ask_for_vote(host, *address, &request, now);
-            }
+        for (host, address) in self.limits.others(&own) {
+            self.ask_for_vote(host, address, &request, now);
         }
     }
 
     fn ask_for_vote(
         self: &Rc<Self>,
-        host: &Name,
+        host: Name,
         address: SocketAddr,
         request: &VoteRequest,
         asked_at: Instant,
@@ -311,7 +339,7 @@
         let Some(link) = self.relays.to_first(&[address], asked_at) else { return };
         let request =
             RelayRequest { task: Some(RelayTask::Vote(request.into())), ..RelayRequest::default() };
-        let (engine, host) = (self.clone(), host.clone());
+        let engine = self.clone();
         tokio::task::spawn_local(async move {
             let answered = link.ask(request, asked_at + VOTE_WITHIN).await;
             if let Ok(RelayOutcome::Voted(vote)) = answered {
