perf(proxy): the life of a server whose entry changed is looked up by its key

Read in the code: with each entry that is read, the list of all servers by service was made anew to find the former life of one; three thousand times three thousand at a daemon's start there.

--- a/crates/proxy/src/control/servers.rs
+++ b/crates/proxy/src/control/servers.rs
@@ -49,6 +49,12 @@
         true
     }
 
+    /// Returns the life of the server whose entry has this key, if it is known and tells of lives. It makes no list of all
+    /// servers: a daemon that read the entries of three thousand and made that list for each did little else.
+    pub fn life_at(&self, key: &str) -> Option<ServerLife> {
+        self.known.get(key)?.entry.life
+    }
+
     /// Returns the life of a service's server that is listed now, if servers tell of lives.
     pub fn life_of(&mut self, service: &str, server: &str) -> Option<ServerLife> {
         let by_service = self.by_service();
--- a/crates/proxy/src/control/watching.rs
+++ b/crates/proxy/src/control/watching.rs
@@ -262,7 +262,7 @@
                 let (server, leaving, leads) =
                     (entry.server.clone(), entry.leaving, entry.claims_lead);
                 let (service, life) = (entry.service.clone(), entry.life);
-                let before = state.servers.life_of(&service, &server);
+                let before = state.servers.life_at(&item.key);
                 if state.servers.put(&item.key, entry) {
                     log::info!(
                         event = "server", server = &*server, leaving = leaving,
