--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -29,7 +29,8 @@
 };
 pub use problem::{Problem, Problems};
 pub use proxy_settings::{
-    AccountLimitSettings, LeadershipSettings, MetadataSettings, ProxyDaemonSettings, ProxySettings,
+    AccountLimitSettings, LeadershipSettings, MetadataSettings, OverloadSettings,
+    ProxyDaemonSettings, ProxySettings,
 };
 pub use reference::reference_page;
 pub use section::{OptionDoc, Section};
--- a/crates/config/src/proxy_settings.rs
+++ b/crates/config/src/proxy_settings.rs
@@ -19,6 +19,8 @@
         host: Name = Name::from(""),
         /// The availability zone that the host stands in.
         availability_zone: Name = Name::from(""),
+        /// The region of each availability zone, as `ZONE/REGION`; unset means that all zones are of one region.
+        regions: Vec<Name> = Vec::new(),
         /// Where callers connect.
         listen: Option<SocketAddr> = None,
         /// Where the load balancer asks whether this daemon takes new connections.
@@ -93,6 +95,30 @@
     }
 }
 
+section! {
+    /// Which decisions under load are made; each can be switched off to see what it is worth.
+    OverloadSettings in "overload" named "" {
+        /// Whether statements for a server wait in one queue at the owner of its connections, by priority and account.
+        queue: bool = true,
+        /// Whether servers and paths that misbehave are set aside, by what a whole zone sees.
+        circuits: bool = true,
+        /// Whether servers are chosen by the load that their owners tell, and by measured distances.
+        balance: bool = true,
+        /// Whether statements wait for a change of primary for as long as it is expected to take.
+        holding: bool = true,
+        /// Whether connections are kept for the accounts that are most likely to use them again.
+        reuse: bool = true,
+    }
+}
+
+impl ProxyDaemonSettings {
+    /// Returns each availability zone with its region.
+    pub fn region_by_zone(&self) -> impl Iterator<Item = (Name, Name)> {
+        let pairs = self.regions.iter().filter_map(|entry| entry.split_once('/'));
+        pairs.map(|(zone, region)| (Name::from(zone), Name::from(region)))
+    }
+}
+
 /// Every setting of one host.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct ProxySettings {
@@ -104,15 +130,18 @@
     pub leadership: LeadershipSettings,
     /// Limits of client accounts.
     pub limits: AccountLimitSettings,
+    /// Decisions under load.
+    pub overload: OverloadSettings,
     /// Logs.
     pub log: LogSettings,
 }
 
-const KINDS: [&str; 5] = [
+const KINDS: [&str; 6] = [
     ProxyDaemonSettings::KIND,
     MetadataSettings::KIND,
     LeadershipSettings::KIND,
     AccountLimitSettings::KIND,
+    OverloadSettings::KIND,
     LogSettings::KIND,
 ];
 
@@ -138,6 +167,7 @@
                 AccountLimitSettings::KIND => {
                     settings.limits = read_section(&section, &mut problems);
                 }
+                OverloadSettings::KIND => settings.overload = read_section(&section, &mut problems),
                 LogSettings::KIND => settings.log = read_section(&section, &mut problems),
                 other => problems.add_with(
                     section.line,
@@ -172,6 +202,22 @@
         if self.limits.window_ms == 0 {
             problems.add(1, "window_ms", "must be above 0");
         }
+        let own_zone = &self.daemon.availability_zone;
+        let zone_of = |entry: &Name| entry.split_once('/').map(|(zone, _)| zone.to_owned());
+        for entry in &self.daemon.regions {
+            let is_pair = entry.split('/').filter(|part| !part.is_empty()).count() == 2;
+            if !is_pair || entry.matches('/').count() != 1 {
+                problems.add(1, "regions", format!("expected ZONE/REGION, found `{entry}`"));
+            }
+        }
+        let mut zones: Vec<String> = self.daemon.regions.iter().filter_map(zone_of).collect();
+        if !zones.is_empty() && !zones.iter().any(|zone| **zone == **own_zone) {
+            problems.add(1, "regions", format!("must name the daemon's own zone `{own_zone}`"));
+        }
+        zones.sort_unstable();
+        if let Some(twice) = zones.windows(2).find(|pair| pair[0] == pair[1]) {
+            problems.add(1, "regions", format!("names the zone `{}` twice", twice[0]));
+        }
         if self.leadership.evidence_ms > self.leadership.right_ms {
             problems.add(1, "evidence_ms", "must be at most right_ms");
         }
--- a/crates/config/src/reference.rs
+++ b/crates/config/src/reference.rs
@@ -5,8 +5,8 @@
 use crate::{
     AccountLimitSettings, ControlSettings, DaemonSettings, EndpointSettings, FailoverOptions,
     GroupOptions, KindOptions, LeadershipSettings, LeavingOptions, LimitOptions, LogSettings,
-    MetadataSettings, PlatformSettings, ProxyDaemonSettings, RuleOptions, Section, ServerOptions,
-    ServiceOptions, TlsSettings, TraceSettings, UserOptions,
+    MetadataSettings, OverloadSettings, PlatformSettings, ProxyDaemonSettings, RuleOptions,
+    Section, ServerOptions, ServiceOptions, TlsSettings, TraceSettings, UserOptions,
 };
 
 /// Returns the tables of every section, as the page holds them between its markers.
@@ -34,6 +34,7 @@
     render_section::<MetadataSettings>(&mut page);
     render_section::<LeadershipSettings>(&mut page);
     render_section::<AccountLimitSettings>(&mut page);
+    render_section::<OverloadSettings>(&mut page);
     render_section::<LogSettings>(&mut page);
     page
 }
--- /dev/null
+++ b/crates/overload/src/lib.rs
@@ -0,0 +1,12 @@
+//! What a daemon decides when callers ask for more than the servers can do, or when servers misbehave.
+//!
+//! Each decision is a type without input, output or clock, so that it runs under any load in a test: the engines feed it
+//! with events and times and carry out what it returns. None of it is authority: how fresh a read must be, who leads and how
+//! much an account may ask keep their own proofs, and a wrong estimate here costs time, never a promise.
+//! `docs/design/hard-load.md` says who decides what and where the state lives.
+
+mod load_report;
+mod rank;
+
+pub use load_report::{AgedReport, LoadReport};
+pub use rank::{RANKS, Rank};
--- /dev/null
+++ b/crates/overload/tests/load_report.rs
@@ -0,0 +1,28 @@
+//! Load reports: what they say later.
+
+use std::time::{Duration, Instant};
+
+use overload::{AgedReport, LoadReport, RANKS, Rank};
+
+#[test]
+fn a_report_counts_for_half_after_200_ms() {
+    let heard_at = Instant::now();
+    let report = LoadReport {
+        waits: [Duration::from_millis(80); RANKS],
+        running: 6,
+        slots: 6,
+        service: Duration::from_millis(20),
+    };
+    let aged = AgedReport { report, heard_at };
+    let wait_after = |ms| aged.expected_wait(Rank::ALL[0], heard_at + Duration::from_millis(ms));
+    assert_eq!(wait_after(0), Duration::from_millis(80));
+    assert_eq!(wait_after(200), Duration::from_millis(40));
+    assert_eq!(wait_after(400), Duration::from_millis(20));
+    assert!(!aged.had_free_slot());
+}
+
+#[test]
+fn priorities_beyond_the_last_rank_count_as_the_last() {
+    assert_eq!(Rank::of_priority(0), Rank::ALL[0]);
+    assert_eq!(Rank::of_priority(200), Rank::ALL[RANKS - 1]);
+}
--- a/crates/proxy/src/daemon.rs
+++ b/crates/proxy/src/daemon.rs
@@ -189,6 +189,8 @@
             overage: settings.limits.overage,
             slack: settings.limits.slack,
         },
+        regions: settings.daemon.region_by_zone().collect(),
+        overload: settings.overload.clone(),
     }
 }
 
--- a/crates/proxy/src/relay/messages.rs
+++ b/crates/proxy/src/relay/messages.rs
@@ -7,7 +7,10 @@
 use prost::{Message, Oneof};
 
 use crate::{
-    relay::limit_messages::{LendMessage, LentMessage, VoteMessage, VotedMessage},
+    relay::{
+        limit_messages::{LendMessage, LentMessage, VoteMessage, VotedMessage},
+        load_messages::LoadMessage,
+    },
     serve::{
         errand::{Errand, Task},
         job::Work,
@@ -63,6 +66,9 @@
     /// The client account for whom it runs; empty for none.
     #[prost(string, tag = "24")]
     pub account: String,
+    /// How often the operation was sent to a server or an owner before, over all daemons.
+    #[prost(uint32, tag = "27")]
+    pub tried: u32,
     /// What is to be done; none if it is of a later version than this daemon knows.
     #[prost(oneof = "RelayTask", tags = "13, 14, 15, 16, 17, 18, 19, 20, 21, 23, 25, 26")]
     pub task: Option<RelayTask>,
@@ -166,6 +172,12 @@
     /// The owner's steady clock as it made the answer, in milliseconds since its process began, rounded down.
     #[prost(uint64, tag = "6")]
     pub clock_ms: u64,
+    /// The load of the server that the request named, as it is now; none if the answer is about no server.
+    #[prost(message, optional, tag = "10")]
+    pub load: Option<LoadMessage>,
+    /// When asking again may help, in milliseconds from now; 0 if that is not known.
+    #[prost(uint64, tag = "11")]
+    pub come_back_ms: u64,
     /// What became of it.
     #[prost(oneof = "RelayOutcome", tags = "2, 3, 4, 5, 7, 8, 9")]
     pub outcome: Option<RelayOutcome>,
@@ -240,10 +252,13 @@
     Unreachable,
     /// The owner stops, or does not understand what it is asked.
     Unwilling,
+    /// More urgent work and that of other accounts leave no room in time; told at once.
+    Overloaded,
 }
 
 impl NotSent {
-    const ALL: [NotSent; 3] = [NotSent::TooLate, NotSent::Unreachable, NotSent::Unwilling];
+    const ALL: [NotSent; 4] =
+        [NotSent::TooLate, NotSent::Unreachable, NotSent::Unwilling, NotSent::Overloaded];
 
     /// Returns the number by which it is told.
     pub fn number(self) -> u32 {
--- a/crates/proxy/src/relay/mod.rs
+++ b/crates/proxy/src/relay/mod.rs
@@ -10,5 +10,6 @@
 pub mod limit_messages;
 pub mod link;
 pub mod links;
+pub mod load_messages;
 pub mod messages;
 pub mod sampling;
--- a/crates/proxy/src/serve/engine.rs
+++ b/crates/proxy/src/serve/engine.rs
@@ -9,6 +9,7 @@
     time::{Duration, Instant},
 };
 
+use config::OverloadSettings;
 use limits::WindowRule;
 use model::Name;
 use routing::RetryBudget;
@@ -133,6 +134,10 @@
     pub most_callers: u64,
     /// By which windows the limits of client accounts are judged.
     pub window_rule: WindowRule,
+    /// The region of each availability zone; empty where all are of one.
+    pub regions: HashMap<Name, Name>,
+    /// Which decisions under load are made.
+    pub overload: OverloadSettings,
 }
 
 /// The shared state of the serving thread.
--- a/crates/proxy/tests/relay.rs
+++ b/crates/proxy/tests/relay.rs
@@ -181,7 +181,12 @@
     }
 
     async fn answer(frames: &mut Frames, number: u64, outcome: RelayOutcome) {
-        let answer = RelayAnswer { number, clock_ms: CLOCK_MS, outcome: Some(outcome) };
+        let answer = RelayAnswer {
+            number,
+            clock_ms: CLOCK_MS,
+            outcome: Some(outcome),
+            ..RelayAnswer::default()
+        };
         frames.send(Bytes::from(answer.encode_to_vec())).await.unwrap();
     }
 
