--- a/crates/proxy/src/serve/engine.rs
+++ b/crates/proxy/src/serve/engine.rs
@@ -241,7 +241,9 @@
             .clone();
         let granted = beliefs.catalog.services.get(service).map_or(0, |rule| rule.connections);
         let by_account = beliefs.catalog.accounts.is_some();
-        let share = share_of(granted, beliefs.sharers, by_account);
+        let entries = beliefs.servers.get(service).map_or(&[][..], Vec::as_slice);
+        let slots = entries.iter().map(|entry| entry.slots).min().unwrap_or(0);
+        let share = share_of(granted, slots, beliefs.sharers, by_account);
         let seen = Seen {
             servers: beliefs.servers.clone(),
             detours: beliefs.detours.clone(),
@@ -249,7 +251,6 @@
             share,
         };
         if !group.seen.borrow().is_same(&seen) {
-            let entries = beliefs.servers.get(service).map_or(&[][..], Vec::as_slice);
             group.pool.update(entries, share, &seen.detours, &seen.owners);
             *group.seen.borrow_mut() = seen;
         }
--- a/crates/proxy/src/serve/share.rs
+++ b/crates/proxy/src/serve/share.rs
@@ -47,7 +47,8 @@
     /// Each zone has an owner, with so many connections.
     InEachZone(u32),
     /// One in the server's own zone has them, for the callers of all zones: there are client accounts, and one's
-    /// connection does no other's work.
+    /// connection does no other's work; or there are so many zones that each would have fewer than the server runs at a time,
+    /// and statements would wait in one zone beside free slots that another one keeps.
     Once {
         /// So many at the most.
         most: u32,
@@ -86,8 +87,8 @@
 /// after a restart, when a server still counts what was open, than it brings before.
 const UNBLOCKED: u32 = 2;
 
-/// Returns the share of one daemon in what a server grants to all of them.
-pub fn share_of(granted: u32, sharers: Sharers, by_account: bool) -> Share {
+/// Returns the share of one daemon in what a server that runs so many statements at a time grants to all of them.
+pub fn share_of(granted: u32, slots: u32, sharers: Sharers, by_account: bool) -> Share {
     let shared = granted.saturating_sub(RESERVED_CONNECTIONS);
     let each = shared / sharers.daemons.max(1);
     let keep = match each {
@@ -100,12 +101,13 @@
         0 => 0,
         _ => (shared - each * sharers.daemons.max(1)).min(UNBLOCKED.saturating_sub(each)),
     };
-    let owned = match (each, by_account) {
-        (0, true) => {
+    let of_a_zone = owned_connections(shared, sharers.zones);
+    let owned = match each {
+        0 if by_account || of_a_zone < slots.min(shared) => {
             let (most, kept) = account_connections(shared);
             Some(Owned::Once { most, kept })
         }
-        (0, false) => Some(Owned::InEachZone(owned_connections(shared, sharers.zones))),
+        0 => Some(Owned::InEachZone(of_a_zone)),
         _ => None,
     };
     Share { limit: each.max(1), loan, keep, owned }
--- a/crates/proxy/tests/shares.rs
+++ b/crates/proxy/tests/shares.rs
@@ -2,6 +2,9 @@
 
 use proxy::serve::share::{Keep, Owned, Share, Sharers, share_of};
 
+/// Statements that a server of these tests runs at a time.
+const SLOTS: u32 = 1;
+
 #[test]
 fn shares_never_add_up_to_more_than_is_granted_unless_they_are_scarce() {
     let share = |limit, loan, keep| Share { limit, loan, keep, owned: None };
@@ -22,7 +25,7 @@
     ];
     for (granted, daemons, in_zone, expected) in cases {
         let sharers = Sharers { daemons, in_zone, zones: 3 };
-        let found = share_of(granted, sharers, false);
+        let found = share_of(granted, SLOTS, sharers, false);
         assert_eq!(found, expected, "{granted} among {daemons}");
         let kept = match expected.keep {
             Keep::One => expected.limit * daemons.max(1),
@@ -43,11 +46,24 @@
     let sharers = Sharers { daemons: 71, in_zone: 25, zones: 3 };
     for (granted, most, kept) in [(29, 20, 10), (53, 40, 20), (15, 9, 4), (4, 1, 1), (0, 1, 1)] {
         let owned = Some(Owned::Once { most, kept });
-        assert_eq!(share_of(granted, sharers, true).owned, owned, "{granted}");
+        assert_eq!(share_of(granted, SLOTS, sharers, true).owned, owned, "{granted}");
     }
     let owned = Owned::Once { most: 20, kept: 10 };
     assert_eq!([0, 1].map(|place| owned.kept_at(place)), [10, 0]);
     assert_eq!([0, 1].map(|place| Owned::InEachZone(4).kept_at(place)), [4, 4]);
     let few = Sharers { daemons: 9, in_zone: 3, zones: 3 };
-    assert_eq!(share_of(29, few, true).owned, None);
+    assert_eq!(share_of(29, SLOTS, few, true).owned, None);
+}
+
+/// Two regions of three zones before few connections: an owner in each zone had two of them, so a server ran no more than two
+/// statements for the region that asked most, and the others' connections rested.
+#[test]
+fn where_a_zones_owner_could_not_use_a_servers_slots_one_owner_serves_all_zones() {
+    let sharers = Sharers { daemons: 88, in_zone: 16, zones: 6 };
+    assert_eq!(share_of(58, 2, sharers, false).owned, Some(Owned::InEachZone(2)));
+    let owned = Some(Owned::Once { most: 44, kept: 22 });
+    assert_eq!(share_of(58, 6, sharers, false).owned, owned);
+    // What is granted bounds what slots can ask for.
+    let sharers = Sharers { daemons: 20, in_zone: 10, zones: 2 };
+    assert_eq!(share_of(4, 6, sharers, false).owned, Some(Owned::InEachZone(1)));
 }
