--- a/crates/proxy/src/serve/choose.rs
+++ b/crates/proxy/src/serve/choose.rs
@@ -2,13 +2,15 @@
 
 use std::time::Duration;
 
+use overload::Reach;
+
 /// What is known of a server that may run the statement.
 #[derive(Clone, Copy, Debug)]
 pub struct Candidate {
     /// Its place in the group's list.
     pub index: usize,
-    /// Whether it stands in this daemon's availability zone.
-    pub near: bool,
+    /// How far it is.
+    pub reach: Reach,
     /// Whether it leads, and so has work that no other can do.
     pub leads: bool,
     /// Idle connections to it.
@@ -41,6 +43,9 @@
 /// What crossing to another availability zone is taken to cost: its round trip, and its price, so that
 /// a far server is chosen only when the near one is busy or slow.
 const FAR_PENALTY: Duration = Duration::from_millis(60);
+/// What crossing to another region is taken to cost beyond that. The time that it takes shows in the answering time; its link
+/// is narrow and shared with what must cross, as writes do, so a read rather waits for two or three others near by.
+const REGION_PENALTY: Duration = Duration::from_millis(60);
 /// What reading at the primary is taken to cost, since only the primary can write.
 const PRIMARY_PENALTY: Duration = Duration::from_millis(10);
 /// The same where there are more daemons than connections: every daemon needs the primary's, and reads that
@@ -75,9 +80,11 @@
 fn cost_us(candidate: &Candidate, primary_penalty: Duration) -> u64 {
     let rounds = 1 + u64::from(candidate.in_use);
     let mut cost = u64::from(candidate.latency_us) * rounds;
-    if !candidate.near {
-        cost += micros(FAR_PENALTY);
-    }
+    cost += micros(match candidate.reach {
+        Reach::SameZone => Duration::ZERO,
+        Reach::SameRegion => FAR_PENALTY,
+        Reach::OtherRegion => FAR_PENALTY + REGION_PENALTY,
+    });
     if candidate.leads {
         cost += micros(primary_penalty);
     }
--- a/crates/proxy/src/serve/engine.rs
+++ b/crates/proxy/src/serve/engine.rs
@@ -12,6 +12,7 @@
 use config::OverloadSettings;
 use limits::WindowRule;
 use model::Name;
+use overload::Layout;
 use routing::RetryBudget;
 use session::StalenessSamples;
 use tokio::sync::{Notify, watch};
@@ -98,9 +99,9 @@
 }
 
 impl<E: EndpointDialect> Group<E> {
-    fn new(availability_zone: Name, relays: Rc<RelayLinks>) -> Group<E> {
+    fn new(layout: Rc<Layout>, relays: Rc<RelayLinks>) -> Group<E> {
         Group {
-            pool: Rc::new(GroupPool::new(availability_zone, relays)),
+            pool: Rc::new(GroupPool::new(layout, relays)),
             samples: RefCell::new(StalenessSamples::new(SAMPLES_KEPT)),
             retries: RefCell::new(RetryBudget::new(RETRY_PERCENT)),
             starved: Cell::new(None),
@@ -161,6 +162,8 @@
     pub(crate) limits: Limits,
     /// Where this daemon's clock begins, by which others tell it until when it may begin with their statements.
     epoch: Instant,
+    /// How far the servers' zones are.
+    layout: Rc<Layout>,
     groups: RefCell<HashMap<Name, Rc<Group<E>>>>,
 }
 
@@ -197,8 +200,11 @@
     /// Joins the pieces.
     pub fn new(parts: EngineParts<C, E>) -> Engine<C, E> {
         let limits = Limits::new(parts.settings.window_rule);
+        let zone = parts.settings.availability_zone.clone();
+        let layout = Rc::new(Layout::new(zone, parts.settings.regions.clone()));
         Engine {
             limits,
+            layout,
             caller_dialect: parts.caller_dialect,
             endpoint_dialect: parts.endpoint_dialect,
             settings: parts.settings,
@@ -234,10 +240,7 @@
             .groups
             .borrow_mut()
             .entry(service.clone())
-            .or_insert_with(|| {
-                let zone = self.settings.availability_zone.clone();
-                Rc::new(Group::new(zone, self.relays.clone()))
-            })
+            .or_insert_with(|| Rc::new(Group::new(self.layout.clone(), self.relays.clone())))
             .clone();
         let granted = beliefs.catalog.services.get(service).map_or(0, |rule| rule.connections);
         let by_account = beliefs.catalog.accounts.is_some();
--- a/crates/proxy/src/serve/pool.rs
+++ b/crates/proxy/src/serve/pool.rs
@@ -13,7 +13,8 @@
     time::{Duration, Instant},
 };
 
-use model::{LogPoint, Name};
+use model::LogPoint;
+use overload::{Layout, Reach};
 use tokio::sync::oneshot;
 
 use crate::{
@@ -57,7 +58,7 @@
 
 /// The pool of one service.
 pub struct GroupPool<E: EndpointDialect> {
-    availability_zone: Name,
+    layout: Rc<Layout>,
     relays: Rc<RelayLinks>,
     state: RefCell<PoolState<E>>,
 }
@@ -82,10 +83,10 @@
 }
 
 impl<E: EndpointDialect> GroupPool<E> {
-    /// Makes a pool without servers for a daemon in an availability zone.
-    pub fn new(availability_zone: Name, relays: Rc<RelayLinks>) -> GroupPool<E> {
+    /// Makes a pool without servers for a daemon that stands somewhere in a layout.
+    pub fn new(layout: Rc<Layout>, relays: Rc<RelayLinks>) -> GroupPool<E> {
         let state = PoolState { keep: Keep::One, servers: Vec::new(), waiters: Default::default() };
-        GroupPool { availability_zone, relays, state: RefCell::new(state) }
+        GroupPool { layout, relays, state: RefCell::new(state) }
     }
 
     /// Takes over which servers there are, how many connections each may have and who owns them.
@@ -113,11 +114,11 @@
         }
         for slot in &mut state.servers {
             slot.set_detours(detours.get(&slot.entry.server).cloned().unwrap_or_default());
-            let is_near = slot.entry.availability_zone == self.availability_zone;
+            let is_near = slot.entry.availability_zone == *self.layout.zone();
             let server = &slot.entry.server;
             let ownership = match share.owned {
                 None => None,
-                Some(Owned::InEachZone(_)) => owners.of(server, &self.availability_zone),
+                Some(Owned::InEachZone(_)) => owners.of(server, self.layout.zone()),
                 Some(Owned::Once { .. }) => owners
                     .of(server, &slot.entry.availability_zone)
                     .or_else(|| owners.elsewhere(server)),
@@ -254,7 +255,7 @@
             if self.owner_of(slot, wish, now).is_some() {
                 return Candidate {
                     index,
-                    near: slot.entry.availability_zone == self.availability_zone,
+                    reach: self.layout.reach(&slot.entry.availability_zone),
                     leads: wish.primary.as_ref() == Some(&slot.entry.server),
                     // Its queue is at the owner, where the whole zone's demand is seen.
                     idle: 1,
@@ -267,9 +268,13 @@
             }
             Candidate {
                 index,
-                // Through another daemon nothing is near.
-                near: slot.entry.availability_zone == self.availability_zone
-                    && slot.detours.is_empty(),
+                reach: match slot.detours.is_empty() {
+                    true => self.layout.reach(&slot.entry.availability_zone),
+                    // Through another daemon nothing is near.
+                    false => {
+                        Reach::SameRegion.max(self.layout.reach(&slot.entry.availability_zone))
+                    }
+                },
                 leads: wish.primary.as_ref() == Some(&slot.entry.server),
                 idle: slot.idle_for(wish),
                 in_use: slot.in_use,
--- a/crates/proxy/tests/reads.rs
+++ b/crates/proxy/tests/reads.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use model::{LogPoint, Position, StatementClass, Term, TermStart};
+use overload::Reach;
 use proxy::{
     catalog::ReadRule,
     serve::{
@@ -67,7 +68,7 @@
 fn candidate(index: usize) -> Candidate {
     Candidate {
         index,
-        near: true,
+        reach: Reach::SameZone,
         leads: false,
         idle: 1,
         in_use: 0,
@@ -81,7 +82,7 @@
 #[test]
 fn the_choice_prefers_near_idle_replicas_with_room() {
     let near = candidate(0);
-    let far = Candidate { near: false, ..candidate(1) };
+    let far = Candidate { reach: Reach::SameRegion, ..candidate(1) };
     let primary = Candidate { leads: true, ..candidate(2) };
     let closed = Candidate { idle: 0, ..candidate(3) };
     let in_use = Candidate { idle: 0, in_use: 2, ..candidate(4) };
@@ -106,7 +107,7 @@
 #[test]
 fn where_connections_are_scarce_a_far_replica_goes_before_a_near_primary() {
     let near_primary = Candidate { leads: true, ..candidate(0) };
-    let far_replica = Candidate { near: false, ..candidate(1) };
+    let far_replica = Candidate { reach: Reach::SameRegion, ..candidate(1) };
     let near_replica = candidate(2);
     let cases = [
         ("scarce", true, vec![near_primary, far_replica], 1),
@@ -123,3 +124,15 @@
         assert_eq!(choose(&candidates, scarce), Choice::UseIdle(expected), "{name}");
     }
 }
+
+/// Demand in two regions at three to one, with a replica in each: reads stay where they are while the replica there keeps up,
+/// go to the other region once the wait at home is longer than the way, and come back when it is not.
+#[test]
+fn a_read_leaves_its_region_only_for_a_wait_that_is_longer_than_the_way() {
+    let home = |in_use| Candidate { reach: Reach::SameRegion, in_use, limit: 9, ..candidate(0) };
+    let abroad = Candidate { reach: Reach::OtherRegion, latency_us: 44_000, ..candidate(1) };
+    let chosen: Vec<Choice> =
+        [0, 2, 4, 6, 4, 2, 0].map(|in_use| choose(&[home(in_use), abroad], true)).to_vec();
+    let expected = [0, 0, 0, 1, 0, 0, 0].map(Choice::UseIdle);
+    assert_eq!(chosen, expected);
+}
