--- a/crates/overload/src/lib.rs
+++ b/crates/overload/src/lib.rs
@@ -5,8 +5,10 @@
 //! much an account may ask keep their own proofs, and a wrong estimate here costs time, never a promise.
 //! `docs/design/hard-load.md` says who decides what and where the state lives.
 
+mod circuit;
 mod load_report;
 mod rank;
 
+pub use circuit::{Circuit, CircuitChange, PathOutcome};
 pub use load_report::{AgedReport, LoadReport};
 pub use rank::{RANKS, Rank};
--- a/crates/proxy/src/events.rs
+++ b/crates/proxy/src/events.rs
@@ -24,6 +24,8 @@
     pub contradictions: IntCounterVec,
     /// Operations refused for their client account, by why: its limit, or a key that nobody holds.
     pub refused: IntCounterVec,
+    /// Changes of circuits, by the hop that they watch and what they became.
+    pub circuits: IntCounterVec,
     /// Numbers as they are now: callers, version of the configuration, members.
     pub now: IntGaugeVec,
 }
@@ -77,6 +79,11 @@
             "Operations refused for their client account, by reason.",
             &["why"],
         );
+        let circuits = counter(
+            "wardtiller_proxy_circuits_total",
+            "Changes of the circuits of paths to servers, by hop and new state.",
+            &["hop", "state"],
+        );
         let statement_seconds = HistogramVec::new(
             HistogramOpts::new(
                 "wardtiller_proxy_statement_seconds",
@@ -105,6 +112,7 @@
             promotion_steps,
             contradictions,
             refused,
+            circuits,
             now,
         }
     }
--- a/crates/proxy/src/relay/lease.rs
+++ b/crates/proxy/src/relay/lease.rs
@@ -1,6 +1,7 @@
 //! The right to run statements on an owner's connections: one, or those of a transaction.
 
 use std::{
+    net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -62,6 +63,11 @@
         &self.terms.server
     }
 
+    /// Returns where the owner is.
+    pub fn owner(&self) -> SocketAddr {
+        self.link.owner()
+    }
+
     /// Runs something on the owner's connection.
     pub async fn run(
         &mut self,
--- a/crates/proxy/src/relay/link.rs
+++ b/crates/proxy/src/relay/link.rs
@@ -29,6 +29,8 @@
 const QUIET_FOR: Duration = Duration::from_millis(200);
 /// How long it may take to say so before it counts as dead.
 const PONG_WITHIN: Duration = Duration::from_millis(250);
+/// After how long without its word new requests go to another owner, where there is one: a few round trips between zones.
+const SILENT_AFTER: Duration = Duration::from_millis(80);
 /// How often that is looked at while requests wait.
 const LOOK_EVERY: Duration = Duration::from_millis(100);
 /// How long the owner may leave the link's bytes unread.
@@ -53,11 +55,14 @@
 
 /// A link to an owner.
 pub struct RelayLink {
+    owner: SocketAddr,
     outgoing: flume::Sender<RelayRequest>,
     waiting: RefCell<Waiting>,
     next_number: Cell<u64>,
     is_connected: Cell<bool>,
     is_down: Cell<bool>,
+    /// Since when the owner owes a sign of life.
+    pinged_at: Cell<Option<Instant>>,
     /// The owner's clock as it was last heard, and when.
     clock: Cell<Option<(u64, Instant)>>,
 }
@@ -67,14 +72,16 @@
     pub fn start(owner: SocketAddr) -> Rc<RelayLink> {
         let (outgoing, requests) = flume::bounded(MOST_OUTGOING);
         let link = Rc::new(RelayLink {
+            owner,
             outgoing,
             waiting: RefCell::default(),
             next_number: Cell::new(0),
             is_connected: Cell::new(false),
             is_down: Cell::new(false),
+            pinged_at: Cell::new(None),
             clock: Cell::new(None),
         });
-        tokio::task::spawn_local(link.clone().run(owner, requests));
+        tokio::task::spawn_local(link.clone().run(requests));
         link
     }
 
@@ -83,6 +90,21 @@
         self.is_down.get()
     }
 
+    /// Returns where the owner is.
+    pub fn owner(&self) -> SocketAddr {
+        self.owner
+    }
+
+    /// Whether it stood once; it may be down by now.
+    pub fn is_connected(&self) -> bool {
+        self.is_connected.get()
+    }
+
+    /// Whether the owner has owed a sign of life for longer than a host that lives takes for it.
+    pub fn is_silent(&self, now: Instant) -> bool {
+        self.pinged_at.get().is_some_and(|at| now.duration_since(at) >= SILENT_AFTER)
+    }
+
     /// Returns a number that no other transaction on this link has.
     pub fn new_lease(&self) -> u64 {
         self.next()
@@ -147,8 +169,8 @@
         self.next_number.get()
     }
 
-    async fn run(self: Rc<Self>, owner: SocketAddr, requests: flume::Receiver<RelayRequest>) {
-        let why = match timeout(CONNECT_WITHIN, connect(owner)).await {
+    async fn run(self: Rc<Self>, requests: flume::Receiver<RelayRequest>) {
+        let why = match timeout(CONNECT_WITHIN, connect(self.owner)).await {
             Ok(Ok((frames, clock_ms))) => {
                 self.clock.set(Some((clock_ms, Instant::now())));
                 self.is_connected.set(true);
@@ -160,7 +182,7 @@
         self.is_down.set(true);
         let waiting = std::mem::take(&mut *self.waiting.borrow_mut());
         log::info!(
-            event = "owner_lost", owner = owner.to_string().as_str(), why = why.as_str(),
+            event = "owner_lost", owner = self.owner.to_string().as_str(), why = why.as_str(),
             waiting = waiting.len();
             "the link to an owner of connections ended"
         );
@@ -174,7 +196,6 @@
     async fn carry(&self, frames: Frames, requests: flume::Receiver<RelayRequest>) -> String {
         let (mut sink, mut stream) = frames.split();
         let mut heard_at = Instant::now();
-        let mut pinged_at: Option<Instant> = None;
         loop {
             if self.is_down() {
                 return "the link was full".to_owned();
@@ -202,7 +223,7 @@
                 }
                 frame = stream.next() => {
                     heard_at = Instant::now();
-                    pinged_at = None;
+                    self.pinged_at.set(None);
                     match frame.map(|frame| frame.map(|it| RelayAnswer::decode(it.freeze()))) {
                         Some(Ok(Ok(answer))) => self.take(answer),
                         Some(Ok(Err(error))) => return error.to_string(),
@@ -211,10 +232,10 @@
                     }
                 }
                 () = tokio::time::sleep(LOOK_EVERY), if is_waiting => {
-                    match look(heard_at, pinged_at, Instant::now()) {
+                    match look(heard_at, self.pinged_at.get(), Instant::now()) {
                         Look::Fine => {}
                         Look::Ping => {
-                            pinged_at = Some(Instant::now());
+                            self.pinged_at.set(Some(Instant::now()));
                             let ping = RelayRequest {
                                 task: Some(RelayTask::Ping(true)),
                                 ..RelayRequest::default()
--- a/crates/proxy/src/relay/links.rs
+++ b/crates/proxy/src/relay/links.rs
@@ -10,45 +10,85 @@
 
 use crate::relay::link::RelayLink;
 
-/// How long an owner that did not answer, or is not willing, is passed over; as long as a daemon takes to start
-/// anew and to be known again.
+/// How long an owner that is not willing is passed over; as long as a daemon takes to start anew and to be known again. An
+/// owner whose link was lost as well, where links are not tried apart from requests.
 const PASSED_OVER_FOR: Duration = Duration::from_millis(1_000);
+/// How long after its link was lost an owner is tried again, at first; it doubles with each try in vain.
+const FIRST_RETRY_AFTER: Duration = Duration::from_millis(125);
+/// The longest time between two tries: one of them costs a packet, and callers try again within a second.
+const LONGEST_RETRY_AFTER: Duration = Duration::from_millis(1_000);
 
 /// The links, by the address of the owner.
-#[derive(Default)]
+///
+/// Requests wait for a link that is opened for the first time. Once one was lost, the next is opened with nothing on it: an
+/// owner that can't be reached costs no request more than its first ones.
 pub struct RelayLinks {
-    open: RefCell<HashMap<SocketAddr, Rc<RelayLink>>>,
-    passed_over_until: RefCell<HashMap<SocketAddr, Instant>>,
+    owners: RefCell<HashMap<SocketAddr, OwnerLink>>,
+    tries_apart: bool,
+}
+
+/// What is known of the way to one owner.
+#[derive(Default)]
+struct OwnerLink {
+    link: Option<Rc<RelayLink>>,
+    /// Tries in vain since a link last stood.
+    failures: u32,
+    not_before: Option<Instant>,
 }
 
 impl RelayLinks {
-    /// Returns the link to the first of these owners that is not passed over; `None` if all of them are.
-    pub fn to_first(&self, owners: &[SocketAddr], now: Instant) -> Option<Rc<RelayLink>> {
-        owners.iter().find_map(|owner| self.to(*owner, now))
+    /// Makes links of which none stands yet; `tries_apart` says whether a lost one is opened again without requests.
+    pub fn new(tries_apart: bool) -> RelayLinks {
+        RelayLinks { owners: RefCell::default(), tries_apart }
+    }
+
+    /// Returns the link to the first of these owners that may be used, one that has been silent for a moment only where
+    /// there is no other; `None` if none of them may.
+    pub fn to_first(
+        &self,
+        owners: impl IntoIterator<Item = SocketAddr>,
+        now: Instant,
+    ) -> Option<Rc<RelayLink>> {
+        let mut silent = None;
+        for link in owners.into_iter().filter_map(|owner| self.to(owner, now)) {
+            if !self.tries_apart || !link.is_silent(now) {
+                return Some(link);
+            }
+            silent.get_or_insert(link);
+        }
+        silent
     }
 
     /// Passes the owner at the other end of a link over for a while.
     pub fn pass_over(&self, link: &Rc<RelayLink>, now: Instant) {
-        let open = self.open.borrow();
-        if let Some((owner, _)) = open.iter().find(|(_, open)| Rc::ptr_eq(open, link)) {
-            self.passed_over_until.borrow_mut().insert(*owner, now + PASSED_OVER_FOR);
+        if let Some(owner) = self.owners.borrow_mut().get_mut(&link.owner()) {
+            owner.not_before = Some(now + PASSED_OVER_FOR);
         }
     }
 
     fn to(&self, owner: SocketAddr, now: Instant) -> Option<Rc<RelayLink>> {
-        let mut passed_over = self.passed_over_until.borrow_mut();
-        let mut open = self.open.borrow_mut();
-        if open.get(&owner).is_some_and(|link| link.is_down()) {
-            open.remove(&owner);
-            passed_over.insert(owner, now + PASSED_OVER_FOR);
+        let mut owners = self.owners.borrow_mut();
+        let known = owners.entry(owner).or_default();
+        if known.link.take_if(|link| link.is_down()).is_some() {
+            known.not_before = Some(now + self.retry_after(known.failures));
+            known.failures += 1;
         }
-        match passed_over.get(&owner) {
-            Some(until) if now < *until => return None,
-            Some(_) => {
-                passed_over.remove(&owner);
-            }
-            None => {}
+        if known.not_before.is_some_and(|at| now < at) {
+            return None;
+        }
+        known.not_before = None;
+        let link = known.link.get_or_insert_with(|| RelayLink::start(owner));
+        if link.is_connected() {
+            known.failures = 0;
+        }
+        let may_carry = !self.tries_apart || known.failures == 0;
+        may_carry.then(|| link.clone())
+    }
+
+    fn retry_after(&self, failures: u32) -> Duration {
+        if !self.tries_apart {
+            return PASSED_OVER_FOR;
         }
-        Some(open.entry(owner).or_insert_with(|| RelayLink::start(owner)).clone())
+        FIRST_RETRY_AFTER.saturating_mul(1 << failures.min(8)).min(LONGEST_RETRY_AFTER)
     }
 }
--- a/crates/proxy/src/serve/admission.rs
+++ b/crates/proxy/src/serve/admission.rs
@@ -180,7 +180,7 @@
             return Grant::NotKeeper;
         };
         let address = beliefs.members.get(&asked).copied();
-        let link = address.and_then(|address| self.relays.to_first(&[address], now));
+        let link = address.and_then(|address| self.relays.to_first([address], now));
         let Some(link) = link else { return Grant::NotKeeper };
         let request = RelayRequest {
             account: account.to_string(),
--- a/crates/proxy/src/serve/connection.rs
+++ b/crates/proxy/src/serve/connection.rs
@@ -90,6 +90,8 @@
     pub is_direct: bool,
     /// Whether the connection is this daemon's own, be it through another one; else its owner looks after it.
     pub is_own: bool,
+    /// Where its owner is, if it is another daemon's.
+    pub owner: Option<SocketAddr>,
 }
 
 /// A connection that has been accepted by the server.
--- a/crates/proxy/src/serve/engine.rs
+++ b/crates/proxy/src/serve/engine.rs
@@ -98,9 +98,9 @@
 }
 
 impl<E: EndpointDialect> Group<E> {
-    fn new(availability_zone: Name, relays: Rc<RelayLinks>) -> Group<E> {
+    fn new(availability_zone: Name, relays: Rc<RelayLinks>, circuits: bool) -> Group<E> {
         Group {
-            pool: Rc::new(GroupPool::new(availability_zone, relays)),
+            pool: Rc::new(GroupPool::new(availability_zone, relays, circuits)),
             samples: RefCell::new(StalenessSamples::new(SAMPLES_KEPT)),
             retries: RefCell::new(RetryBudget::new(RETRY_PERCENT)),
             starved: Cell::new(None),
@@ -197,6 +197,7 @@
     /// Joins the pieces.
     pub fn new(parts: EngineParts<C, E>) -> Engine<C, E> {
         let limits = Limits::new(parts.settings.window_rule);
+        let relays = Rc::new(RelayLinks::new(parts.settings.overload.circuits));
         Engine {
             limits,
             caller_dialect: parts.caller_dialect,
@@ -207,7 +208,7 @@
             metrics: parts.metrics,
             callers: Cell::new(0),
             observations: parts.observations,
-            relays: Rc::default(),
+            relays,
             epoch: Instant::now(),
             groups: RefCell::default(),
         }
@@ -236,7 +237,8 @@
             .entry(service.clone())
             .or_insert_with(|| {
                 let zone = self.settings.availability_zone.clone();
-                Rc::new(Group::new(zone, self.relays.clone()))
+                let circuits = self.settings.overload.circuits;
+                Rc::new(Group::new(zone, self.relays.clone(), circuits))
             })
             .clone();
         let granted = beliefs.catalog.services.get(service).map_or(0, |rule| rule.connections);
--- a/crates/proxy/src/serve/execute.rs
+++ b/crates/proxy/src/serve/execute.rs
@@ -102,6 +102,7 @@
                         Next::AwaitPrimary
                     }
                     Some(code) => {
+                        self.note_path_answered(&group.pool, &reached);
                         self.note_refused(&group, job, &server, code, granted.floor, &answer);
                         granted.lent.give_back();
                         let next = after_error(code, class);
--- a/crates/proxy/src/serve/lent.rs
+++ b/crates/proxy/src/serve/lent.rs
@@ -85,7 +85,11 @@
             Held::Own(connection) => connection.is_direct,
             Held::Owners(_) | Held::Nothing => false,
         };
-        Reached { server: self.server().clone(), is_direct, is_own: self.is_own() }
+        let owner = match &self.held {
+            Held::Owners(lease) => Some(lease.owner()),
+            Held::Own(_) | Held::Nothing => None,
+        };
+        Reached { server: self.server().clone(), is_direct, is_own: self.is_own(), owner }
     }
 
     fn is_own(&self) -> bool {
--- a/crates/proxy/src/serve/mod.rs
+++ b/crates/proxy/src/serve/mod.rs
@@ -13,6 +13,7 @@
 pub mod job;
 pub mod lent;
 pub(crate) mod limits;
+pub(crate) mod paths;
 pub mod pool;
 pub(crate) mod reachability;
 pub mod replay;
--- a/crates/proxy/src/serve/pool.rs
+++ b/crates/proxy/src/serve/pool.rs
@@ -59,6 +59,7 @@
 pub struct GroupPool<E: EndpointDialect> {
     availability_zone: Name,
     relays: Rc<RelayLinks>,
+    circuits: bool,
     state: RefCell<PoolState<E>>,
 }
 
@@ -82,10 +83,11 @@
 }
 
 impl<E: EndpointDialect> GroupPool<E> {
-    /// Makes a pool without servers for a daemon in an availability zone.
-    pub fn new(availability_zone: Name, relays: Rc<RelayLinks>) -> GroupPool<E> {
+    /// Makes a pool without servers for a daemon in an availability zone; `circuits` says whether ways to servers that do
+    /// not work are set aside where few daemons own their connections.
+    pub fn new(availability_zone: Name, relays: Rc<RelayLinks>, circuits: bool) -> GroupPool<E> {
         let state = PoolState { keep: Keep::One, servers: Vec::new(), waiters: Default::default() };
-        GroupPool { availability_zone, relays, state: RefCell::new(state) }
+        GroupPool { availability_zone, relays, circuits, state: RefCell::new(state) }
     }
 
     /// Takes over which servers there are, how many connections each may have and who owns them.
@@ -133,6 +135,7 @@
                 (None, _, Keep::Nothing) => (share.limit, 0),
             };
             slot.owners = ownership.map(|it| it.asked).unwrap_or_default();
+            slot.paths.keep_only(&slot.owners);
             slot.loan = share.loan;
             let most = slot.limit + share.loan;
             let surplus = (slot.idle.len() as u32 + slot.in_use).saturating_sub(most) as usize;
@@ -171,7 +174,9 @@
     fn lease(self: &Rc<Self>, index: usize, wish: &Wish, wait_until: Instant) -> Option<Lent<E>> {
         let mut state = self.state.borrow_mut();
         let slot = &mut state.servers[index];
-        let link = self.owner_of(slot, wish, Instant::now())?;
+        let now = Instant::now();
+        let link = self.owner_of(slot, wish, now)?;
+        slot.paths.on_pass(&link.owner(), now);
         slot.at_owners += 1;
         let terms = Terms {
             service: slot.entry.service.clone(),
@@ -191,13 +196,38 @@
         if wish.is_handed_over {
             return None;
         }
-        self.relays.to_first(&slot.owners, now)
+        self.owner_in_use(slot, now)
+    }
+
+    /// Returns the link to the first owner that is there and has a way to the server.
+    fn owner_in_use(&self, slot: &ServerSlot<E>, now: Instant) -> Option<Rc<RelayLink>> {
+        let owners = slot.owners.iter().filter(|owner| slot.paths.may_pass(owner, now));
+        self.relays.to_first(owners.copied(), now)
+    }
+
+    /// Whether ways that do not work are set aside here.
+    pub(super) fn has_circuits(&self) -> bool {
+        self.circuits && self.state.borrow().keep != Keep::One
+    }
+
+    /// Sends those away that wait for a connection to a server which this daemon has no way to.
+    pub(super) fn send_away_from(&self, server: &str) {
+        let now = Instant::now();
+        let mut state = self.state.borrow_mut();
+        let PoolState { servers, waiters, .. } = &mut *state;
+        let Some(slot) = servers.iter().find(|slot| &*slot.entry.server == server) else { return };
+        let only_there = |wish: &Wish| wish.only.as_ref() == Some(&slot.entry.server);
+        for queue in waiters {
+            queue.retain(|waiter| {
+                !only_there(&waiter.wish) || !slot.is_dark_for(&waiter.wish, now)
+            });
+        }
     }
 
     /// Returns the link to the daemon that owns the connections to a server, if that is another one and there.
     pub(crate) fn owner_link(&self, server: &str) -> Option<Rc<RelayLink>> {
         let now = Instant::now();
-        self.with_slot(server, |slot| self.relays.to_first(&slot.owners, now))?
+        self.with_slot(server, |slot| self.owner_in_use(slot, now))?
     }
 
     /// Notes that nothing runs any more at an owner that ran there.
@@ -249,10 +279,10 @@
 
     fn candidates(&self, state: &mut PoolState<E>, wish: &Wish, now: Instant) -> Vec<Candidate> {
         let fit = state.servers.iter_mut().enumerate().filter(|(_, slot)| slot.is_fit(wish, now));
-        fit.map(|(index, slot)| {
+        fit.filter_map(|(index, slot)| {
             slot.forget_old_latency(now);
             if self.owner_of(slot, wish, now).is_some() {
-                return Candidate {
+                return Some(Candidate {
                     index,
                     near: slot.entry.availability_zone == self.availability_zone,
                     leads: wish.primary.as_ref() == Some(&slot.entry.server),
@@ -263,9 +293,9 @@
                     full: false,
                     is_strange: false,
                     latency_us: slot.latency.get_us(),
-                };
+                });
             }
-            Candidate {
+            (!slot.is_dark_for(wish, now)).then(|| Candidate {
                 index,
                 // Through another daemon nothing is near.
                 near: slot.entry.availability_zone == self.availability_zone
@@ -277,7 +307,7 @@
                 full: slot.is_full_for(wish),
                 is_strange: false,
                 latency_us: slot.latency.get_us(),
-            }
+            })
         })
         .collect()
     }
--- a/crates/proxy/src/serve/reachability.rs
+++ b/crates/proxy/src/serve/reachability.rs
@@ -50,6 +50,7 @@
         took: Duration,
     ) {
         group.pool.on_answer(&from.server, point, took);
+        self.note_path_answered(&group.pool, from);
         if from.is_direct {
             self.note_reachable(group, service, &from.server);
         }
@@ -71,6 +72,7 @@
                 why = lost.to_string().as_str();
                 "a statement that was handed to an owner got no answer of its server"
             );
+            self.note_path_lost(&group.pool, reached, lost);
             return;
         }
         if speaks_against_server(lost) {
@@ -147,6 +149,7 @@
 
     fn note_unreachable(&self, group: &Group<E>, service: &Name, server: &Name, asked_at: Instant) {
         let before = group.probes.borrow_mut().insert(server.clone(), ProbeState::Unreachable);
+        group.pool.on_dark(server, asked_at);
         group.lost_server.notify_waiters();
         if before != Some(ProbeState::Unreachable) {
             log_reachability(service, server, false);
@@ -169,6 +172,7 @@
     }
 
     pub(crate) fn note_reachable(&self, group: &Group<E>, service: &Name, server: &Name) {
+        group.pool.on_direct_answer(server);
         if group.probes.borrow().is_empty() {
             return;
         }
--- a/crates/proxy/src/serve/slot.rs
+++ b/crates/proxy/src/serve/slot.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     catalog::ServerEntry,
-    serve::{connection::EndpointConnection, wish::Wish},
+    serve::{connection::EndpointConnection, paths::ServerPaths, wish::Wish},
 };
 
 /// How long a server that lagged behind a bounded floor is passed over.
@@ -75,6 +75,8 @@
     pub(crate) detours: Arc<[SocketAddr]>,
     pub(crate) next_detour: usize,
     pub(crate) no_detour_until: Option<Instant>,
+    /// Which ways to it work.
+    pub(crate) paths: ServerPaths,
     /// Whether it is still listed; one that is not gets no new work.
     pub(crate) listed: bool,
 }
@@ -102,6 +104,7 @@
             detours: Arc::default(),
             next_detour: 0,
             no_detour_until: None,
+            paths: ServerPaths::default(),
             listed: true,
         }
     }
@@ -130,6 +133,7 @@
             self.failures = 0;
             self.no_opening_until = None;
             self.away_until = None;
+            self.paths = ServerPaths::default();
         }
         self.entry = entry;
     }
@@ -225,6 +229,11 @@
         }
     }
 
+    /// Whether this daemon's own connections to it are no use to a wish. Commands of a change of primary try nevertheless.
+    pub(crate) fn is_dark_for(&self, wish: &Wish, now: Instant) -> bool {
+        self.paths.is_dark() && wish.principal.is_some() && !self.has_detour(now)
+    }
+
     /// Whether it lagged behind a moment ago.
     pub(crate) fn has_lagged(&self, now: Instant) -> bool {
         self.lagging_until.is_some_and(|until| now < until + LAGGING_RECENTLY)
