--- a/crates/proxy/src/serve/engine.rs
+++ b/crates/proxy/src/serve/engine.rs
@@ -34,6 +34,7 @@
         verdict::speaks_against_server,
         wish::Wish,
     },
+    statement::ErrorCode,
 };
 
 /// Samples of a primary's position that are kept for each group; they span the longest bound.
@@ -311,8 +312,9 @@
             match self.open(&place, detour).await {
                 Ok(connection) => {
                     self.metrics.connections_opened.with_label_values(&["opened"]).inc();
-                    if connection.is_direct {
-                        self.note_reachable(group, &place.entry.service, &server);
+                    match connection.is_direct {
+                        true => self.note_reachable(group, &place.entry.service, &server),
+                        false => group.pool.on_detour(&server, true),
                     }
                     return Ok(place.opened(connection));
                 }
@@ -323,8 +325,13 @@
                         None => self.on_open_failed(group, &service, &server, &lost),
                         Some(peer) => self.on_detour_failed(group, &server, peer, &lost),
                     }
-                    if wish.only.is_some() || Instant::now() >= deadline {
-                        return Err(AcquireError::Nowhere);
+                    match after_open_failed(&wish, &lost) {
+                        _ if Instant::now() >= deadline => return Err(AcquireError::Nowhere),
+                        AfterOpenFailed::GiveUp => return Err(AcquireError::Nowhere),
+                        // There is one to wait for, or leave to open one a little later.
+                        AfterOpenFailed::Wait if self.settings.overload.circuits => continue,
+                        AfterOpenFailed::Wait => return Err(AcquireError::Nowhere),
+                        AfterOpenFailed::TryElsewhere => {}
                     }
                     wish.avoid.push(server);
                 }
@@ -360,15 +367,29 @@
         Ok(opened)
     }
 
-    fn on_detour_failed(
+    /// Whether a server takes a connection through another daemon.
+    pub(crate) async fn try_detour(
         &self,
-        group: &Rc<Group<E>>,
+        peer: SocketAddr,
+        entry: &ServerEntry,
+    ) -> (SocketAddr, Result<(), ConnectionLost>) {
+        let introduction = self.introduce(&Principal::Daemon);
+        let dialect = &self.endpoint_dialect;
+        let opened =
+            EndpointConnection::open_through(peer, dialect, entry, introduction, CONNECT_WITHIN);
+        (peer, opened.await.map(drop))
+    }
+
+    pub(crate) fn on_detour_failed(
+        &self,
+        group: &Group<E>,
         server: &Name,
         peer: SocketAddr,
         lost: &ConnectionLost,
     ) {
         self.metrics.connections_opened.with_label_values(&["failed"]).inc();
         group.pool.on_detour_failed(server, peer);
+        group.pool.on_detour(server, false);
         log::info!(
             event = "detour_failed", server = &**server, peer = peer.to_string().as_str(),
             why = lost.to_string().as_str();
@@ -400,3 +421,22 @@
         }
     }
 }
+
+/// What follows when a connection could not be opened for a wish.
+enum AfterOpenFailed {
+    TryElsewhere,
+    Wait,
+    GiveUp,
+}
+
+/// A server that grants no more is there nevertheless: an owner that said it can't be reached would send its askers to open
+/// connections of their own.
+fn after_open_failed(wish: &Wish, lost: &ConnectionLost) -> AfterOpenFailed {
+    match lost {
+        _ if wish.only.is_none() => AfterOpenFailed::TryElsewhere,
+        ConnectionLost::Refused(ErrorCode::TooManyConnections) if wish.is_handed_over => {
+            AfterOpenFailed::Wait
+        }
+        _ => AfterOpenFailed::GiveUp,
+    }
+}
--- a/crates/proxy/src/serve/paths.rs
+++ b/crates/proxy/src/serve/paths.rs
@@ -3,7 +3,12 @@
 //! A failure is charged to the hop that shows it: the link to an owner keeps its own account ([`crate::relay::links`]), an
 //! owner that can't reach the server says so, and this daemon's own probe tells of its own way.
 
-use std::{collections::HashMap, net::SocketAddr, time::Instant};
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use model::Name;
 use overload::{Circuit, CircuitChange, PathOutcome};
@@ -13,17 +18,28 @@
     relay::messages::NotSent,
     serve::{
         connection::{ConnectionLost, Reached},
-        engine::Engine,
+        engine::{Engine, Group},
         pool::GroupPool,
     },
 };
 
+/// Daemons that are asked for a way to a server at a time: enough to find one within a second where half of the fleet has it,
+/// and few connects for a server that is gone.
+const DETOURS_AT_ONCE: usize = 4;
+
+/// How often it is looked whether there are daemons to ask: they are known once others have told what they can't reach.
+const LOOK_FOR_DETOUR_EVERY: Duration = Duration::from_millis(200);
+
 /// The ways to one server.
 #[derive(Debug, Default)]
 pub(crate) struct ServerPaths {
     through_owners: HashMap<SocketAddr, Circuit>,
     /// Whether this daemon's own connects go unanswered.
     is_dark: bool,
+    /// Whether a connection was opened through another daemon since then.
+    has_detour: bool,
+    /// Whether such a one is being looked for.
+    is_looking: bool,
     /// When the server last answered on a connection of this daemon.
     answered_at: Option<Instant>,
 }
@@ -46,6 +62,11 @@
         self.is_dark
     }
 
+    /// Whether another daemon is known to have a way to the server.
+    pub(crate) fn has_detour(&self) -> bool {
+        self.has_detour
+    }
+
     /// Forgets owners that are none any more.
     pub(crate) fn keep_only(&mut self, owners: &[SocketAddr]) {
         self.through_owners.retain(|owner, _| owners.contains(owner));
@@ -72,6 +93,7 @@
     fn on_direct_answer(&mut self, now: Instant) {
         self.answered_at = Some(now);
         self.is_dark = false;
+        self.has_detour = false;
     }
 
     /// Notes that a connect went unanswered that was begun at `asked_at`; an answer since then says more: a server that is
@@ -87,6 +109,41 @@
         self.with_slot(server, |slot| slot.paths.on_direct_answer(Instant::now()));
     }
 
+    fn is_dark(&self, server: &str) -> bool {
+        self.with_slot(server, |slot| slot.paths.is_dark).unwrap_or(false)
+    }
+
+    /// Whether a search for a detour is to begin: there is need of one, and none goes on.
+    fn begins_looking(&self, server: &str) -> Option<bool> {
+        self.with_slot(server, |slot| {
+            slot.paths.is_dark && !std::mem::replace(&mut slot.paths.is_looking, true)
+        })
+    }
+
+    fn ends_looking(&self, server: &str) {
+        self.with_slot(server, |slot| slot.paths.is_looking = false);
+    }
+
+    /// Notes whether a connection to a server came about through another daemon.
+    pub(crate) fn on_detour(&self, server: &str, is_open: bool) {
+        self.with_slot(server, |slot| slot.paths.has_detour = is_open);
+    }
+
+    /// Returns the daemons through which a way to a server is to be looked for: the next few, if it is wanted here and nothing
+    /// leads there.
+    pub(crate) fn detours_to_try(&self, server: &str) -> Vec<SocketAddr> {
+        let now = Instant::now();
+        let to_try = self.with_slot(server, |slot| {
+            let is_wanted = slot.paths.is_dark && !slot.paths.has_detour;
+            let has_owner = self.owner_in_use(slot, now).is_some();
+            if !is_wanted || has_owner || !slot.has_detour(now) {
+                return Vec::new();
+            }
+            slot.detours.iter().skip(slot.next_detour).take(DETOURS_AT_ONCE).copied().collect()
+        });
+        to_try.unwrap_or_default()
+    }
+
     /// Notes that a server does not answer this daemon's connects; who waits for a connection to it hears so at once.
     pub(crate) fn on_dark(&self, server: &str, asked_at: Instant) {
         if !self.has_circuits() {
@@ -98,6 +155,54 @@
 }
 
 impl<C: CallerDialect, E: EndpointDialect> Engine<C, E> {
+    /// Looks for a daemon with a way to a server that this one has none to, for as long as that lasts and with no request
+    /// waiting for it.
+    pub(crate) fn look_for_detour(
+        self: &Rc<Self>,
+        group: &Rc<Group<E>>,
+        service: &Name,
+        server: &Name,
+    ) {
+        if group.pool.begins_looking(server) != Some(true) {
+            return;
+        }
+        let (engine, group) = (self.clone(), group.clone());
+        let (service, server) = (service.clone(), server.clone());
+        tokio::task::spawn_local(async move {
+            while group.pool.is_dark(&server) {
+                engine.find_detour(&group, &service, &server).await;
+                tokio::time::sleep(LOOK_FOR_DETOUR_EVERY).await;
+            }
+            group.pool.ends_looking(&server);
+        });
+    }
+
+    /// Ends when one is found or nothing is left to try.
+    async fn find_detour(&self, group: &Group<E>, service: &Name, server: &Name) {
+        loop {
+            let peers = group.pool.detours_to_try(server);
+            let Some(entry) = group.pool.entry_of(server).filter(|_| !peers.is_empty()) else {
+                return;
+            };
+            let opened = peers.into_iter().map(|peer| self.try_detour(peer, &entry));
+            let mut is_open = false;
+            for (peer, opened) in futures::future::join_all(opened).await {
+                match opened {
+                    Ok(()) => is_open = true,
+                    Err(lost) => self.on_detour_failed(group, server, peer, &lost),
+                }
+            }
+            if is_open {
+                group.pool.on_detour(server, true);
+                log::info!(
+                    event = "detour_found", service = &**service, server = &**server;
+                    "a server out of reach can be reached through another daemon"
+                );
+                return;
+            }
+        }
+    }
+
     /// Takes note that an owner's server answered.
     pub(crate) fn note_path_answered(&self, pool: &GroupPool<E>, reached: &Reached) {
         self.note_path_outcome(pool, reached, PathOutcome::Answered);
@@ -118,9 +223,8 @@
     fn note_path_outcome(&self, pool: &GroupPool<E>, reached: &Reached, outcome: PathOutcome) {
         let Some(owner) = reached.owner.filter(|_| self.settings.overload.circuits) else { return };
         let now = Instant::now();
-        let change = pool.with_slot(&reached.server, |slot| {
-            slot.paths.on_outcome(owner, outcome, now)
-        });
+        let change =
+            pool.with_slot(&reached.server, |slot| slot.paths.on_outcome(owner, outcome, now));
         if let Some(Some(change)) = change {
             self.log_circuit(&reached.server, owner, change);
         }
--- a/crates/proxy/src/serve/pool.rs
+++ b/crates/proxy/src/serve/pool.rs
@@ -200,7 +200,7 @@
     }
 
     /// Returns the link to the first owner that is there and has a way to the server.
-    fn owner_in_use(&self, slot: &ServerSlot<E>, now: Instant) -> Option<Rc<RelayLink>> {
+    pub(super) fn owner_in_use(&self, slot: &ServerSlot<E>, now: Instant) -> Option<Rc<RelayLink>> {
         let owners = slot.owners.iter().filter(|owner| slot.paths.may_pass(owner, now));
         self.relays.to_first(owners.copied(), now)
     }
@@ -216,11 +216,11 @@
         let mut state = self.state.borrow_mut();
         let PoolState { servers, waiters, .. } = &mut *state;
         let Some(slot) = servers.iter().find(|slot| &*slot.entry.server == server) else { return };
-        let only_there = |wish: &Wish| wish.only.as_ref() == Some(&slot.entry.server);
+        if !slot.is_dark(now) {
+            return;
+        }
         for queue in waiters {
-            queue.retain(|waiter| {
-                !only_there(&waiter.wish) || !slot.is_dark_for(&waiter.wish, now)
-            });
+            queue.retain(|waiter| waiter.wish.only.as_ref() != Some(&slot.entry.server));
         }
     }
 
@@ -295,7 +295,7 @@
                     latency_us: slot.latency.get_us(),
                 });
             }
-            (!slot.is_dark_for(wish, now)).then(|| Candidate {
+            (!slot.is_dark(now)).then(|| Candidate {
                 index,
                 // Through another daemon nothing is near.
                 near: slot.entry.availability_zone == self.availability_zone
--- a/crates/proxy/src/serve/slot.rs
+++ b/crates/proxy/src/serve/slot.rs
@@ -229,9 +229,10 @@
         }
     }
 
-    /// Whether this daemon's own connections to it are no use to a wish. Commands of a change of primary try nevertheless.
-    pub(crate) fn is_dark_for(&self, wish: &Wish, now: Instant) -> bool {
-        self.paths.is_dark() && wish.principal.is_some() && !self.has_detour(now)
+    /// Whether nothing can reach it from here, by what this daemon's probe says.
+    pub(crate) fn is_dark(&self, now: Instant) -> bool {
+        let has_detour = self.paths.has_detour() && self.has_detour(now);
+        self.paths.is_dark() && !has_detour
     }
 
     /// Whether it lagged behind a moment ago.
