feat(overload): a queue in front of one server, by rank, account and deadline

What is kept inside a server follows its slots and answering time; the rest waits where an order counts. Turns are start-time fair queueing by observed work; an account that asks for more than a quarter of a server and three times the mean counts as one step less urgent; one begin in 32 goes to the longest waiter. What can't begin in time is refused on arrival, counted with what overtakes it and with how long nothing has moved.

Tests name the loads: a burst of the least urgent at 2.3 times, one account at 7.5 times, 120 resting transactions, a server six times slower, a hanging one, 1 to 4 times what the slots bear; that nothing waits beside free room is a property test.

--- a/crates/overload/src/lib.rs
+++ b/crates/overload/src/lib.rs
@@ -5,8 +5,15 @@
 //! much an account may ask keep their own proofs, and a wrong estimate here costs time, never a promise.
 //! `docs/design/hard-load.md` says who decides what and where the state lives.
 
+mod concurrency;
+mod demand;
 mod load_report;
 mod rank;
+mod reuse;
+mod turns;
+mod work_queue;
 
 pub use load_report::{AgedReport, LoadReport};
 pub use rank::{RANKS, Rank};
+pub use reuse::{Resting, Reuse};
+pub use work_queue::{Next, Offered, Request, Room, Stage, Ticket, WorkQueue};
--- /dev/null
+++ b/crates/overload/src/reuse.rs
@@ -0,0 +1,86 @@
+//! Which connection at rest is ended when another account needs one, by how soon it is likely to be used again.
+//!
+//! A connection works for one account, and opening one takes a slot of the server for the length of a handshake. One that is
+//! ended and soon needed again costs that slot twice; see `docs/design/hard-load.md`, "Connections that accounts compete for".
+
+use std::{
+    collections::HashMap,
+    time::{Duration, Instant},
+};
+
+use model::Name;
+
+/// What an account asked counts for half after so long: some times longer than the rest between two statements of a small
+/// account, and short enough to follow a change of who is busy.
+const HALVED_AFTER: Duration = Duration::from_secs(4);
+/// Accounts that are remembered before those that asked long ago are forgotten.
+const MOST_REMEMBERED: usize = 1_024;
+/// Accounts whose use has faded to this count as unknown.
+const FADED: f64 = 0.01;
+
+/// A connection at rest.
+#[derive(Clone, Copy, Debug)]
+pub struct Resting<'a> {
+    /// For whom it works.
+    pub account: &'a Name,
+    /// Since when it has rested.
+    pub since: Instant,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Use {
+    count: f64,
+    at: Instant,
+}
+
+impl Use {
+    fn faded(&self, now: Instant) -> f64 {
+        let age = now.saturating_duration_since(self.at);
+        self.count * 0.5_f64.powf(age.as_secs_f64() / HALVED_AFTER.as_secs_f64())
+    }
+}
+
+/// How often each account has used connections to one server lately.
+#[derive(Debug, Default)]
+pub struct Reuse {
+    uses: HashMap<Name, Use>,
+}
+
+impl Reuse {
+    /// Notes that a statement of an account began.
+    pub fn on_used(&mut self, account: &Name, now: Instant) {
+        let count = self.expected(account, now) + 1.0;
+        self.uses.insert(account.clone(), Use { count, at: now });
+        if self.uses.len() > MOST_REMEMBERED {
+            self.uses.retain(|_, it| it.faded(now) > FADED);
+        }
+    }
+
+    /// Chooses which connection to end: the least likely to be used again.
+    ///
+    /// Of several of one account only one is likely to be used as often as the account asks, and the next only while that
+    /// one is in use. So accounts with more than one give theirs first, and no small account loses its only one to a hot one that
+    /// has many.
+    pub fn least_likely(&self, resting: &[Resting<'_>], now: Instant) -> Option<usize> {
+        let mut held: HashMap<&Name, u32> = HashMap::new();
+        for connection in resting {
+            *held.entry(connection.account).or_default() += 1;
+        }
+        let worth = |connection: &Resting<'_>| {
+            let held = held[connection.account];
+            (held == 1, self.expected(connection.account, now) / f64::from(held))
+        };
+        let order = |one: &Resting<'_>, other: &Resting<'_>| {
+            let ((one_is_last, one_worth), (other_is_last, other_worth)) =
+                (worth(one), worth(other));
+            let last = one_is_last.cmp(&other_is_last);
+            last.then(one_worth.total_cmp(&other_worth)).then(one.since.cmp(&other.since))
+        };
+        let numbered = resting.iter().enumerate();
+        numbered.min_by(|(_, one), (_, other)| order(one, other)).map(|(index, _)| index)
+    }
+
+    fn expected(&self, account: &Name, now: Instant) -> f64 {
+        self.uses.get(account).map_or(0.0, |it| it.faded(now))
+    }
+}
--- /dev/null
+++ b/crates/overload/tests/work_queue.rs
@@ -0,0 +1,493 @@
+//! The queue in front of a server: who begins, who is refused, and what each rank and account has of the server under load.
+//!
+//! Loads run against a simulated server of six slots, with random arrivals from fixed seeds. Thresholds are what callers need:
+//! nine tenths of what a server can do is still done at any load, and who isn't the cause of a load doesn't feel it.
+
+use std::{
+    collections::{BTreeMap, BinaryHeap, HashMap},
+    time::{Duration, Instant},
+};
+
+use model::Name;
+use overload::{Next, Offered, Rank, Request, Room, Stage, Ticket, WorkQueue};
+use proptest::prelude::*;
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+
+const SLOTS: u32 = 6;
+const ROOM: Room = Room { slots: SLOTS, connections: 50, owners: 1 };
+/// How much of what was asked for in time must be answered for callers not to notice.
+const UNNOTICED: f64 = 0.97;
+
+fn request(rank: usize, account: &str, stage: Stage, until: Instant) -> Request {
+    Request { rank: Rank::ALL[rank], account: Name::from(account), stage, until }
+}
+
+fn alone(rank: usize, account: &str, until: Instant) -> Request {
+    request(rank, account, Stage::Alone, until)
+}
+
+/// A queue whose every slot is taken, by statements that take 20 ms.
+fn busy_queue(now: Instant) -> WorkQueue {
+    let mut queue = WorkQueue::new(ROOM);
+    let first = alone(1, "first", now + Duration::from_secs(9));
+    for _ in 0..100 {
+        assert_eq!(queue.offer(first.clone(), now), Offered::Begin);
+        queue.on_finished(&first, Some(Duration::from_millis(20)), now);
+        queue.on_released(&first);
+    }
+    for _ in 0..queue.limit() {
+        assert_eq!(queue.offer(first.clone(), now), Offered::Begin);
+    }
+    queue
+}
+
+fn wait(queue: &mut WorkQueue, request: Request, now: Instant) -> Ticket {
+    match queue.offer(request, now) {
+        Offered::Waits { ticket, .. } => ticket,
+        other => panic!("it waits: {other:?}"),
+    }
+}
+
+/// Ends a statement that runs, and says who begins instead.
+fn next_of(queue: &mut WorkQueue, now: Instant) -> Ticket {
+    queue.on_finished(&alone(1, "first", now), None, now);
+    match queue.next(now) {
+        Next::Begin(ticket, _) => ticket,
+        other => panic!("one begins: {other:?}"),
+    }
+}
+
+#[test]
+fn the_more_urgent_begin_first_and_open_transactions_before_new_ones() {
+    let now = Instant::now();
+    let until = now + Duration::from_secs(5);
+    let mut queue = busy_queue(now);
+    let later = wait(&mut queue, alone(2, "a", until), now);
+    let opening = wait(&mut queue, request(1, "b", Stage::Opens, until), now);
+    let urgent = wait(&mut queue, alone(0, "c", until), now);
+    let continuing = wait(&mut queue, request(1, "d", Stage::Continues, until), now);
+    let order: Vec<Ticket> = (0..4).map(|_| next_of(&mut queue, now)).collect();
+    assert_eq!(order, [continuing, urgent, opening, later]);
+}
+
+#[test]
+fn of_an_account_s_statements_the_one_whose_time_ends_first_has_its_turn() {
+    let now = Instant::now();
+    let mut queue = busy_queue(now);
+    let relaxed = wait(&mut queue, alone(1, "a", now + Duration::from_secs(5)), now);
+    let hurried = wait(&mut queue, alone(1, "a", now + Duration::from_secs(1)), now);
+    assert_eq!(next_of(&mut queue, now), hurried);
+    assert_eq!(next_of(&mut queue, now), relaxed);
+}
+
+#[test]
+fn what_can_t_begin_in_time_is_refused_on_arrival_with_the_time_in_which_the_queue_drains() {
+    let now = Instant::now();
+    let mut queue = busy_queue(now);
+    for account in 0..60 {
+        wait(&mut queue, alone(1, &account.to_string(), now + Duration::from_secs(5)), now);
+    }
+    // Sixty statements of 20 ms in six slots go before the second one of any of their accounts.
+    let soon = now + Duration::from_millis(100);
+    let Offered::Refused { come_back } = queue.offer(alone(1, "0", soon), now) else {
+        panic!("it can't begin in time");
+    };
+    assert!((180..=230).contains(&come_back.as_millis()), "{come_back:?}");
+    wait(&mut queue, alone(0, "urgent", soon), now);
+}
+
+#[test]
+fn a_full_queue_lets_a_more_urgent_statement_displace_the_last_one() {
+    let now = Instant::now();
+    let until = now + Duration::from_secs(60);
+    let mut queue = busy_queue(now);
+    let mut last = None;
+    let mut refused = 0;
+    for account in 0..300 {
+        match queue.offer(alone(2, &account.to_string(), until), now) {
+            Offered::Waits { ticket, .. } => last = Some(ticket),
+            Offered::Refused { .. } => refused += 1,
+            Offered::Begin => panic!("no slot is free"),
+        }
+    }
+    assert!(refused > 0, "the queue has a bound");
+    let Offered::Waits { displaced, .. } = queue.offer(alone(0, "urgent", until), now) else {
+        panic!("the more urgent one has room");
+    };
+    assert_eq!(displaced, last);
+    assert!(!queue.withdraw(last.expect("some wait")), "it does not wait any more");
+}
+
+#[test]
+fn who_has_left_or_waited_too_long_never_begins() {
+    let now = Instant::now();
+    let mut queue = busy_queue(now);
+    let gone = wait(&mut queue, alone(1, "a", now + Duration::from_secs(1)), now);
+    let late = wait(&mut queue, alone(1, "b", now + Duration::from_millis(100)), now);
+    assert!(queue.withdraw(gone));
+    assert!(!queue.withdraw(gone));
+    queue.on_finished(&alone(1, "first", now), None, now);
+    let then = now + Duration::from_millis(200);
+    assert_eq!(queue.next(then), Next::Expired(late));
+    assert_eq!(queue.next(then), Next::Nothing);
+}
+
+/// 120 transactions that rest while their callers think: others still find a connection, and no account has more than its part.
+#[test]
+fn resting_transactions_leave_connections_to_others() {
+    let now = Instant::now();
+    let until = now + Duration::from_secs(5);
+    let mut queue = WorkQueue::new(ROOM);
+    let mut opened: HashMap<&str, u32> = HashMap::new();
+    for _ in 0..40 {
+        for account in ["a", "b", "c"] {
+            let opening = request(1, account, Stage::Opens, until);
+            if queue.offer(opening.clone(), now) == Offered::Begin {
+                queue.on_finished(&opening, None, now);
+                *opened.entry(account).or_default() += 1;
+            }
+        }
+    }
+    assert!(opened.values().all(|count| *count <= ROOM.connections.div_ceil(4)), "{opened:?}");
+    assert!(opened.values().sum::<u32>() >= ROOM.connections / 2, "{opened:?}");
+    for _ in 0..SLOTS {
+        assert_eq!(queue.offer(alone(2, "d", until), now), Offered::Begin);
+    }
+}
+
+/// A server in which nothing moves any more: soon whoever comes is refused at once, and nobody else waits in vain.
+#[test]
+fn a_server_that_hangs_refuses_on_arrival_once_nothing_has_moved() {
+    let now = Instant::now();
+    let mut queue = busy_queue(now);
+    wait(&mut queue, alone(1, "a", now + Duration::from_millis(140)), now);
+    let then = now + Duration::from_millis(170);
+    let offered = queue.offer(alone(1, "b", then + Duration::from_millis(140)), then);
+    assert!(matches!(offered, Offered::Refused { .. }), "{offered:?}");
+}
+
+/// A kind of statement, as one server of a group meets it.
+#[derive(Clone, Debug)]
+struct Load {
+    rank: usize,
+    accounts: Vec<Name>,
+    /// Statements a second.
+    rate: f64,
+    work: Duration,
+    may_wait: Duration,
+}
+
+/// What became of one kind's or account's statements.
+#[derive(Clone, Copy, Debug, Default)]
+struct Served {
+    asked: u32,
+    begun: u32,
+    expired: u32,
+    work: Duration,
+    longest_wait: Duration,
+}
+
+impl Served {
+    fn share(&self) -> f64 {
+        f64::from(self.begun) / f64::from(self.asked.max(1))
+    }
+}
+
+#[derive(Debug, Default)]
+struct Outcome {
+    by_rank: BTreeMap<usize, Served>,
+    by_account: BTreeMap<Name, Served>,
+}
+
+impl Outcome {
+    fn work(&self) -> Duration {
+        self.by_rank.values().map(|served| served.work).sum()
+    }
+
+    fn note(&mut self, request: &Request, note: impl Fn(&mut Served)) {
+        note(self.by_rank.entry(request.rank.index()).or_default());
+        note(self.by_account.entry(request.account.clone()).or_default());
+    }
+}
+
+/// The usual callers: few and urgent, many, and slow ones that can wait; `times` is their work as a part of the slots.
+fn usual(times: f64) -> Vec<Load> {
+    let accounts: Vec<Name> = (0..20).map(|it| Name::from(format!("a{it}").as_str())).collect();
+    let load = |rank, part: f64, work_ms: u64, may_wait_ms| Load {
+        rank,
+        accounts: accounts.clone(),
+        rate: part * times * f64::from(SLOTS) * 1_000.0 / work_ms as f64,
+        work: Duration::from_millis(work_ms),
+        may_wait: Duration::from_millis(may_wait_ms),
+    };
+    vec![load(0, 0.1, 10, 70), load(1, 0.55, 30, 140), load(2, 0.35, 50, 500)]
+}
+
+/// Plays loads against a server whose every statement takes `slower` times its work.
+fn play(loads: &[Load], lasts: Duration, slower: f64, seed: u64) -> Outcome {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let start = Instant::now();
+    let mut arrivals: Vec<(Duration, Request, Duration)> = Vec::new();
+    for load in loads {
+        let mut at = Duration::ZERO;
+        loop {
+            at += Duration::from_secs_f64(-rng.random_range(1e-9_f64..1.0).ln() / load.rate);
+            if at >= lasts {
+                break;
+            }
+            let account = &load.accounts[rng.random_range(0..load.accounts.len())];
+            let work = load.work.mul_f64(rng.random_range(0.5..1.5) * slower);
+            arrivals.push((at, alone(load.rank, account, start + at + load.may_wait), work));
+        }
+    }
+    arrivals.sort_by_key(|(at, ..)| *at);
+    let mut server = Server::new(start);
+    for (at, request, work) in arrivals {
+        server.run_until(start + at);
+        server.arrive(request, work, start + at);
+    }
+    server.run_until(start + lasts + Duration::from_secs(10));
+    server.outcome
+}
+
+/// A server of [`SLOTS`] slots behind a queue; what is inside beyond the slots waits there for the first free one.
+struct Server {
+    queue: WorkQueue,
+    waiting: HashMap<Ticket, (Request, Duration, Instant)>,
+    /// When each slot is free.
+    slots: Vec<Instant>,
+    ends: BinaryHeap<std::cmp::Reverse<(Instant, usize)>>,
+    inside: Vec<(Request, Instant)>,
+    outcome: Outcome,
+}
+
+impl Server {
+    fn new(start: Instant) -> Server {
+        Server {
+            queue: WorkQueue::new(ROOM),
+            waiting: HashMap::new(),
+            slots: vec![start; SLOTS as usize],
+            ends: BinaryHeap::new(),
+            inside: Vec::new(),
+            outcome: Outcome::default(),
+        }
+    }
+
+    fn arrive(&mut self, request: Request, work: Duration, now: Instant) {
+        self.outcome.note(&request, |served| served.asked += 1);
+        match self.queue.offer(request.clone(), now) {
+            Offered::Begin => self.begin(request, work, now, now),
+            Offered::Waits { ticket, displaced } => {
+                self.waiting.insert(ticket, (request, work, now));
+                displaced.map(|ticket| self.waiting.remove(&ticket));
+            }
+            Offered::Refused { .. } => {}
+        }
+    }
+
+    fn begin(&mut self, request: Request, work: Duration, since: Instant, now: Instant) {
+        let slot = self.slots.iter_mut().min().expect("there are slots");
+        let begins = (*slot).max(now);
+        *slot = begins + work;
+        self.ends.push(std::cmp::Reverse((*slot, self.inside.len())));
+        self.outcome.note(&request, |served| {
+            served.begun += 1;
+            served.work += work;
+            served.longest_wait = served.longest_wait.max(begins - since);
+        });
+        self.inside.push((request, now));
+    }
+
+    fn run_until(&mut self, until: Instant) {
+        while let Some(std::cmp::Reverse((at, index))) = self.ends.peek().copied()
+            && at <= until
+        {
+            self.ends.pop();
+            let (request, began_at) = self.inside[index].clone();
+            self.queue.on_finished(&request, Some(at - began_at), at);
+            self.queue.on_released(&request);
+            self.serve(at);
+        }
+    }
+
+    fn serve(&mut self, now: Instant) {
+        loop {
+            match self.queue.next(now) {
+                Next::Nothing => return,
+                Next::Expired(ticket) => {
+                    let (request, ..) = self.waiting.remove(&ticket).expect("it waited");
+                    self.outcome.note(&request, |served| served.expired += 1);
+                }
+                Next::Begin(ticket, _) => {
+                    let (request, work, since) = self.waiting.remove(&ticket).expect("it waited");
+                    self.begin(request, work, since, now);
+                }
+            }
+        }
+    }
+}
+
+const LASTS: Duration = Duration::from_secs(20);
+
+/// 1, 1.5, 2 and 4 times what the slots bear: as much is done at each, and the most urgent don't notice.
+#[test]
+fn goodput_stays_at_its_best_when_more_is_asked_than_the_slots_bear() {
+    let at = |times| play(&usual(times), LASTS, 1.0, 11);
+    let outcomes = [1.0, 1.5, 2.0, 4.0].map(at);
+    let done = outcomes.iter().map(Outcome::work);
+    let best = done.clone().max().expect("there are four");
+    for (outcome, done) in outcomes.iter().zip(done) {
+        assert!(done >= best.mul_f64(0.9), "{done:?} of {best:?}");
+        assert!(outcome.by_rank[&0].share() >= UNNOTICED, "{outcome:?}");
+    }
+    // At twice the load the two more urgent ranks ask for 1.3 times the slots.
+    assert!(outcomes[1].by_rank[&1].share() >= 0.9, "{:?}", outcomes[1].by_rank);
+}
+
+/// A burst of the least urgent kind at 2.3 times its usual: it pays for itself.
+#[test]
+fn a_burst_of_the_least_urgent_leaves_the_others_as_they_were() {
+    let mut loads = usual(0.8);
+    let before = play(&loads, LASTS, 1.0, 12);
+    loads[2].rate *= 2.3;
+    let after = play(&loads, LASTS, 1.0, 12);
+    for rank in [0, 1] {
+        let (before, after) = (before.by_rank[&rank].share(), after.by_rank[&rank].share());
+        assert!(after >= before * UNNOTICED, "{rank}: {after} after {before}");
+    }
+}
+
+/// One account at 7.5 times its usual, which is more than the slots bear: the others don't notice.
+#[test]
+fn a_hot_account_leaves_the_others_as_they_were() {
+    let mut loads = usual(0.8);
+    for load in usual(0.8) {
+        let hot = vec![Name::from("hot")];
+        loads.push(Load { accounts: hot, rate: load.rate * 7.5 / 20.0, ..load });
+    }
+    let outcome = play(&loads, LASTS, 1.0, 13);
+    for (account, served) in &outcome.by_account {
+        let is_hot = &**account == "hot";
+        assert!(is_hot || served.share() >= UNNOTICED, "{account}: {served:?}");
+    }
+    assert!(outcome.work() >= (LASTS * SLOTS).mul_f64(0.9), "{:?}", outcome.work());
+}
+
+/// A server that is six times slower than the others: what it can't do is refused on arrival, so that its callers have time
+/// to go elsewhere, instead of waiting for as long as they may.
+#[test]
+fn a_slow_server_refuses_on_arrival_instead_of_letting_wait() {
+    let outcome = play(&usual(0.5), LASTS, 6.0, 14);
+    let shares = [0, 1, 2].map(|rank| outcome.by_rank[&rank].share());
+    assert!(shares.is_sorted_by(|urgent, other| urgent > other), "{:?}", outcome.by_rank);
+    let not_begun = outcome.by_rank.values().map(|it| it.asked - it.begun).sum::<u32>();
+    let waited_in_vain = outcome.by_rank.values().map(|it| it.expired).sum::<u32>();
+    assert!(waited_in_vain <= not_begun / 5, "{:?}", outcome.by_rank);
+}
+
+/// More urgent work than the slots bear, for long: the least urgent still get on.
+#[test]
+fn nobody_who_waits_long_enough_is_starved() {
+    let mut loads = usual(1.0);
+    loads[1].rate *= 3.0;
+    loads[2].may_wait = Duration::from_secs(5);
+    let outcome = play(&loads, LASTS, 1.0, 15);
+    assert!(outcome.by_rank[&2].share() > 0.1, "{:?}", outcome.by_rank);
+    assert!(outcome.by_rank[&0].share() >= UNNOTICED, "{:?}", outcome.by_rank);
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Arrive { rank: usize, account: u8, stage: Stage, waits_ms: u64 },
+    Finish,
+    Withdraw,
+    Pass { ms: u64 },
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let stage = prop_oneof![Just(Stage::Alone), Just(Stage::Opens), Just(Stage::Continues)];
+    let arrive =
+        (0..4_usize, 0..5_u8, stage, 0..400_u64).prop_map(|(rank, account, stage, waits_ms)| {
+            Step::Arrive { rank, account, stage, waits_ms }
+        });
+    let step = prop_oneof![
+        5 => arrive,
+        3 => Just(Step::Finish),
+        1 => Just(Step::Withdraw),
+        1 => (1..60_u64).prop_map(|ms| Step::Pass { ms }),
+    ];
+    prop::collection::vec(step, 1..200)
+}
+
+proptest! {
+    /// Nothing is refused or kept waiting while a slot and a connection are free, and never more is inside than fits.
+    #[test]
+    fn the_queue_keeps_the_server_busy(steps in steps()) {
+        // As many connections as statements inside, so that either may be what is short.
+        let room = Room { slots: 4, connections: 4, owners: 1 };
+        let mut queue = WorkQueue::new(room);
+        let mut now = Instant::now();
+        let mut inside: Vec<Request> = Vec::new();
+        let mut waiting: HashMap<Ticket, Stage> = HashMap::new();
+        let holds = |stage: Stage| stage != Stage::Continues;
+        for step in steps {
+            match step {
+                Step::Arrive { rank, account, stage, waits_ms } => {
+                    let until = now + Duration::from_millis(waits_ms);
+                    let request = request(rank, &account.to_string(), stage, until);
+                    let held = inside.iter().filter(|it| holds(it.stage)).count() as u32;
+                    let has_slot = (inside.len() as u32) < queue.limit();
+                    let has_connection = !holds(stage) || held < room.connections;
+                    match queue.offer(request.clone(), now) {
+                        Offered::Begin => inside.push(request),
+                        Offered::Waits { ticket, displaced } => {
+                            prop_assert!(!(stage == Stage::Alone && has_slot && has_connection));
+                            waiting.insert(ticket, stage);
+                            displaced.map(|ticket| waiting.remove(&ticket));
+                        }
+                        Offered::Refused { come_back } => {
+                            prop_assert!(!(stage == Stage::Alone && has_slot && has_connection));
+                            prop_assert!(come_back > Duration::ZERO);
+                        }
+                    }
+                }
+                Step::Finish => {
+                    if let Some(request) = inside.pop() {
+                        queue.on_finished(&request, Some(Duration::from_millis(20)), now);
+                        queue.on_released(&request);
+                    }
+                }
+                Step::Withdraw => {
+                    if let Some(ticket) = waiting.keys().next().copied() {
+                        waiting.remove(&ticket);
+                        prop_assert!(queue.withdraw(ticket));
+                    }
+                }
+                Step::Pass { ms } => now += Duration::from_millis(ms),
+            }
+            loop {
+                match queue.next(now) {
+                    Next::Begin(ticket, request) => {
+                        prop_assert!(waiting.remove(&ticket).is_some());
+                        prop_assert!(request.until > now);
+                        inside.push(request);
+                    }
+                    Next::Expired(ticket) => prop_assert!(waiting.remove(&ticket).is_some()),
+                    Next::Nothing => break,
+                }
+            }
+            let held = inside.iter().filter(|it| holds(it.stage)).count() as u32;
+            prop_assert!(inside.len() as u32 <= queue.limit());
+            prop_assert!(held <= room.connections);
+            prop_assert_eq!(queue.running() as usize, inside.len());
+            prop_assert_eq!(queue.waiting(), waiting.len());
+            let has_slot = (inside.len() as u32) < queue.limit();
+            let able = |stage: &Stage| match stage {
+                Stage::Continues => true,
+                Stage::Alone => held < room.connections,
+                Stage::Opens => false,
+            };
+            prop_assert!(!has_slot || !waiting.values().any(able));
+        }
+    }
+}
