feat(proxy): statements for an owned server wait in one queue at its owner

Cause: an owner had up to 50 connections to a server with 6 slots, so that up to 48 statements waited inside the server, first come first served, and those beyond opened connections over the cap. Each statement now has its turn before a connection, and those of an open transaction theirs before they are sent; status checks and commands wait for nothing.

Work that only the primary can do is no longer kept from it after one hop failed: a write on a route whose reads go anywhere put the primary on its list of servers to avoid and then waited for a change of primary that nobody had begun. Where the primary's queue has no room in time it is refused at once.

--- a/crates/proxy/src/relay/answering.rs
+++ b/crates/proxy/src/relay/answering.rs
@@ -17,6 +17,7 @@
     control::peer_link::{Frames, HandedOver},
     dialect::{CallerDialect, EndpointDialect},
     relay::{
+        load_messages::LoadMessage,
         messages::{AnswerMessage, NotSent, RelayAnswer, RelayOutcome, RelayRequest, RelayTask},
         sampling::tell_sample,
     },
@@ -153,7 +154,7 @@
             tokio::task::spawn_local(async move {
                 let outcome = run_single(&engine, &request).await;
                 // The link may have ended meanwhile.
-                let _ = answers.send_async(answer_to(number, outcome)).await;
+                let _ = answers.send_async(answer_with_load(&engine, &request, outcome)).await;
             });
             return Ok(());
         }
@@ -167,6 +168,22 @@
     RelayAnswer { number, outcome: Some(outcome), ..RelayAnswer::default() }
 }
 
+/// Tells the server's load with what became of a request, and when asking again may help.
+fn answer_with_load<C: CallerDialect, E: EndpointDialect>(
+    engine: &Rc<Engine<C, E>>,
+    request: &RelayRequest,
+    outcome: RelayOutcome,
+) -> RelayAnswer {
+    let answer = answer_to(request.number, outcome);
+    let Some(report) = group_of(engine, request).pool.load_of(&request.server) else {
+        return answer;
+    };
+    let is_refused = answer.outcome == Some(not_sent(NotSent::Overloaded));
+    let wait = report.waits[request.rank().index()];
+    let come_back_ms = if is_refused { wait.as_millis() as u64 + 1 } else { 0 };
+    RelayAnswer { load: Some(LoadMessage::of(&report)), come_back_ms, ..answer }
+}
+
 fn not_sent(why: NotSent) -> RelayOutcome {
     RelayOutcome::NotSent(why.number())
 }
@@ -234,7 +251,7 @@
                     match acquire(&engine, &group, &request, &errand, received_at).await {
                         Ok(granted) => lent = Some(granted),
                         Err(why) => {
-                            let answer = answer_to(request.number, not_sent(why));
+                            let answer = answer_with_load(&engine, &request, not_sent(why));
                             // The link may have ended meanwhile.
                             let _ = answers.send_async(answer).await;
                             return;
@@ -242,8 +259,8 @@
                     }
                 }
                 let Some(held) = lent.as_mut() else { return };
-                if request.is_over_at(engine.clock_ms()) {
-                    let answer = answer_to(request.number, not_sent(NotSent::TooLate));
+                if let Err(why) = await_turn(&engine, &request, held).await {
+                    let answer = answer_with_load(&engine, &request, not_sent(why));
                     // The link may have ended meanwhile.
                     let _ = answers.send_async(answer).await;
                     break;
@@ -258,7 +275,7 @@
         };
         let is_over = lent.is_none();
         // The link may have ended meanwhile; then nothing more comes either.
-        let _ = answers.send_async(answer_to(request.number, outcome)).await;
+        let _ = answers.send_async(answer_with_load(&engine, &request, outcome)).await;
         if is_over {
             return;
         }
@@ -268,6 +285,17 @@
     }
 }
 
+/// Waits until the next statement of a transaction may begin, for no longer than its asker lets it.
+async fn await_turn<C: CallerDialect, E: EndpointDialect>(
+    engine: &Rc<Engine<C, E>>,
+    request: &RelayRequest,
+    held: &mut Lent<E>,
+) -> Result<(), NotSent> {
+    let left_ms = request.begin_until_ms.saturating_sub(engine.clock_ms());
+    held.await_turn(Instant::now() + Duration::from_millis(left_ms)).await?;
+    if request.is_over_at(engine.clock_ms()) { Err(NotSent::TooLate) } else { Ok(()) }
+}
+
 /// Waits until this daemon knows the servers: where all start together, others may know before it does that it
 /// owns their connections.
 async fn await_servers<C: CallerDialect, E: EndpointDialect>(
@@ -306,6 +334,7 @@
         primary: request.leads.then_some(server),
         priority: request.priority.min(u32::from(u8::MAX)) as u8,
         yields: request.yields,
+        opens_transaction: matches!(request.task, Some(RelayTask::Begin(_))),
         is_handed_over: true,
         principal: match &request.task {
             Some(RelayTask::Command(_)) => None,
@@ -317,6 +346,7 @@
     acquired.map_err(|error| match error {
         AcquireError::Nowhere => NotSent::Unreachable,
         AcquireError::QueueFull | AcquireError::TooLate => NotSent::TooLate,
+        AcquireError::Overloaded { .. } => NotSent::Overloaded,
     })
 }
 
--- a/crates/proxy/src/relay/messages.rs
+++ b/crates/proxy/src/relay/messages.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use model::{LogPoint, Name, Position, StatementClass, Term};
+use overload::Rank;
 use prost::{Message, Oneof};
 
 use crate::{
@@ -377,6 +378,11 @@
         }
     }
 
+    /// Returns how urgent it is.
+    pub fn rank(&self) -> Rank {
+        Rank::of_priority(u8::try_from(self.priority).unwrap_or(u8::MAX))
+    }
+
     /// Whether the owner may not begin with it any more at this time of its clock.
     pub fn is_over_at(&self, clock_ms: u64) -> bool {
         clock_ms >= self.begin_until_ms
--- a/crates/proxy/src/serve/ask.rs
+++ b/crates/proxy/src/serve/ask.rs
@@ -59,6 +59,7 @@
         primary: None,
         priority: 0,
         yields: false,
+        opens_transaction: false,
         is_handed_over: false,
         principal: None,
     };
--- a/crates/proxy/src/serve/engine.rs
+++ b/crates/proxy/src/serve/engine.rs
@@ -98,9 +98,9 @@
 }
 
 impl<E: EndpointDialect> Group<E> {
-    fn new(availability_zone: Name, relays: Rc<RelayLinks>) -> Group<E> {
+    fn new(availability_zone: Name, relays: Rc<RelayLinks>, queues: bool) -> Group<E> {
         Group {
-            pool: Rc::new(GroupPool::new(availability_zone, relays)),
+            pool: Rc::new(GroupPool::new(availability_zone, relays, queues)),
             samples: RefCell::new(StalenessSamples::new(SAMPLES_KEPT)),
             retries: RefCell::new(RetryBudget::new(RETRY_PERCENT)),
             starved: Cell::new(None),
@@ -191,6 +191,11 @@
     QueueFull,
     /// None was free in time.
     TooLate,
+    /// More urgent work and that of others leave no room in time.
+    Overloaded {
+        /// When asking again may help.
+        come_back: Duration,
+    },
 }
 
 impl<C: CallerDialect, E: EndpointDialect> Engine<C, E> {
@@ -236,7 +241,8 @@
             .entry(service.clone())
             .or_insert_with(|| {
                 let zone = self.settings.availability_zone.clone();
-                Rc::new(Group::new(zone, self.relays.clone()))
+                let queues = self.settings.overload.queue;
+                Rc::new(Group::new(zone, self.relays.clone(), queues))
             })
             .clone();
         let granted = beliefs.catalog.services.get(service).map_or(0, |rule| rule.connections);
@@ -299,6 +305,9 @@
                 Err(NoConnection::Nowhere) => return Err(AcquireError::Nowhere),
                 Err(NoConnection::QueueFull) => return Err(AcquireError::QueueFull),
                 Err(NoConnection::TooLate) => return Err(AcquireError::TooLate),
+                Err(NoConnection::Overloaded { come_back }) => {
+                    return Err(AcquireError::Overloaded { come_back });
+                }
             };
             let place = match offer {
                 Offer::Lent(lent) => return Ok(lent),
--- a/crates/proxy/src/serve/execute.rs
+++ b/crates/proxy/src/serve/execute.rs
@@ -14,6 +14,7 @@
         peers::PrimarySample,
     },
     dialect::{CallerDialect, EndpointDialect},
+    relay::messages::NotSent,
     serve::{
         connection::{ConnectionLost, Reached, refusal},
         engine::{AcquireError, Engine, Group},
@@ -39,6 +40,9 @@
 /// What a caller is told to wait while a primary is being replaced.
 pub(crate) const COME_BACK_CHANGING_MS: u64 = 400;
 
+/// Why a statement is refused for which a server's queue has no room in time.
+const OTHERS_FIRST: &str = "more urgent statements and those of others go first";
+
 /// A connection on which a statement may run now, with what it has to show.
 pub(crate) struct Granted<E: EndpointDialect> {
     pub(crate) lent: Lent<E>,
@@ -115,6 +119,9 @@
                 Err((progress, lost)) => {
                     drop(granted);
                     self.note_loss(&group, &job.route.service, &reached, &lost);
+                    if let Some(error) = self.turned_away(&group, job, &rounds, &lost) {
+                        return refusal(error, TransactionState::Idle);
+                    }
                     match after_loss(progress, class) {
                         Next::Tell(code) => {
                             return self.unknown_outcome(job, &server, code, &lost);
@@ -168,6 +175,7 @@
                 }
             }
         }
+        rounds.needs_primary = floor.is_none();
         let lead = match floor {
             Some(_) => beliefs.lead_in_force(service, Instant::now()).cloned(),
             None => {
@@ -186,6 +194,7 @@
             primary: known.map(|lead| lead.server.clone()),
             priority: job.route.priority,
             yields: class == StatementClass::Read && job.route.reads != ReadRule::Primary,
+            opens_transaction: rounds.opens_transaction,
             is_handed_over: false,
             principal: Some(job.principal.clone()),
         };
@@ -303,6 +312,13 @@
                 "no connection was free in time",
                 wait_ms,
             )),
+            AcquireError::Overloaded { come_back } => Denied::Refuse(self.refuse(
+                group,
+                job,
+                ErrorCode::Overloaded,
+                OTHERS_FIRST,
+                come_back.as_millis() as u64 + 1,
+            )),
             AcquireError::Nowhere => {
                 let next = Next::TryElsewhere;
                 match self.prepare_next_round(rounds, job, next, Name::from("")).await {
@@ -322,6 +338,9 @@
         floor: Option<LogPoint>,
         may_run_again: bool,
     ) -> Result<Answer, (Progress, ConnectionLost)> {
+        if let Err(why) = lent.await_turn(job.deadline()).await {
+            return Err((Progress::NotSent, ConnectionLost::NotGranted(why.into())));
+        }
         let average = group.pool.latency_of(lent.server());
         let watch = Watch {
             service: &job.route.service,
@@ -462,6 +481,20 @@
         }
     }
 
+    /// Returns what a caller is told whose work only the primary can do, where others go first there: it is known that asking
+    /// again at once is in vain.
+    pub(crate) fn turned_away(
+        &self,
+        group: &Rc<Group<E>>,
+        job: &Job<'_>,
+        rounds: &Rounds,
+        lost: &ConnectionLost,
+    ) -> Option<StatementError> {
+        let is_turned_away = *lost == ConnectionLost::NotGranted(NotSent::Overloaded);
+        (is_turned_away && rounds.needs_primary)
+            .then(|| self.refuse(group, job, ErrorCode::Overloaded, OTHERS_FIRST, COME_BACK_MS))
+    }
+
     /// Sets up another attempt; an error is what the caller is told instead.
     pub(crate) async fn prepare_next_round(
         &self,
@@ -475,9 +508,8 @@
             let group = self.group(&job.route.service, &self.beliefs());
             return Some(self.refuse(&group, job, code, "no server gave an answer", COME_BACK_MS));
         }
-        let reads_anywhere = job.route.reads != ReadRule::Primary;
         match next {
-            Next::TryElsewhere if !rounds.avoid.contains(&server) && reads_anywhere => {
+            Next::TryElsewhere if !rounds.avoid.contains(&server) && !rounds.needs_primary => {
                 rounds.avoid.push(server);
             }
             _ => {
@@ -494,6 +526,10 @@
 pub(crate) struct Rounds {
     pub(crate) avoid: Vec<Name>,
     pub(crate) last_error: Option<ErrorCode>,
+    /// Whether only the primary will do.
+    pub(crate) needs_primary: bool,
+    /// Whether a transaction is to be opened.
+    pub(crate) opens_transaction: bool,
     /// Whether an owner was asked where the primary's log stood.
     pub(crate) asked_for_sample: bool,
 }
--- /dev/null
+++ b/crates/proxy/src/serve/in_turn.rs
@@ -0,0 +1,117 @@
+//! Connections to servers that have a queue of their own here: a statement has its turn first, and then its connection.
+
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use overload::{LoadReport, Rank, Request, Room, Stage};
+
+use crate::{
+    accounts::Principal,
+    dialect::EndpointDialect,
+    relay::messages::NotSent,
+    serve::{
+        pool::{GroupPool, NoConnection, Offer},
+        replay::SessionValues,
+        server_queue::NotBegun,
+        share::{Owned, Share},
+        slot::ServerSlot,
+        wish::Wish,
+    },
+};
+
+/// How often it is looked again whether a connection may be opened, or has come to rest, after one could not be opened.
+const LOOK_AGAIN_AFTER: Duration = Duration::from_millis(20);
+
+impl<E: EndpointDialect> GroupPool<E> {
+    /// Returns what a server has room for, if statements are to wait for it in a queue of its own.
+    pub(super) fn room(&self, slot: &ServerSlot<E>, share: &Share) -> Option<Room> {
+        let owned = share.owned.filter(|_| self.queues)?;
+        let slots = slot.entry.slots;
+        let connections = slot.limit + share.loan;
+        let owners = match owned {
+            Owned::Once { .. } => 1,
+            // The owners of all zones share the slots as they share the connections.
+            Owned::InEachZone(count) => slots.div_ceil(count.max(1)),
+        };
+        Some(Room { slots, connections, owners })
+    }
+
+    /// Returns the load of a server that has a queue here.
+    pub(crate) fn load_of(&self, server: &str) -> Option<LoadReport> {
+        self.with_slot(server, |slot| slot.queue.as_ref().map(|queue| queue.report()))?
+    }
+
+    /// Finds a connection to the server at this place, or leave to open one, once the statement has its turn; `None` if there
+    /// was none after all, and a server has to be chosen again.
+    pub(super) async fn lend_in_turn(
+        self: &Rc<Self>,
+        index: usize,
+        wish: &Wish,
+        values: &SessionValues,
+        deadline: Instant,
+    ) -> Result<Option<Offer<E>>, NoConnection> {
+        let (server, queue) = {
+            let state = self.state.borrow();
+            let slot = &state.servers[index];
+            (slot.entry.server.clone(), slot.queue.clone())
+        };
+        let turn = match (queue, &wish.principal) {
+            (Some(queue), Some(principal)) => {
+                let request = request_for(wish, principal, deadline);
+                Some(queue.await_turn(request).await?)
+            }
+            // Commands of a daemon wait for nothing but a connection.
+            _ => None,
+        };
+        // Servers may have come and gone meanwhile.
+        let place = {
+            let state = self.state.borrow();
+            state.servers.iter().position(|slot| slot.listed && slot.entry.server == server)
+        };
+        let Some(index) = place else { return Ok(None) };
+        if let Some(connection) = self.take_idle(index, values, wish) {
+            return Ok(Some(Offer::Lent(self.lent(connection, wish.yields, turn))));
+        }
+        let may_open = self.state.borrow().servers[index].may_open(Instant::now());
+        if may_open || turn.is_none() {
+            return Ok(Some(Offer::Open(self.place(index, wish, turn))));
+        }
+        drop(turn);
+        self.await_opening(deadline).await
+    }
+
+    async fn await_opening(&self, deadline: Instant) -> Result<Option<Offer<E>>, NoConnection> {
+        let look_at = Instant::now() + LOOK_AGAIN_AFTER;
+        if look_at >= deadline {
+            return Err(NoConnection::TooLate);
+        }
+        tokio::time::sleep_until(look_at.into()).await;
+        Ok(None)
+    }
+}
+
+fn request_for(wish: &Wish, principal: &Principal, until: Instant) -> Request {
+    let stage = if wish.opens_transaction { Stage::Opens } else { Stage::Alone };
+    let account = principal.told().into();
+    Request { rank: Rank::of_priority(wish.priority), account, stage, until }
+}
+
+impl From<NotBegun> for NoConnection {
+    fn from(why: NotBegun) -> NoConnection {
+        match why {
+            NotBegun::Overloaded { come_back } => NoConnection::Overloaded { come_back },
+            NotBegun::TooLate => NoConnection::TooLate,
+        }
+    }
+}
+
+impl From<NotBegun> for NotSent {
+    fn from(why: NotBegun) -> NotSent {
+        match why {
+            NotBegun::Overloaded { .. } => NotSent::Overloaded,
+            NotBegun::TooLate => NotSent::TooLate,
+        }
+    }
+}
--- a/crates/proxy/src/serve/lent.rs
+++ b/crates/proxy/src/serve/lent.rs
@@ -16,8 +16,9 @@
     relay::lease::Lease,
     serve::{
         connection::{ConnectionLost, EndpointConnection, Reached},
-        errand::Errand,
+        errand::{Errand, Task},
         pool::{GroupPool, Offer, Waiter},
+        server_queue::{NotBegun, Turn},
         verdict::Progress,
         wish::Wish,
     },
@@ -31,6 +32,8 @@
     pub entry: Arc<ServerEntry>,
     pub(super) yields: bool,
     pub(super) settled: bool,
+    /// The turn in the server's queue, where there is one.
+    pub(super) turn: Option<Turn>,
     /// For whom the connection will work.
     pub principal: Principal,
 }
@@ -41,6 +44,9 @@
     pub(super) held: Held<E>,
     pub(super) lent_at: Instant,
     pub(super) yields: bool,
+    /// The turn that the connection goes with, and that of the transaction's present statement.
+    pub(super) turn: Option<Turn>,
+    pub(super) step: Option<Turn>,
 }
 
 /// A connection, or the right to use another daemon's.
@@ -57,7 +63,8 @@
     /// Takes the new connection.
     pub fn opened(mut self, connection: EndpointConnection<E>) -> Lent<E> {
         self.settled = true;
-        self.pool.lent(Box::new(connection), self.yields)
+        let turn = self.turn.take();
+        self.pool.lent(Box::new(connection), self.yields, turn)
     }
 }
 
@@ -104,7 +111,11 @@
         deadline: Instant,
     ) -> Result<Answer, (Progress, ConnectionLost)> {
         match &mut self.held {
-            Held::Own(connection) => errand.run(connection, deadline).await,
+            Held::Own(connection) => {
+                let answered = errand.run(connection, deadline).await;
+                self.leave_slot(errand, &answered);
+                answered
+            }
             Held::Owners(lease) => lease.run(errand, deadline).await,
             Held::Nothing => {
                 let lost = ConnectionLost::Broken("it was given back".to_owned());
@@ -113,6 +124,28 @@
         }
     }
 
+    /// Waits until the next statement of a transaction may begin, where the server has a queue here.
+    pub async fn await_turn(&mut self, until: Instant) -> Result<(), NotBegun> {
+        if let Some(turn) = self.turn.as_ref().filter(|turn| !turn.has_slot()) {
+            self.step = Some(turn.await_next(until).await?);
+        }
+        Ok(())
+    }
+
+    /// Lets others have the slot. Only what the server ran to its end tells how long it takes for a statement.
+    fn leave_slot(
+        &mut self,
+        errand: &Errand,
+        answered: &Result<Answer, (Progress, ConnectionLost)>,
+    ) {
+        let has_run = matches!(errand.task, Task::Work(_))
+            && answered.as_ref().is_ok_and(|answer| answer.error_code().is_none());
+        for turn in self.turn.iter_mut().chain(self.step.iter_mut()) {
+            turn.leave_slot(has_run);
+        }
+        self.step = None;
+    }
+
     /// Gives it back for the next statement. Whatever is not given back is closed.
     pub fn give_back(mut self) {
         match std::mem::replace(&mut self.held, Held::Nothing) {
@@ -135,6 +168,8 @@
             // Dropped, it makes room for a connection to the server as it is now.
             return;
         }
+        // Whoever has the next turn finds the connection at rest: nothing else runs before this ends.
+        self.turn = None;
         self.lent_at = Instant::now();
         if std::mem::take(&mut self.yields) {
             self.pool.with_slot(self.server(), |slot| slot.yielding -= 1);
--- a/crates/proxy/src/serve/pool.rs
+++ b/crates/proxy/src/serve/pool.rs
@@ -31,6 +31,7 @@
         connection::EndpointConnection,
         lent::{Held, Lent, OpeningPlace},
         replay::{Environment, SessionValues},
+        server_queue::Turn,
         share::{Keep, Owned, Share},
         slot::ServerSlot,
         wish::Wish,
@@ -46,9 +47,9 @@
     pub(super) grant: oneshot::Sender<Offer<E>>,
 }
 
-struct PoolState<E: EndpointDialect> {
+pub(super) struct PoolState<E: EndpointDialect> {
     keep: Keep,
-    servers: Vec<ServerSlot<E>>,
+    pub(super) servers: Vec<ServerSlot<E>>,
     waiters: [VecDeque<Waiter<E>>; PRIORITIES],
 }
 
@@ -59,7 +60,9 @@
 pub struct GroupPool<E: EndpointDialect> {
     availability_zone: Name,
     relays: Rc<RelayLinks>,
-    state: RefCell<PoolState<E>>,
+    /// Whether servers have queues of their own where daemons own connections for others.
+    pub(super) queues: bool,
+    pub(super) state: RefCell<PoolState<E>>,
 }
 
 /// Why no connection was given.
@@ -71,6 +74,11 @@
     QueueFull,
     /// None was free in time.
     TooLate,
+    /// More urgent work and that of others leave no room in time.
+    Overloaded {
+        /// When asking again may help.
+        come_back: Duration,
+    },
 }
 
 /// What a wish was answered with.
@@ -83,9 +91,9 @@
 
 impl<E: EndpointDialect> GroupPool<E> {
     /// Makes a pool without servers for a daemon in an availability zone.
-    pub fn new(availability_zone: Name, relays: Rc<RelayLinks>) -> GroupPool<E> {
+    pub fn new(availability_zone: Name, relays: Rc<RelayLinks>, queues: bool) -> GroupPool<E> {
         let state = PoolState { keep: Keep::One, servers: Vec::new(), waiters: Default::default() };
-        GroupPool { availability_zone, relays, state: RefCell::new(state) }
+        GroupPool { availability_zone, relays, queues, state: RefCell::new(state) }
     }
 
     /// Takes over which servers there are, how many connections each may have and who owns them.
@@ -135,6 +143,7 @@
             slot.owners = ownership.map(|it| it.asked).unwrap_or_default();
             slot.loan = share.loan;
             let most = slot.limit + share.loan;
+            slot.set_queue(self.room(slot, &share));
             let surplus = (slot.idle.len() as u32 + slot.in_use).saturating_sub(most) as usize;
             let kept = slot.idle.len().saturating_sub(surplus);
             slot.idle.truncate(kept);
@@ -150,20 +159,19 @@
         values: &SessionValues,
         deadline: Instant,
     ) -> Result<Offer<E>, NoConnection> {
-        match self.choose_now(&wish) {
-            Choice::UseIdle(index) => {
-                if let Some(lent) = self.lease(index, &wish, deadline) {
-                    return Ok(Offer::Lent(lent));
-                }
-                if let Some(connection) = self.take_idle(index, values, &wish) {
-                    return Ok(Offer::Lent(self.lent(connection, wish.yields)));
-                }
-                // Every idle connection had ended; there is room for a new one now.
-                Ok(Offer::Open(self.place(index, &wish)))
+        loop {
+            let (index, has_idle) = match self.choose_now(&wish) {
+                Choice::UseIdle(index) => (index, true),
+                Choice::Open(index) => (index, false),
+                Choice::Wait => return self.wait(wish, deadline).await,
+                Choice::Nowhere => return Err(NoConnection::Nowhere),
+            };
+            if has_idle && let Some(lent) = self.lease(index, &wish, deadline) {
+                return Ok(Offer::Lent(lent));
+            }
+            if let Some(offer) = self.lend_in_turn(index, &wish, values, deadline).await? {
+                return Ok(offer);
             }
-            Choice::Open(index) => Ok(Offer::Open(self.place(index, &wish))),
-            Choice::Wait => self.wait(wish, deadline).await,
-            Choice::Nowhere => Err(NoConnection::Nowhere),
         }
     }
 
@@ -184,7 +192,14 @@
         };
         let lease = Lease::new(self.relays.clone(), link, terms);
         let held = Held::Owners(lease);
-        Some(Lent { pool: self.clone(), held, lent_at: Instant::now(), yields: false })
+        Some(Lent {
+            pool: self.clone(),
+            held,
+            lent_at: Instant::now(),
+            yields: false,
+            turn: None,
+            step: None,
+        })
     }
 
     fn owner_of(&self, slot: &ServerSlot<E>, wish: &Wish, now: Instant) -> Option<Rc<RelayLink>> {
@@ -265,6 +280,8 @@
                     latency_us: slot.latency.get_us(),
                 };
             }
+            let waits_elsewhere = wish.principal.is_some();
+            let queue = slot.queue.as_ref().filter(|_| waits_elsewhere);
             Candidate {
                 index,
                 // Through another daemon nothing is near.
@@ -272,8 +289,9 @@
                     && slot.detours.is_empty(),
                 leads: wish.primary.as_ref() == Some(&slot.entry.server),
                 idle: slot.idle_for(wish),
-                in_use: slot.in_use,
-                limit: slot.limit_at(now),
+                in_use: queue.map_or(slot.in_use, |queue| queue.outstanding()),
+                // Where it has a queue, statements wait in that one.
+                limit: queue.map_or_else(|| slot.limit_at(now), |_| u32::MAX),
                 full: slot.is_full_for(wish),
                 is_strange: false,
                 latency_us: slot.latency.get_us(),
@@ -283,7 +301,7 @@
     }
 
     /// Takes the idle connection that needs the least to be sent before the statement.
-    fn take_idle(
+    pub(super) fn take_idle(
         &self,
         index: usize,
         values: &SessionValues,
@@ -304,7 +322,12 @@
         Some(slot.idle.remove(best).1)
     }
 
-    fn place(self: &Rc<Self>, index: usize, wish: &Wish) -> OpeningPlace<E> {
+    pub(super) fn place(
+        self: &Rc<Self>,
+        index: usize,
+        wish: &Wish,
+        turn: Option<Turn>,
+    ) -> OpeningPlace<E> {
         let mut state = self.state.borrow_mut();
         let slot = &mut state.servers[index];
         slot.make_room();
@@ -314,6 +337,7 @@
             entry: slot.entry.clone(),
             yields: wish.yields,
             settled: false,
+            turn,
             principal: wish.principal.clone().unwrap_or(Principal::Daemon),
         }
     }
@@ -325,7 +349,7 @@
             state.servers.iter().position(|slot| &*slot.entry.server == server)
         };
         let Some(index) = place else { return };
-        let place = self.place(index, &waiter.wish);
+        let place = self.place(index, &waiter.wish, None);
         // A place that nobody takes any more gives itself up when it is dropped.
         let _ = waiter.grant.send(Offer::Open(place));
     }
@@ -334,8 +358,10 @@
         self: &Rc<Self>,
         connection: Box<EndpointConnection<E>>,
         yields: bool,
+        turn: Option<Turn>,
     ) -> Lent<E> {
-        Lent { pool: self.clone(), held: Held::Own(connection), lent_at: Instant::now(), yields }
+        let held = Held::Own(connection);
+        Lent { pool: self.clone(), held, lent_at: Instant::now(), yields, turn, step: None }
     }
 
     pub(super) fn with_slot<R>(
--- /dev/null
+++ b/crates/proxy/src/serve/server_queue.rs
@@ -0,0 +1,161 @@
+//! The queue in front of one server, and a statement's turn in it, which gives itself back however it ends.
+
+use std::{
+    cell::RefCell,
+    collections::HashMap,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use overload::{LoadReport, Next, Offered, Request, Room, Stage, Ticket, WorkQueue};
+use tokio::sync::oneshot;
+
+/// Why a statement did not begin. Nothing of it was run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NotBegun {
+    /// More urgent work and that of others leave no room in time.
+    Overloaded {
+        /// When asking again may help.
+        come_back: Duration,
+    },
+    /// It waited for as long as it may.
+    TooLate,
+}
+
+type Answer = Result<Turn, NotBegun>;
+
+/// The queue of one server at this daemon.
+pub(crate) struct ServerQueue {
+    work: RefCell<WorkQueue>,
+    waiting: RefCell<HashMap<Ticket, oneshot::Sender<Answer>>>,
+}
+
+impl ServerQueue {
+    /// Makes an empty one.
+    pub(crate) fn new(room: Room) -> Rc<ServerQueue> {
+        let work = RefCell::new(WorkQueue::new(room));
+        Rc::new(ServerQueue { work, waiting: RefCell::default() })
+    }
+
+    /// Takes over what may be used of the server.
+    pub(crate) fn set_room(self: &Rc<Self>, room: Room) {
+        self.work.borrow_mut().set_room(room);
+        self.serve();
+    }
+
+    /// Waits until a statement may begin. Whoever stops waiting is taken out.
+    pub(crate) async fn await_turn(self: &Rc<Self>, request: Request) -> Answer {
+        let offered = self.work.borrow_mut().offer(request.clone(), Instant::now());
+        match offered {
+            Offered::Begin => Ok(Turn::new(self, request)),
+            Offered::Refused { come_back } => Err(NotBegun::Overloaded { come_back }),
+            Offered::Waits { ticket, displaced } => {
+                let (answer, answered) = oneshot::channel();
+                self.waiting.borrow_mut().insert(ticket, answer);
+                if let Some(displaced) = displaced {
+                    let come_back = self.work.borrow().expected_wait(request.rank, Instant::now());
+                    self.answer(displaced, Err(NotBegun::Overloaded { come_back }));
+                }
+                self.await_answer(ticket, answered, request.until).await
+            }
+        }
+    }
+
+    /// Returns the load of the server, as this daemon sees it.
+    pub(crate) fn report(&self) -> LoadReport {
+        self.work.borrow().report(Instant::now())
+    }
+
+    /// Returns how many statements wait or run.
+    pub(crate) fn outstanding(&self) -> u32 {
+        let work = self.work.borrow();
+        work.running() + work.waiting() as u32
+    }
+
+    async fn await_answer(
+        self: &Rc<Self>,
+        ticket: Ticket,
+        answered: oneshot::Receiver<Answer>,
+        until: Instant,
+    ) -> Answer {
+        let _leaves = Leaves { queue: self, ticket };
+        match tokio::time::timeout_at(until.into(), answered).await {
+            Ok(Ok(answer)) => answer,
+            Ok(Err(_)) | Err(_) => Err(NotBegun::TooLate),
+        }
+    }
+
+    /// Lets those begin that can.
+    fn serve(self: &Rc<Self>) {
+        loop {
+            let next = self.work.borrow_mut().next(Instant::now());
+            match next {
+                Next::Nothing => return,
+                Next::Expired(ticket) => self.answer(ticket, Err(NotBegun::TooLate)),
+                Next::Begin(ticket, request) => self.answer(ticket, Ok(Turn::new(self, request))),
+            }
+        }
+    }
+
+    /// Tells who waits. A turn that nobody takes any more gives itself back as it is dropped.
+    fn answer(&self, ticket: Ticket, answer: Answer) {
+        let waiting = self.waiting.borrow_mut().remove(&ticket);
+        drop(waiting.map(|waiting| waiting.send(answer)));
+    }
+}
+
+/// Takes a statement out of the queue when its asker stops waiting.
+struct Leaves<'a> {
+    queue: &'a Rc<ServerQueue>,
+    ticket: Ticket,
+}
+
+impl Drop for Leaves<'_> {
+    fn drop(&mut self) {
+        self.queue.waiting.borrow_mut().remove(&self.ticket);
+        self.queue.work.borrow_mut().withdraw(self.ticket);
+    }
+}
+
+/// The right of one statement to be inside the server, and that of its transaction to a connection.
+pub(crate) struct Turn {
+    queue: Rc<ServerQueue>,
+    request: Request,
+    began_at: Instant,
+    has_slot: bool,
+}
+
+impl Turn {
+    fn new(queue: &Rc<ServerQueue>, request: Request) -> Turn {
+        Turn { queue: queue.clone(), request, began_at: Instant::now(), has_slot: true }
+    }
+
+    /// Whether its statement is inside the server.
+    pub(crate) fn has_slot(&self) -> bool {
+        self.has_slot
+    }
+
+    /// Gives the slot to others; the connection stays. `has_run` says that the statement ran to its end.
+    pub(crate) fn leave_slot(&mut self, has_run: bool) {
+        if !std::mem::take(&mut self.has_slot) {
+            return;
+        }
+        let took = has_run.then(|| self.began_at.elapsed());
+        self.queue.work.borrow_mut().on_finished(&self.request, took, Instant::now());
+        self.queue.serve();
+    }
+
+    /// Waits until the next statement of the transaction may begin.
+    pub(crate) async fn await_next(&self, until: Instant) -> Answer {
+        let request = Request { stage: Stage::Continues, until, ..self.request.clone() };
+        self.queue.await_turn(request).await
+    }
+}
+
+impl Drop for Turn {
+    fn drop(&mut self) {
+        self.leave_slot(false);
+        self.queue.work.borrow_mut().on_released(&self.request);
+        self.queue.serve();
+    }
+}
--- a/crates/proxy/src/serve/slot.rs
+++ b/crates/proxy/src/serve/slot.rs
@@ -2,16 +2,18 @@
 
 use std::{
     net::SocketAddr,
+    rc::Rc,
     sync::Arc,
     time::{Duration, Instant},
 };
 
 use model::LogPoint;
+use overload::Room;
 use routing::LatencyAverage;
 
 use crate::{
     catalog::ServerEntry,
-    serve::{connection::EndpointConnection, wish::Wish},
+    serve::{connection::EndpointConnection, server_queue::ServerQueue, wish::Wish},
 };
 
 /// How long a server that lagged behind a bounded floor is passed over.
@@ -75,6 +77,8 @@
     pub(crate) detours: Arc<[SocketAddr]>,
     pub(crate) next_detour: usize,
     pub(crate) no_detour_until: Option<Instant>,
+    /// What waits for it, where this daemon's connections are not everybody's.
+    pub(crate) queue: Option<Rc<ServerQueue>>,
     /// Whether it is still listed; one that is not gets no new work.
     pub(crate) listed: bool,
 }
@@ -102,6 +106,7 @@
             detours: Arc::default(),
             next_detour: 0,
             no_detour_until: None,
+            queue: None,
             listed: true,
         }
     }
@@ -257,6 +262,20 @@
         }
     }
 
+    /// Whether a connection may be opened now, as far as former failures go.
+    pub(crate) fn may_open(&self, now: Instant) -> bool {
+        self.no_opening_until.is_none_or(|until| now >= until) || self.has_detour(now)
+    }
+
+    /// Takes over whether statements wait in a queue of this server's own, and what it has room for.
+    pub(crate) fn set_queue(&mut self, room: Option<Room>) {
+        match (&self.queue, room) {
+            (Some(queue), Some(room)) => queue.set_room(room),
+            (None, Some(room)) => self.queue = Some(ServerQueue::new(room)),
+            (_, None) => self.queue = None,
+        }
+    }
+
     /// How many connections beyond the limit may be borrowed now.
     fn loan_at(&self, now: Instant) -> u32 {
         match self.no_loan_until {
--- a/crates/proxy/src/serve/transaction.rs
+++ b/crates/proxy/src/serve/transaction.rs
@@ -87,7 +87,7 @@
         transaction: &mut Transaction<E>,
     ) -> Answer {
         let group = self.group(&job.route.service, &self.beliefs());
-        let mut rounds = Rounds::default();
+        let mut rounds = Rounds { opens_transaction: true, ..Rounds::default() };
         loop {
             let is_first = transaction.lent.is_none();
             if is_first
@@ -205,6 +205,9 @@
                 Err((_, lost)) => {
                     drop(granted);
                     self.note_loss(group, &job.route.service, &reached, &lost);
+                    if let Some(error) = self.turned_away(group, job, rounds, &lost) {
+                        return Some(refusal(error, TransactionState::Failed));
+                    }
                     Next::TryElsewhere
                 }
             };
--- a/crates/proxy/src/serve/wish.rs
+++ b/crates/proxy/src/serve/wish.rs
@@ -19,6 +19,8 @@
     pub priority: u8,
     /// Whether it leaves room at the primary for statements that only the primary can run.
     pub yields: bool,
+    /// Whether it opens a transaction, which keeps its connection while its caller rests.
+    pub opens_transaction: bool,
     /// Whether another daemon handed it over; then it runs on a connection of this one, whoever owns them.
     pub is_handed_over: bool,
     /// For whom the connection must work; `None` for a command of the daemon's own, which any will do for.
