feat(proxy): owners behind a queue have room for transactions that rest; connections end by expected reuse

Cause: where zones share a server's connections an owner had two of 58, and a transaction that rested between its statements kept half of them from its zone, with six slots mostly free. Behind a queue more connections bring no more work into the server: the first owner has twice as many, keeps as few for good as before, and the second one has no more.

--- a/crates/overload/src/reuse.rs
+++ b/crates/overload/src/reuse.rs
@@ -12,7 +12,7 @@
 
 /// What an account asked counts for half after so long: some times longer than the rest between two statements of a small
 /// account, and short enough to follow a change of who is busy.
-const HALVED_AFTER: Duration = Duration::from_secs(4);
+const HALVED_AFTER: Duration = Duration::from_secs(20);
 /// Accounts that are remembered before those that asked long ago are forgotten.
 const MOST_REMEMBERED: usize = 1_024;
 /// Accounts whose use has faded to this count as unknown.
@@ -22,7 +22,7 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Resting<'a> {
     /// For whom it works.
-    pub account: &'a Name,
+    pub account: &'a str,
     /// Since when it has rested.
     pub since: Instant,
 }
@@ -48,9 +48,9 @@
 
 impl Reuse {
     /// Notes that a statement of an account began.
-    pub fn on_used(&mut self, account: &Name, now: Instant) {
+    pub fn on_used(&mut self, account: &str, now: Instant) {
         let count = self.expected(account, now) + 1.0;
-        self.uses.insert(account.clone(), Use { count, at: now });
+        self.uses.insert(Name::from(account), Use { count, at: now });
         if self.uses.len() > MOST_REMEMBERED {
             self.uses.retain(|_, it| it.faded(now) > FADED);
         }
@@ -62,7 +62,7 @@
     /// one is in use. So accounts with more than one give theirs first, and no small account loses its only one to a hot one that
     /// has many.
     pub fn least_likely(&self, resting: &[Resting<'_>], now: Instant) -> Option<usize> {
-        let mut held: HashMap<&Name, u32> = HashMap::new();
+        let mut held: HashMap<&str, u32> = HashMap::new();
         for connection in resting {
             *held.entry(connection.account).or_default() += 1;
         }
@@ -80,7 +80,7 @@
         numbered.min_by(|(_, one), (_, other)| order(one, other)).map(|(index, _)| index)
     }
 
-    fn expected(&self, account: &Name, now: Instant) -> f64 {
+    fn expected(&self, account: &str, now: Instant) -> f64 {
         self.uses.get(account).map_or(0.0, |it| it.faded(now))
     }
 }
--- a/crates/proxy/src/serve/engine.rs
+++ b/crates/proxy/src/serve/engine.rs
@@ -98,9 +98,13 @@
 }
 
 impl<E: EndpointDialect> Group<E> {
-    fn new(availability_zone: Name, relays: Rc<RelayLinks>, queues: bool) -> Group<E> {
+    fn new(
+        availability_zone: Name,
+        relays: Rc<RelayLinks>,
+        overload: OverloadSettings,
+    ) -> Group<E> {
         Group {
-            pool: Rc::new(GroupPool::new(availability_zone, relays, queues)),
+            pool: Rc::new(GroupPool::new(availability_zone, relays, overload)),
             samples: RefCell::new(StalenessSamples::new(SAMPLES_KEPT)),
             retries: RefCell::new(RetryBudget::new(RETRY_PERCENT)),
             starved: Cell::new(None),
@@ -241,8 +245,8 @@
             .entry(service.clone())
             .or_insert_with(|| {
                 let zone = self.settings.availability_zone.clone();
-                let queues = self.settings.overload.queue;
-                Rc::new(Group::new(zone, self.relays.clone(), queues))
+                let overload = self.settings.overload.clone();
+                Rc::new(Group::new(zone, self.relays.clone(), overload))
             })
             .clone();
         let granted = beliefs.catalog.services.get(service).map_or(0, |rule| rule.connections);
--- a/crates/proxy/src/serve/in_turn.rs
+++ b/crates/proxy/src/serve/in_turn.rs
@@ -27,7 +27,7 @@
 impl<E: EndpointDialect> GroupPool<E> {
     /// Returns what a server has room for, if statements are to wait for it in a queue of its own.
     pub(super) fn room(&self, slot: &ServerSlot<E>, share: &Share) -> Option<Room> {
-        let owned = share.owned.filter(|_| self.queues)?;
+        let owned = share.owned.filter(|_| self.overload.queue)?;
         let slots = slot.entry.slots;
         let connections = slot.limit + share.loan;
         let owners = match owned {
@@ -38,6 +38,11 @@
         Some(Room { slots, connections, owners })
     }
 
+    /// Whether accounts compete for the connections to a server: none can do another's work.
+    pub(super) fn do_accounts_compete(&self, share: &Share) -> bool {
+        self.overload.reuse && matches!(share.owned, Some(Owned::Once { .. }))
+    }
+
     /// Returns the load of a server that has a queue here.
     pub(crate) fn load_of(&self, server: &str) -> Option<LoadReport> {
         self.with_slot(server, |slot| slot.queue.as_ref().map(|queue| queue.report()))?
@@ -71,6 +76,9 @@
             state.servers.iter().position(|slot| slot.listed && slot.entry.server == server)
         };
         let Some(index) = place else { return Ok(None) };
+        if let Some(principal) = &wish.principal {
+            self.state.borrow_mut().servers[index].note_use(principal);
+        }
         if let Some(connection) = self.take_idle(index, values, wish) {
             return Ok(Some(Offer::Lent(self.lent(connection, wish.yields, turn))));
         }
--- a/crates/proxy/src/serve/pool.rs
+++ b/crates/proxy/src/serve/pool.rs
@@ -13,6 +13,7 @@
     time::{Duration, Instant},
 };
 
+use config::OverloadSettings;
 use model::{LogPoint, Name};
 use tokio::sync::oneshot;
 
@@ -60,8 +61,8 @@
 pub struct GroupPool<E: EndpointDialect> {
     availability_zone: Name,
     relays: Rc<RelayLinks>,
-    /// Whether servers have queues of their own where daemons own connections for others.
-    pub(super) queues: bool,
+    /// Which decisions under load are made.
+    pub(super) overload: OverloadSettings,
     pub(super) state: RefCell<PoolState<E>>,
 }
 
@@ -91,9 +92,13 @@
 
 impl<E: EndpointDialect> GroupPool<E> {
     /// Makes a pool without servers for a daemon in an availability zone.
-    pub fn new(availability_zone: Name, relays: Rc<RelayLinks>, queues: bool) -> GroupPool<E> {
+    pub fn new(
+        availability_zone: Name,
+        relays: Rc<RelayLinks>,
+        overload: OverloadSettings,
+    ) -> GroupPool<E> {
         let state = PoolState { keep: Keep::One, servers: Vec::new(), waiters: Default::default() };
-        GroupPool { availability_zone, relays, queues, state: RefCell::new(state) }
+        GroupPool { availability_zone, relays, overload, state: RefCell::new(state) }
     }
 
     /// Takes over which servers there are, how many connections each may have and who owns them.
@@ -133,7 +138,7 @@
             (slot.limit, slot.keeps) = match (&ownership, share.owned, share.keep) {
                 (Some(ownership), Some(owned), _) if ownership.is_owner => {
                     let place = ownership.asked.len();
-                    (owned.count(), owned.kept_at(place))
+                    (owned.most_at(place, self.overload.queue), owned.kept_at(place))
                 }
                 (Some(_), _, _) => (share.limit, 0),
                 (None, _, Keep::One) => (share.limit, 1),
@@ -144,6 +149,7 @@
             slot.loan = share.loan;
             let most = slot.limit + share.loan;
             slot.set_queue(self.room(slot, &share));
+            slot.set_competing(self.do_accounts_compete(&share));
             let surplus = (slot.idle.len() as u32 + slot.in_use).saturating_sub(most) as usize;
             let kept = slot.idle.len().saturating_sub(surplus);
             slot.idle.truncate(kept);
--- a/crates/proxy/src/serve/share.rs
+++ b/crates/proxy/src/serve/share.rs
@@ -64,6 +64,17 @@
         }
     }
 
+    /// Returns how many connections the owner at a place may have, 0 for the first.
+    ///
+    /// Behind a queue more connections bring no more work into the server, and a transaction that rests keeps none from
+    /// others. The second one only stands in for the first.
+    pub fn most_at(self, place: usize, has_queue: bool) -> u32 {
+        match self {
+            Owned::InEachZone(count) if has_queue && place == 0 => count * QUEUED_TIMES,
+            _ => self.count(),
+        }
+    }
+
     /// Returns how many of them the owner at a place keeps, 0 for the first.
     ///
     /// Where all connections are in one owner's hands, the second one stands in for a moment: if it kept what it opened then,
@@ -77,6 +88,9 @@
     }
 }
 
+/// So many times as many connections may an owner have whose statements wait in a queue.
+const QUEUED_TIMES: u32 = 2;
+
 /// One part in so many of a server's connections may be kept by the daemons of its zone where there are
 /// more daemons than connections; the others take turns at the rest.
 const KEPT_NEAR_PART: u32 = 2;
--- a/crates/proxy/src/serve/slot.rs
+++ b/crates/proxy/src/serve/slot.rs
@@ -8,10 +8,11 @@
 };
 
 use model::LogPoint;
-use overload::Room;
+use overload::{Resting, Reuse, Room};
 use routing::LatencyAverage;
 
 use crate::{
+    accounts::Principal,
     catalog::ServerEntry,
     serve::{connection::EndpointConnection, server_queue::ServerQueue, wish::Wish},
 };
@@ -79,6 +80,8 @@
     pub(crate) no_detour_until: Option<Instant>,
     /// What waits for it, where this daemon's connections are not everybody's.
     pub(crate) queue: Option<Rc<ServerQueue>>,
+    /// How often accounts use connections to it, where they compete for them.
+    pub(crate) reuse: Option<Reuse>,
     /// Whether it is still listed; one that is not gets no new work.
     pub(crate) listed: bool,
 }
@@ -107,6 +110,7 @@
             next_detour: 0,
             no_detour_until: None,
             queue: None,
+            reuse: None,
             listed: true,
         }
     }
@@ -116,10 +120,11 @@
         let now = Instant::now();
         let others = self.in_use as usize;
         let rests = if self.keeps > 0 { SPARE_RESTS } else { SCARCE_RESTS };
-        while self.idle.len() + others > self.keeps as usize
-            && self.idle.first().is_some_and(|(since, _)| now.duration_since(*since) > rests)
-        {
-            self.idle.remove(0);
+        while self.idle.len() + others > self.keeps as usize {
+            let rested =
+                self.idle.iter().take_while(|(since, _)| now.duration_since(*since) > rests);
+            let Some(least) = self.least_likely(rested.count(), now) else { return };
+            self.idle.remove(least);
         }
     }
 
@@ -144,11 +149,40 @@
         self.idle.iter().filter(|(_, idle)| wish.may_use(&idle.principal)).count() as u32
     }
 
-    /// Ends the connection that rested longest where another one is to be opened and all places are taken.
+    /// Ends the connection that is least likely to be used again where another one is to be opened and all places are
+    /// taken.
     pub(crate) fn make_room(&mut self) {
         let most = (self.limit + self.loan).max(1);
-        while !self.idle.is_empty() && self.idle.len() as u32 + self.in_use >= most {
-            self.idle.remove(0);
+        let now = Instant::now();
+        while self.idle.len() as u32 + self.in_use >= most {
+            let Some(least) = self.least_likely(self.idle.len(), now) else { return };
+            self.idle.remove(least);
+        }
+    }
+
+    /// Returns which of the first so many connections at rest is least likely to be used again: the one that rested
+    /// longest where accounts don't compete.
+    fn least_likely(&self, of_first: usize, now: Instant) -> Option<usize> {
+        let Some(reuse) = &self.reuse else { return (of_first > 0).then_some(0) };
+        let resting = self.idle.iter().take(of_first);
+        let resting: Vec<Resting<'_>> = resting
+            .map(|(since, idle)| Resting { account: idle.principal.told(), since: *since })
+            .collect();
+        reuse.least_likely(&resting, now)
+    }
+
+    /// Notes for whom a connection is used.
+    pub(crate) fn note_use(&mut self, principal: &Principal) {
+        if let Some(reuse) = &mut self.reuse {
+            reuse.on_used(principal.told(), Instant::now());
+        }
+    }
+
+    /// Takes over whether accounts compete for its connections.
+    pub(crate) fn set_competing(&mut self, do_compete: bool) {
+        match do_compete {
+            true => drop(self.reuse.get_or_insert_default()),
+            false => self.reuse = None,
         }
     }
 
--- a/crates/proxy/tests/shares.rs
+++ b/crates/proxy/tests/shares.rs
@@ -51,3 +51,20 @@
     let few = Sharers { daemons: 9, in_zone: 3, zones: 3 };
     assert_eq!(share_of(29, few, true).owned, None);
 }
+
+/// Behind a queue a first owner has connections for transactions that rest; it keeps no more of them for good, the second one has
+/// no more than before, and both of every zone leave room for what dead daemons leave behind.
+#[test]
+fn an_owner_with_a_queue_has_room_for_transactions_that_rest() {
+    for (granted, daemons, zones) in [(58, 88, 6), (53, 71, 3), (23, 21, 3)] {
+        let sharers = Sharers { daemons, in_zone: daemons / zones, zones };
+        let owned = share_of(granted, sharers, false).owned.expect("connections are scarce");
+        let at = |place| owned.most_at(place, true);
+        assert_eq!(at(0), owned.count() * 2);
+        assert_eq!([at(1), owned.most_at(0, false)], [owned.count(); 2]);
+        assert!(owned.kept_at(0) <= owned.count());
+        assert!((at(0) + at(1)) * zones <= granted * 4 / 5, "{granted}");
+    }
+    let once = Owned::Once { most: 20, kept: 10 };
+    assert_eq!(once.most_at(0, true), 20);
+}
