feat(proxy): what nobody waits for any more is taken out of an owner's queue

A caller that left, or a link that ended, left its statements waiting at the owner, which ran them for nobody. The asker now takes back what it does not wait for any more, with the message that ends a transaction, and the end of a link takes back all. What had begun goes on and is told as before.

--- a/crates/proxy/src/relay/answering.rs
+++ b/crates/proxy/src/relay/answering.rs
@@ -11,6 +11,7 @@
 use futures::{SinkExt, StreamExt};
 use model::{Name, StatementClass};
 use prost::Message;
+use tokio_util::sync::CancellationToken;
 
 use crate::{
     accounts::Principal,
@@ -37,7 +38,38 @@
 /// Requests of one transaction that may wait; its asker sends the next one after the answer.
 const MOST_IN_TRANSACTION: usize = 8;
 
-type Leases = Rc<RefCell<HashMap<u64, flume::Sender<RelayRequest>>>>;
+/// What another daemon has asked for over one link.
+#[derive(Default)]
+struct Asked {
+    /// The requests of open transactions.
+    leases: RefCell<HashMap<u64, Transaction>>,
+    /// Statements by themselves that have not ended.
+    singles: RefCell<HashMap<u64, CancellationToken>>,
+    /// Cancelled when the link ends.
+    link: CancellationToken,
+}
+
+struct Transaction {
+    requests: flume::Sender<RelayRequest>,
+    is_unwanted: CancellationToken,
+}
+
+impl Asked {
+    /// Takes back what was asked: what waits does not begin any more.
+    fn take_back(&self, request: RelayRequest) {
+        if request.lease == 0 {
+            if let Some(single) = self.singles.borrow_mut().remove(&request.number) {
+                single.cancel();
+            }
+            return;
+        }
+        if let Some(transaction) = self.leases.borrow_mut().remove(&request.lease) {
+            transaction.is_unwanted.cancel();
+            // One that has ended by itself needs no release.
+            let _ = transaction.requests.try_send(request);
+        }
+    }
+}
 
 /// Runs what another daemon hands over until its link ends; what is open then is rolled back.
 pub async fn answer_relay<C: CallerDialect, E: EndpointDialect>(
@@ -59,13 +91,14 @@
     // It says that the link is taken; there is room.
     let _ = answers.try_send(answer_to(0, RelayOutcome::Pong(true)));
     let reading = async {
-        let leases = Leases::default();
+        let asked = Rc::new(Asked::default());
+        let _ends_with_link = asked.link.clone().drop_guard();
         while let Some(Ok(frame)) = stream.next().await {
             let Ok(request) = RelayRequest::decode(frame.freeze()) else {
                 log::warn!(event = "peer_garbled"; "another daemon's statement can't be understood");
                 return;
             };
-            if take(&engine, request, &leases, &answers).await.is_err() {
+            if take(&engine, request, &asked, &answers).await.is_err() {
                 return;
             }
         }
@@ -101,7 +134,7 @@
 async fn take<C: CallerDialect, E: EndpointDialect>(
     engine: &Rc<Engine<C, E>>,
     request: RelayRequest,
-    leases: &Leases,
+    asked: &Rc<Asked>,
     answers: &flume::Sender<RelayAnswer>,
 ) -> Result<(), LinkEnded> {
     let (lease, number) = (request.lease, request.number);
@@ -115,19 +148,18 @@
             Some(RelayOutcome::Lent(engine.answer_lend(&account, &asked.wanted())))
         }
         Some(RelayTask::Release(_)) => {
-            let lease = leases.borrow_mut().remove(&lease);
-            if let Some(lease) = lease {
-                // One that has ended by itself needs no release.
-                let _ = lease.try_send(request);
-            }
+            asked.take_back(request);
             return Ok(());
         }
         Some(RelayTask::Begin(_)) if lease != 0 => {
             let (requests, taken) = flume::bounded(MOST_IN_TRANSACTION);
             // It is empty, so there is room.
             let _ = requests.try_send(request);
-            leases.borrow_mut().insert(lease, requests);
-            tokio::task::spawn_local(run_transaction(engine.clone(), taken, answers.clone()));
+            let is_unwanted = asked.link.child_token();
+            let transaction = Transaction { requests, is_unwanted: is_unwanted.clone() };
+            asked.leases.borrow_mut().insert(lease, transaction);
+            let answers = answers.clone();
+            tokio::task::spawn_local(run_transaction(engine.clone(), taken, answers, is_unwanted));
             return Ok(());
         }
         Some(RelayTask::Sample(max_age_ms)) => {
@@ -145,14 +177,18 @@
             return Ok(());
         }
         Some(_) if lease != 0 => {
-            let known = leases.borrow().get(&lease).cloned();
-            let taken = known.is_some_and(|lease| lease.try_send(request).is_ok());
+            let leases = asked.leases.borrow();
+            let known = leases.get(&lease);
+            let taken = known.is_some_and(|it| it.requests.try_send(request).is_ok());
             (!taken).then(|| RelayOutcome::Lost("the transaction has ended here".to_owned()))
         }
         Some(_) => {
-            let (engine, answers) = (engine.clone(), answers.clone());
+            let (engine, answers, asked) = (engine.clone(), answers.clone(), asked.clone());
+            let is_unwanted = asked.link.child_token();
+            asked.singles.borrow_mut().insert(number, is_unwanted.clone());
             tokio::task::spawn_local(async move {
-                let outcome = run_single(&engine, &request).await;
+                let outcome = run_single(&engine, &request, &is_unwanted).await;
+                asked.singles.borrow_mut().remove(&number);
                 // The link may have ended meanwhile.
                 let _ = answers.send_async(answer_with_load(&engine, &request, outcome)).await;
             });
@@ -192,12 +228,14 @@
 async fn run_single<C: CallerDialect, E: EndpointDialect>(
     engine: &Rc<Engine<C, E>>,
     request: &RelayRequest,
+    is_unwanted: &CancellationToken,
 ) -> RelayOutcome {
     let received_at = Instant::now();
     await_servers(engine, received_at + request.waits()).await;
     let group = group_of(engine, request);
     let Some(errand) = request.errand() else { return not_sent(NotSent::Unwilling) };
-    let mut lent = match acquire(engine, &group, request, &errand, received_at).await {
+    let acquired = acquire(engine, &group, request, &errand, received_at);
+    let mut lent = match unless_unwanted(is_unwanted, acquired).await {
         Ok(lent) => lent,
         Err(why) => return not_sent(why),
     };
@@ -220,6 +258,7 @@
     engine: Rc<Engine<C, E>>,
     requests: flume::Receiver<RelayRequest>,
     answers: flume::Sender<RelayAnswer>,
+    is_unwanted: CancellationToken,
 ) {
     let mut lent: Option<Lent<E>> = None;
     loop {
@@ -248,7 +287,8 @@
             None => not_sent(NotSent::Unwilling),
             Some(errand) => {
                 if lent.is_none() {
-                    match acquire(&engine, &group, &request, &errand, received_at).await {
+                    let acquired = acquire(&engine, &group, &request, &errand, received_at);
+                    match unless_unwanted(&is_unwanted, acquired).await {
                         Ok(granted) => lent = Some(granted),
                         Err(why) => {
                             let answer = answer_with_load(&engine, &request, not_sent(why));
@@ -259,7 +299,9 @@
                     }
                 }
                 let Some(held) = lent.as_mut() else { return };
-                if let Err(why) = await_turn(&engine, &request, held).await {
+                if let Err(why) =
+                    unless_unwanted(&is_unwanted, await_turn(&engine, &request, held)).await
+                {
                     let answer = answer_with_load(&engine, &request, not_sent(why));
                     // The link may have ended meanwhile.
                     let _ = answers.send_async(answer).await;
@@ -285,6 +327,18 @@
     }
 }
 
+/// Waits for something unless its asker takes back what it asked, or is gone.
+async fn unless_unwanted<T>(
+    is_unwanted: &CancellationToken,
+    waits: impl Future<Output = Result<T, NotSent>>,
+) -> Result<T, NotSent> {
+    tokio::select! {
+        biased;
+        done = waits => done,
+        () = is_unwanted.cancelled() => Err(NotSent::TooLate),
+    }
+}
+
 /// Waits until the next statement of a transaction may begin, for no longer than its asker lets it.
 async fn await_turn<C: CallerDialect, E: EndpointDialect>(
     engine: &Rc<Engine<C, E>>,
--- a/crates/proxy/src/relay/link.rs
+++ b/crates/proxy/src/relay/link.rs
@@ -262,7 +262,13 @@
 
 impl Drop for Forgets<'_> {
     fn drop(&mut self) {
-        self.link.waiting.borrow_mut().remove(&self.number);
+        let is_answered = self.link.waiting.borrow_mut().remove(&self.number).is_none();
+        if !is_answered {
+            let task = Some(RelayTask::Release(false));
+            let unwanted = RelayRequest { number: self.number, task, ..RelayRequest::default() };
+            // What waits there needn't begin any more; where it isn't told, its time ends there too.
+            let _ = self.link.outgoing.try_send(unwanted);
+        }
     }
 }
 
--- a/crates/proxy/src/relay/messages.rs
+++ b/crates/proxy/src/relay/messages.rs
@@ -100,7 +100,8 @@
     #[prost(message, tag = "19")]
     Command(CommandMessage),
     /// The transaction is over: its connection goes to others. Nothing is answered. `false` if the connection
-    /// must be rolled back first, since the asker does not know how the transaction stands.
+    /// must be rolled back first, since the asker does not know how the transaction stands. Without a transaction the
+    /// statement of the same number is wanted no more: if it waits, it does not begin.
     #[prost(bool, tag = "20")]
     Release(bool),
     /// Only says that the owner lives.
--- a/crates/proxy/tests/relay.rs
+++ b/crates/proxy/tests/relay.rs
@@ -293,6 +293,46 @@
         });
     }
 
+    /// A caller that leaves takes its work out of the queue at the owner too.
+    #[test]
+    fn what_nobody_waits_for_any_more_is_taken_back() {
+        run(async {
+            let (listener, address) = owner().await;
+            let link = RelayLink::start(address);
+            let mut frames = {
+                let asked = link.ask(write(), Instant::now() + DEADLINE);
+                tokio::pin!(asked);
+                tokio::select! {
+                    frames = async {
+                        let mut frames = accept(&listener).await;
+                        read(&mut frames).await;
+                        frames
+                    } => frames,
+                    _ = &mut asked => panic!("nothing was answered"),
+                }
+            };
+            let taken_back = read(&mut frames).await;
+            assert_eq!((taken_back.number, taken_back.lease), (1, 0));
+            assert_eq!(taken_back.task, Some(RelayTask::Release(false)));
+            // What was answered is not.
+            let answered = async {
+                let request = read(&mut frames).await;
+                answer(&mut frames, request.number, RelayOutcome::NotSent(0)).await;
+                read(&mut frames).await
+            };
+            let asked = async {
+                let deadline = Instant::now() + DEADLINE;
+                link.ask(write(), deadline).await.unwrap();
+                link.ask(write(), deadline).await
+            };
+            let next = tokio::select! {
+                next = answered => next,
+                _ = asked => panic!("the last one is not answered"),
+            };
+            assert_eq!(next.task, write().task);
+        });
+    }
+
     #[test]
     fn answers_find_their_requests_in_whatever_order_they_come_and_a_slow_server_is_waited_for() {
         run(async {
