--- a/crates/overload/src/lib.rs
+++ b/crates/overload/src/lib.rs
@@ -6,11 +6,18 @@
 //! `docs/design/hard-load.md` says who decides what and where the state lives.
 
 mod circuit;
+mod concurrency;
+mod demand;
 mod layout;
 mod load_report;
 mod rank;
+mod reuse;
+mod turns;
+mod work_queue;
 
 pub use circuit::{Circuit, CircuitChange, PathOutcome};
 pub use layout::{Layout, Reach};
 pub use load_report::{AgedReport, LoadReport};
 pub use rank::{RANKS, Rank};
+pub use reuse::{Resting, Reuse};
+pub use work_queue::{Next, Offered, Request, Room, Stage, Ticket, WorkQueue};
--- a/crates/proxy/src/serve/engine.rs
+++ b/crates/proxy/src/serve/engine.rs
@@ -195,6 +195,11 @@
     QueueFull,
     /// None was free in time.
     TooLate,
+    /// More urgent work and that of others leave no room in time.
+    Overloaded {
+        /// When asking again may help.
+        come_back: Duration,
+    },
 }
 
 impl<C: CallerDialect, E: EndpointDialect> Engine<C, E> {
@@ -308,6 +313,9 @@
                 Err(NoConnection::Nowhere) => return Err(AcquireError::Nowhere),
                 Err(NoConnection::QueueFull) => return Err(AcquireError::QueueFull),
                 Err(NoConnection::TooLate) => return Err(AcquireError::TooLate),
+                Err(NoConnection::Overloaded { come_back }) => {
+                    return Err(AcquireError::Overloaded { come_back });
+                }
             };
             let place = match offer {
                 Offer::Lent(lent) => return Ok(lent),
--- a/crates/proxy/src/serve/pool.rs
+++ b/crates/proxy/src/serve/pool.rs
@@ -33,6 +33,7 @@
         connection::EndpointConnection,
         lent::{Held, Lent, OpeningPlace},
         replay::{Environment, SessionValues},
+        server_queue::Turn,
         share::{Keep, Owned, Share},
         slot::ServerSlot,
         wish::Wish,
@@ -48,9 +49,9 @@
     pub(super) grant: oneshot::Sender<Offer<E>>,
 }
 
-struct PoolState<E: EndpointDialect> {
+pub(super) struct PoolState<E: EndpointDialect> {
     keep: Keep,
-    servers: Vec<ServerSlot<E>>,
+    pub(super) servers: Vec<ServerSlot<E>>,
     waiters: [VecDeque<Waiter<E>>; PRIORITIES],
 }
 
@@ -61,8 +62,9 @@
 pub struct GroupPool<E: EndpointDialect> {
     layout: Rc<Layout>,
     relays: Rc<RelayLinks>,
-    overload: OverloadSettings,
-    state: RefCell<PoolState<E>>,
+    /// Which decisions under load are made.
+    pub(super) overload: OverloadSettings,
+    pub(super) state: RefCell<PoolState<E>>,
 }
 
 /// Why no connection was given.
@@ -74,6 +76,11 @@
     QueueFull,
     /// None was free in time.
     TooLate,
+    /// More urgent work and that of others leave no room in time.
+    Overloaded {
+        /// When asking again may help.
+        come_back: Duration,
+    },
 }
 
 /// What a wish was answered with.
@@ -132,7 +139,7 @@
             (slot.limit, slot.keeps) = match (&ownership, share.owned, share.keep) {
                 (Some(ownership), Some(owned), _) if ownership.is_owner => {
                     let place = ownership.asked.len();
-                    (owned.count(), owned.kept_at(place))
+                    (owned.most_at(place, self.overload.queue), owned.kept_at(place))
                 }
                 (Some(_), _, _) => (share.limit, 0),
                 (None, _, Keep::One) => (share.limit, 1),
@@ -143,6 +150,8 @@
             slot.paths.keep_only(&slot.owners);
             slot.loan = share.loan;
             let most = slot.limit + share.loan;
+            slot.set_queue(self.room(slot, &share));
+            slot.set_competing(self.do_accounts_compete(&share));
             let surplus = (slot.idle.len() as u32 + slot.in_use).saturating_sub(most) as usize;
             let kept = slot.idle.len().saturating_sub(surplus);
             slot.idle.truncate(kept);
@@ -158,20 +167,19 @@
         values: &SessionValues,
         deadline: Instant,
     ) -> Result<Offer<E>, NoConnection> {
-        match self.choose_now(&wish) {
-            Choice::UseIdle(index) => {
-                if let Some(lent) = self.lease(index, &wish, deadline) {
-                    return Ok(Offer::Lent(lent));
-                }
-                if let Some(connection) = self.take_idle(index, values, &wish) {
-                    return Ok(Offer::Lent(self.lent(connection, wish.yields)));
-                }
-                // Every idle connection had ended; there is room for a new one now.
-                Ok(Offer::Open(self.place(index, &wish)))
+        loop {
+            let (index, has_idle) = match self.choose_now(&wish) {
+                Choice::UseIdle(index) => (index, true),
+                Choice::Open(index) => (index, false),
+                Choice::Wait => return self.wait(wish, deadline).await,
+                Choice::Nowhere => return Err(NoConnection::Nowhere),
+            };
+            if has_idle && let Some(lent) = self.lease(index, &wish, deadline) {
+                return Ok(Offer::Lent(lent));
+            }
+            if let Some(offer) = self.lend_in_turn(index, &wish, values, deadline).await? {
+                return Ok(offer);
             }
-            Choice::Open(index) => Ok(Offer::Open(self.place(index, &wish))),
-            Choice::Wait => self.wait(wish, deadline).await,
-            Choice::Nowhere => Err(NoConnection::Nowhere),
         }
     }
 
@@ -194,7 +202,14 @@
         };
         let lease = Lease::new(self.relays.clone(), link, terms);
         let held = Held::Owners(lease);
-        Some(Lent { pool: self.clone(), held, lent_at: Instant::now(), yields: false })
+        Some(Lent {
+            pool: self.clone(),
+            held,
+            lent_at: Instant::now(),
+            yields: false,
+            turn: None,
+            step: None,
+        })
     }
 
     fn owner_of(&self, slot: &ServerSlot<E>, wish: &Wish, now: Instant) -> Option<Rc<RelayLink>> {
@@ -300,7 +315,12 @@
                     latency_us: slot.latency.get_us(),
                 });
             }
-            (!slot.is_dark(now)).then(|| Candidate {
+            if slot.is_dark(now) {
+                return None;
+            }
+            let waits_elsewhere = wish.principal.is_some();
+            let queue = slot.queue.as_ref().filter(|_| waits_elsewhere);
+            Some(Candidate {
                 index,
                 reach: match slot.detours.is_empty() {
                     true => self.layout.reach(&slot.entry.availability_zone),
@@ -311,8 +331,9 @@
                 },
                 leads: wish.primary.as_ref() == Some(&slot.entry.server),
                 idle: slot.idle_for(wish),
-                in_use: slot.in_use,
-                limit: slot.limit_at(now),
+                in_use: queue.map_or(slot.in_use, |queue| queue.outstanding()),
+                // Where it has a queue, statements wait in that one.
+                limit: queue.map_or_else(|| slot.limit_at(now), |_| u32::MAX),
                 full: slot.is_full_for(wish),
                 is_strange: false,
                 latency_us: slot.latency.get_us(),
@@ -322,7 +343,7 @@
     }
 
     /// Takes the idle connection that needs the least to be sent before the statement.
-    fn take_idle(
+    pub(super) fn take_idle(
         &self,
         index: usize,
         values: &SessionValues,
@@ -343,7 +364,12 @@
         Some(slot.idle.remove(best).1)
     }
 
-    fn place(self: &Rc<Self>, index: usize, wish: &Wish) -> OpeningPlace<E> {
+    pub(super) fn place(
+        self: &Rc<Self>,
+        index: usize,
+        wish: &Wish,
+        turn: Option<Turn>,
+    ) -> OpeningPlace<E> {
         let mut state = self.state.borrow_mut();
         let slot = &mut state.servers[index];
         slot.make_room();
@@ -353,6 +379,7 @@
             entry: slot.entry.clone(),
             yields: wish.yields,
             settled: false,
+            turn,
             principal: wish.principal.clone().unwrap_or(Principal::Daemon),
         }
     }
@@ -364,7 +391,7 @@
             state.servers.iter().position(|slot| &*slot.entry.server == server)
         };
         let Some(index) = place else { return };
-        let place = self.place(index, &waiter.wish);
+        let place = self.place(index, &waiter.wish, None);
         // A place that nobody takes any more gives itself up when it is dropped.
         let _ = waiter.grant.send(Offer::Open(place));
     }
@@ -373,8 +400,10 @@
         self: &Rc<Self>,
         connection: Box<EndpointConnection<E>>,
         yields: bool,
+        turn: Option<Turn>,
     ) -> Lent<E> {
-        Lent { pool: self.clone(), held: Held::Own(connection), lent_at: Instant::now(), yields }
+        let held = Held::Own(connection);
+        Lent { pool: self.clone(), held, lent_at: Instant::now(), yields, turn, step: None }
     }
 
     pub(super) fn with_slot<R>(
--- a/crates/proxy/tests/shares.rs
+++ b/crates/proxy/tests/shares.rs
@@ -67,3 +67,20 @@
     let sharers = Sharers { daemons: 20, in_zone: 10, zones: 2 };
     assert_eq!(share_of(4, 6, sharers, false).owned, Some(Owned::InEachZone(1)));
 }
+
+/// Behind a queue a first owner has connections for transactions that rest; it keeps no more of them for good, the second one has
+/// no more than before, and both of every zone leave room for what dead daemons leave behind.
+#[test]
+fn an_owner_with_a_queue_has_room_for_transactions_that_rest() {
+    for (granted, daemons, zones) in [(58, 88, 6), (53, 71, 3), (23, 21, 3)] {
+        let sharers = Sharers { daemons, in_zone: daemons / zones, zones };
+        let owned = share_of(granted, SLOTS, sharers, false).owned.expect("connections are scarce");
+        let at = |place| owned.most_at(place, true);
+        assert_eq!(at(0), owned.count() * 2);
+        assert_eq!([at(1), owned.most_at(0, false)], [owned.count(); 2]);
+        assert!(owned.kept_at(0) <= owned.count());
+        assert!((at(0) + at(1)) * zones <= granted * 4 / 5, "{granted}");
+    }
+    let once = Owned::Once { most: 20, kept: 10 };
+    assert_eq!(once.most_at(0, true), 20);
+}
