--- a/crates/proxy/src/relay/links.rs
+++ b/crates/proxy/src/relay/links.rs
@@ -66,13 +66,26 @@
         }
     }
 
-    fn to(&self, owner: SocketAddr, now: Instant) -> Option<Rc<RelayLink>> {
+    /// Returns the link to a member that is asked for something which nobody else can answer, such as its vote. Nothing is
+    /// passed over: after a partition the keeper of the limits needs the word of more than half of the members at once.
+    pub fn to_member(&self, member: SocketAddr, now: Instant) -> Rc<RelayLink> {
         let mut owners = self.owners.borrow_mut();
-        let known = owners.entry(owner).or_default();
+        let known = owners.entry(member).or_default();
+        self.drop_lost(known, now);
+        known.link.get_or_insert_with(|| RelayLink::start(member)).clone()
+    }
+
+    fn drop_lost(&self, known: &mut OwnerLink, now: Instant) {
         if known.link.take_if(|link| link.is_down()).is_some() {
             known.not_before = Some(now + self.retry_after(known.failures));
             known.failures += 1;
         }
+    }
+
+    fn to(&self, owner: SocketAddr, now: Instant) -> Option<Rc<RelayLink>> {
+        let mut owners = self.owners.borrow_mut();
+        let known = owners.entry(owner).or_default();
+        self.drop_lost(known, now);
         if known.not_before.is_some_and(|at| now < at) {
             return None;
         }
--- a/crates/proxy/src/serve/admission.rs
+++ b/crates/proxy/src/serve/admission.rs
@@ -180,8 +180,8 @@
             return Grant::NotKeeper;
         };
         let address = beliefs.members.get(&asked).copied();
-        let link = address.and_then(|address| self.relays.to_first([address], now));
-        let Some(link) = link else { return Grant::NotKeeper };
+        let Some(address) = address else { return Grant::NotKeeper };
+        let link = self.relays.to_member(address, now);
         let request = RelayRequest {
             account: account.to_string(),
             task: Some(RelayTask::Lend(LendMessage::of(&wanted))),
--- a/crates/proxy/src/serve/limits.rs
+++ b/crates/proxy/src/serve/limits.rs
@@ -336,7 +336,7 @@
         request: &VoteRequest,
         asked_at: Instant,
     ) {
-        let Some(link) = self.relays.to_first([address], asked_at) else { return };
+        let link = self.relays.to_member(address, asked_at);
         let request =
             RelayRequest { task: Some(RelayTask::Vote(request.into())), ..RelayRequest::default() };
         let engine = self.clone();
