fix(limits): candidates without a quorum give way to the first in order

After a partition a third of a fleet asks for votes at once; each had some and nobody enough, so that from second 10 to 12.6 limited accounts were refused.

--- a/crates/limits/src/election.rs
+++ b/crates/limits/src/election.rs
@@ -253,3 +253,14 @@
     const EACH: Duration = Duration::from_millis(60);
     silence + EACH * place as u32
 }
+
+/// Whether a candidate without a quorum leaves the campaign to another one, by their places in the order of the voters: the
+/// first of those that hear each other stays.
+pub fn gives_way(own: Option<usize>, other: Option<usize>) -> bool {
+    match (own, other) {
+        (Some(own), Some(other)) => other < own,
+        // A daemon that the voters do not know has no chance.
+        (None, Some(_)) => true,
+        (_, None) => false,
+    }
+}
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -13,6 +13,6 @@
 pub use allotment::{Allotment, Lent, Taken};
 pub use budget::{Budget, RateLimit, WindowRule};
 pub use election::{
-    Ballot, Candidacy, ElectionTimes, Standing, Vote, VoteRequest, Voter, campaign_after,
+    Ballot, Candidacy, ElectionTimes, Standing, Vote, VoteRequest, Voter, campaign_after, gives_way,
 };
 pub use ledger::{Grant, Ledger, Wanted};
--- a/crates/limits/tests/election.rs
+++ b/crates/limits/tests/election.rs
@@ -4,7 +4,7 @@
 
 use limits::{
     Allotment, Ballot, Candidacy, ElectionTimes, Grant, Ledger, Lent, RateLimit, Standing, Taken,
-    Vote, VoteRequest, Voter, Wanted, WindowRule, campaign_after,
+    Vote, VoteRequest, Voter, Wanted, WindowRule, campaign_after, gives_way,
 };
 use model::Name;
 
@@ -156,3 +156,12 @@
     assert!(questions < 300, "{questions}");
     assert!(refused > 9_000, "{refused}");
 }
+
+/// The pattern: a partition ends, and a third of the daemons ask for votes at once, each with some of them.
+#[test]
+fn of_the_candidates_that_hear_each_other_the_first_in_order_stays() {
+    let stays = |own: usize| (0..25).all(|other| !gives_way(Some(own), Some(other)));
+    assert_eq!((0..25).filter(|own| stays(*own)).collect::<Vec<_>>(), [0]);
+    assert!(gives_way(None, Some(70)));
+    assert!(!gives_way(Some(70), None));
+}
--- a/crates/proxy/src/serve/limits.rs
+++ b/crates/proxy/src/serve/limits.rs
@@ -14,7 +14,7 @@
 
 use limits::{
     Ballot, Candidacy, ElectionTimes, Grant, Ledger, RateLimit, Standing, Vote, VoteRequest, Voter,
-    Wanted, WindowRule, campaign_after,
+    Wanted, WindowRule, campaign_after, gives_way,
 };
 use model::Name;
 use rand::RngExt;
@@ -165,6 +165,18 @@
         vote
     }
 
+    /// Leaves the campaign to another candidate that comes first in the order that all daemons share. After a partition
+    /// many ask for votes at once, and as long as each has some of them nobody has enough.
+    fn give_way_to(&self, other: &Name, own: &Name, now: Instant) {
+        let is_candidate = self.candidacy.borrow().is_some() && !self.is_keeper(now);
+        let place_of =
+            |host: &Name| self.electorate.borrow().hosts.iter().position(|it| it == host);
+        if is_candidate && gives_way(place_of(own), place_of(other)) {
+            self.heard_at.set(Some(now));
+            self.resign();
+        }
+    }
+
     fn count(&self, ballot: Ballot, now: Instant) {
         let electorate = self.electorate.borrow();
         let is_settled =
@@ -226,7 +238,12 @@
 impl<C: CallerDialect, E: EndpointDialect> Engine<C, E> {
     /// Answers a candidate.
     pub(crate) fn vote(&self, request: &VoteRequest) -> Vote {
-        self.limits.vote(request, &self.beliefs(), Instant::now())
+        let now = Instant::now();
+        let vote = self.limits.vote(request, &self.beliefs(), now);
+        if !vote.is_bound {
+            self.limits.give_way_to(&request.host, &self.settings.host, now);
+        }
+        vote
     }
 
     /// Takes part in the election of the keeper for as long as the daemon runs.
