--- a/crates/overload/src/lib.rs
+++ b/crates/overload/src/lib.rs
@@ -5,8 +5,11 @@
 //! much an account may ask keep their own proofs, and a wrong estimate here costs time, never a promise.
 //! `docs/design/hard-load.md` says who decides what and where the state lives.
 
+pub mod come_back;
+pub mod hold;
 mod load_report;
 mod rank;
+pub mod try_budget;
 
 pub use load_report::{AgedReport, LoadReport};
 pub use rank::{RANKS, Rank};
