--- a/crates/overload/src/try_budget.rs
+++ b/crates/overload/src/try_budget.rs
@@ -28,6 +28,16 @@
     NoRoom,
 }
 
+impl Cause {
+    /// Returns the word used in metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Cause::Path => "path",
+            Cause::NoRoom => "no_room",
+        }
+    }
+}
+
 /// Tries that are left to accounts, by rank.
 #[derive(Clone, Debug, Default)]
 pub struct TryBudget {
--- a/crates/proxy/src/daemon.rs
+++ b/crates/proxy/src/daemon.rs
@@ -181,6 +181,7 @@
         host: settings.daemon.host.clone(),
         availability_zone: settings.daemon.availability_zone.clone(),
         suspect_after: Duration::from_millis(settings.leadership.suspect_after_ms),
+        right: Duration::from_millis(settings.leadership.right_ms),
         stop_transactions_after: grace.mul_f64(STOP_TRANSACTIONS_SHARE),
         stop_resting_after: STOP_RESTING_AFTER.min(grace.mul_f64(STOP_TRANSACTIONS_SHARE)),
         most_callers: settings.daemon.descriptors / 2,
--- a/crates/proxy/src/events.rs
+++ b/crates/proxy/src/events.rs
@@ -24,6 +24,10 @@
     pub contradictions: IntCounterVec,
     /// Operations refused for their client account, by why: its limit, or a key that nobody holds.
     pub refused: IntCounterVec,
+    /// Statements that found no primary to use, by why and by what became of them.
+    pub held: IntCounterVec,
+    /// Attempts that were not made because they would have taken room from others, by why they were wanted.
+    pub tries_denied: IntCounterVec,
     /// Numbers as they are now: callers, version of the configuration, members.
     pub now: IntGaugeVec,
 }
@@ -77,6 +81,16 @@
             "Operations refused for their client account, by reason.",
             &["why"],
         );
+        let held = counter(
+            "wardtiller_proxy_held_total",
+            "Statements that found no primary to use, by reason and end.",
+            &["outage", "end"],
+        );
+        let tries_denied = counter(
+            "wardtiller_proxy_tries_denied_total",
+            "Attempts that were not made so that they take no room from others, by cause.",
+            &["cause"],
+        );
         let statement_seconds = HistogramVec::new(
             HistogramOpts::new(
                 "wardtiller_proxy_statement_seconds",
@@ -105,6 +119,8 @@
             promotion_steps,
             contradictions,
             refused,
+            held,
+            tries_denied,
             now,
         }
     }
--- a/crates/proxy/src/relay/answering.rs
+++ b/crates/proxy/src/relay/answering.rs
@@ -307,6 +307,7 @@
         priority: request.priority.min(u32::from(u8::MAX)) as u8,
         yields: request.yields,
         is_handed_over: true,
+        tried: request.tried,
         principal: match &request.task {
             Some(RelayTask::Command(_)) => None,
             _ => Some(Principal::from_told(&request.account)),
--- a/crates/proxy/src/relay/lease.rs
+++ b/crates/proxy/src/relay/lease.rs
@@ -38,6 +38,8 @@
     pub leads: bool,
     /// Whether it leaves room at the primary for others.
     pub yields: bool,
+    /// How often the operation was sent before.
+    pub tried: u32,
     /// For whom it runs.
     pub principal: Principal,
 }
@@ -131,6 +133,7 @@
             leads: self.terms.leads,
             yields: self.terms.yields,
             account: self.terms.principal.told().to_owned(),
+            tried: self.terms.tried,
             ..RelayRequest::default()
         }
     }
--- a/crates/proxy/src/relay/sampling.rs
+++ b/crates/proxy/src/relay/sampling.rs
@@ -124,18 +124,16 @@
 }
 
 impl<C: CallerDialect, E: EndpointDialect> Engine<C, E> {
-    /// Takes over from an owner where the primary's log stood; `true` if that is young enough for reads that may be as
-    /// old as `bound`.
+    /// Takes over from an owner where the primary's log stood at most `max_age` ago; `true` if it knows.
     pub(crate) async fn hear_sample(
         &self,
         group: &Group<E>,
         service: &Name,
         primary: &Name,
-        bound: Duration,
+        max_age: Duration,
     ) -> bool {
         let Some(link) = group.pool.owner_link(primary) else { return false };
-        // Half of the bound is left for the read itself, and for others after it.
-        let heard = ask_for_sample(&link, service, primary, bound / 2).await;
+        let heard = ask_for_sample(&link, service, primary, max_age).await;
         let Some((asked_at, sampled)) = heard else { return false };
         let Some(point) = sampled.point else { return false };
         group.samples.borrow_mut().add(asked_at, point.into());
--- a/crates/proxy/src/serve/ask.rs
+++ b/crates/proxy/src/serve/ask.rs
@@ -60,6 +60,7 @@
         priority: 0,
         yields: false,
         is_handed_over: false,
+        tried: 0,
         principal: None,
     };
     // Whatever values the connection holds do no harm to a status.
--- a/crates/proxy/src/serve/engine.rs
+++ b/crates/proxy/src/serve/engine.rs
@@ -25,6 +25,7 @@
     relay::links::RelayLinks,
     serve::{
         connection::{ConnectionLost, EndpointConnection, Introduction},
+        holding::{GroupOutage, Holding},
         lent::{Lent, OpeningPlace},
         limits::Limits,
         pool::{GroupPool, NoConnection, Offer},
@@ -76,6 +77,8 @@
     pub(crate) sample_wanted_at: Cell<Option<Instant>>,
     /// When the control thread was last told that callers ask for this service.
     used_told_at: Cell<Option<Instant>>,
+    /// Why its primary can't be used, and who waits for that to end.
+    pub(crate) outage: GroupOutage,
     seen: RefCell<Seen>,
 }
 
@@ -112,9 +115,15 @@
             sampling_until: Cell::new(None),
             sample_wanted_at: Cell::new(None),
             used_told_at: Cell::new(None),
+            outage: GroupOutage::default(),
             seen: RefCell::default(),
         }
     }
+
+    /// Whether the daemons have fewer connections to its servers than they could use, so that one may have them for others.
+    pub(crate) fn is_contended(&self) -> bool {
+        self.seen.borrow().share.owned.is_some()
+    }
 }
 
 /// The settings that sessions go by.
@@ -126,6 +135,8 @@
     pub availability_zone: Name,
     /// How long a server must be silent before it is asked whether it is alive.
     pub suspect_after: Duration,
+    /// How long a reading gives the right to use a primary, at every daemon.
+    pub right: Duration,
     /// How long an open transaction may go on after the signal to stop.
     pub stop_transactions_after: Duration,
     /// How long a session at rest stays open after the signal to stop.
@@ -159,6 +170,7 @@
     pub(crate) observations: flume::Sender<Observation>,
     pub(crate) relays: Rc<RelayLinks>,
     pub(crate) limits: Limits,
+    pub(crate) holding: Holding,
     /// Where this daemon's clock begins, by which others tell it until when it may begin with their statements.
     epoch: Instant,
     groups: RefCell<HashMap<Name, Rc<Group<E>>>>,
@@ -199,6 +211,7 @@
         let limits = Limits::new(parts.settings.window_rule);
         Engine {
             limits,
+            holding: Holding::default(),
             caller_dialect: parts.caller_dialect,
             endpoint_dialect: parts.endpoint_dialect,
             settings: parts.settings,
--- a/crates/proxy/src/serve/execute.rs
+++ b/crates/proxy/src/serve/execute.rs
@@ -14,11 +14,13 @@
         peers::PrimarySample,
     },
     dialect::{CallerDialect, EndpointDialect},
+    relay::messages::NotSent,
     serve::{
         connection::{ConnectionLost, Reached, refusal},
         engine::{AcquireError, Engine, Group},
         errand::Errand,
-        floor::place_for,
+        floor::BOUND_MARGIN,
+        holding::Rounds,
         job::Job,
         lent::Lent,
         verdict::{Next, Progress, after_error, after_loss, write_stands},
@@ -34,10 +36,6 @@
 /// How often other daemons are told, or asked, where a primary's log stands; a fraction of the bounds that routes
 /// name, and of the time between two questions to the zone's reader.
 const SAMPLE_TOLD_EVERY: Duration = Duration::from_millis(200);
-/// What a caller is told to wait where nothing better is known.
-pub(crate) const COME_BACK_MS: u64 = 100;
-/// What a caller is told to wait while a primary is being replaced.
-pub(crate) const COME_BACK_CHANGING_MS: u64 = 400;
 
 /// A connection on which a statement may run now, with what it has to show.
 pub(crate) struct Granted<E: EndpointDialect> {
@@ -86,6 +84,7 @@
                 Err(Denied::Again) => continue,
             };
             let sent_at = Instant::now();
+            rounds.sent += 1;
             group.retries.borrow_mut().on_request();
             let may_run_again = class == StatementClass::Read;
             let sent =
@@ -114,6 +113,7 @@
                 },
                 Err((progress, lost)) => {
                     drop(granted);
+                    rounds.last_error = refused_as(&lost);
                     self.note_loss(&group, &job.route.service, &reached, &lost);
                     match after_loss(progress, class) {
                         Next::Tell(code) => {
@@ -149,29 +149,23 @@
         let beliefs = self.beliefs();
         let service = &job.route.service;
         let known = beliefs.leads.get(service);
-        let history = known.map(|lead| lead.history.clone()).unwrap_or_default();
         let now = Instant::now();
-        if let Some(sample) = beliefs.samples.get(service) {
-            group.samples.borrow_mut().add(sample.asked_at, sample.point);
-        }
-        let place = |now| {
-            place_for(job.route.reads, class, job.own, &group.samples.borrow(), &history, now)
-        };
-        let mut floor = place(now).floor();
+        let mut floor = self.floor_now(group, job, class);
         let bound = job.route.reads.bound().filter(|_| class == StatementClass::Read);
         if let Some(bound) = bound.filter(|_| floor.is_none()) {
             self.want_sample(group, now);
             if let Some(lead) = known.filter(|_| !rounds.asked_for_sample) {
                 rounds.asked_for_sample = true;
-                if self.hear_sample(group, service, &lead.server, bound).await {
-                    floor = place(Instant::now()).floor();
+                let max_age = sample_age(bound, lead.is_valid(now));
+                if self.hear_sample(group, service, &lead.server, max_age).await {
+                    floor = self.floor_now(group, job, class);
                 }
             }
         }
         let lead = match floor {
             Some(_) => beliefs.lead_in_force(service, Instant::now()).cloned(),
             None => {
-                let lead = self.await_primary(group, job, rounds).await?;
+                let lead = self.await_primary(group, job, class, rounds).await?;
                 if bound.is_some() && known.is_none() {
                     // Only now is it known whose owner to ask where the log stands.
                     return Err(Denied::Again);
@@ -187,6 +181,7 @@
             priority: job.route.priority,
             yields: class == StatementClass::Read && job.route.reads != ReadRule::Primary,
             is_handed_over: false,
+            tried: rounds.sent,
             principal: Some(job.principal.clone()),
         };
         // The wait for a primary is over only now, and the wait for a connection begins.
@@ -242,38 +237,6 @@
         self.metrics.sent.with_label_values(&[role, zone]).inc();
     }
 
-    /// Waits until there is a primary that may be used.
-    pub(crate) async fn await_primary(
-        &self,
-        group: &Rc<Group<E>>,
-        job: &Job<'_>,
-        rounds: &mut Rounds,
-    ) -> Result<Lead, Denied> {
-        let mut beliefs = self.beliefs.clone();
-        loop {
-            let current = beliefs.borrow_and_update().clone();
-            let lead = current.lead_in_force(&job.route.service, Instant::now());
-            if let Some(lead) = lead
-                && !rounds.avoid.contains(&lead.server)
-            {
-                return Ok(lead.clone());
-            }
-            let hold_until = self.hold_until(job);
-            let changed = tokio::time::timeout_at(hold_until.into(), beliefs.changed()).await;
-            match changed {
-                Ok(Ok(())) => rounds.avoid.clear(),
-                Ok(Err(_)) | Err(_) => {
-                    return Err(Denied::Refuse(self.no_primary(group, job)));
-                }
-            }
-        }
-    }
-
-    /// Until when a statement may wait for a server that can run it.
-    pub(crate) fn hold_until(&self, job: &Job<'_>) -> Instant {
-        job.hold_until(self.beliefs().is_planned_gap(&job.route.service, Instant::now()))
-    }
-
     pub(crate) async fn on_not_acquired(
         &self,
         group: &Rc<Group<E>>,
@@ -281,7 +244,6 @@
         rounds: &mut Rounds,
         error: AcquireError,
     ) -> Denied {
-        let wait_ms = group.pool.expected_wait().as_millis() as u64 + 1;
         if job.work.class() == StatementClass::Read
             && job.route.reads != ReadRule::Primary
             && let Some(lead) = self.beliefs().leads.get(&job.route.service)
@@ -289,20 +251,14 @@
             self.note_starved(group, &job.route.service, &lead.server);
         }
         match error {
-            AcquireError::QueueFull => Denied::Refuse(self.refuse(
-                group,
-                job,
-                ErrorCode::Overloaded,
-                "too many statements wait",
-                wait_ms,
-            )),
-            AcquireError::TooLate => Denied::Refuse(self.refuse(
-                group,
-                job,
-                ErrorCode::Overloaded,
-                "no connection was free in time",
-                wait_ms,
-            )),
+            AcquireError::QueueFull => {
+                let why = "too many statements wait";
+                Denied::Refuse(self.no_room(group, job, why, rounds.sent))
+            }
+            AcquireError::TooLate => {
+                let why = "no connection was free in time";
+                Denied::Refuse(self.no_room(group, job, why, rounds.sent))
+            }
             AcquireError::Nowhere => {
                 let next = Next::TryElsewhere;
                 match self.prepare_next_round(rounds, job, next, Name::from("")).await {
@@ -400,6 +356,7 @@
         granted.lent.give_back();
         let service = &job.route.service;
         self.note_answer(group, service, &reached, answer.point, sent_at.elapsed());
+        self.note_served(group, job, granted.lead.is_some());
         let Some(lead) = granted.lead else { return answer };
         let sample = Sample { sent_at, known: granted.known, point: answer.point };
         self.add_sample(group, service, &lead, sample);
@@ -461,39 +418,23 @@
             }
         }
     }
+}
 
-    /// Sets up another attempt; an error is what the caller is told instead.
-    pub(crate) async fn prepare_next_round(
-        &self,
-        rounds: &mut Rounds,
-        job: &Job<'_>,
-        next: Next,
-        server: Name,
-    ) -> Option<StatementError> {
-        if Instant::now() + ROUND_PAUSE >= self.hold_until(job) {
-            let code = rounds.last_error.unwrap_or(ErrorCode::Overloaded);
-            let group = self.group(&job.route.service, &self.beliefs());
-            return Some(self.refuse(&group, job, code, "no server gave an answer", COME_BACK_MS));
-        }
-        let reads_anywhere = job.route.reads != ReadRule::Primary;
-        match next {
-            Next::TryElsewhere if !rounds.avoid.contains(&server) && reads_anywhere => {
-                rounds.avoid.push(server);
-            }
-            _ => {
-                rounds.avoid.clear();
-                tokio::time::sleep(ROUND_PAUSE).await;
-            }
-        }
-        None
+/// How old a sample may be that an owner is asked for. Where the primary may be used, half of the bound is left for the read
+/// itself and for others after it; where it may not, an old sample is all that there is.
+fn sample_age(bound: Duration, may_use_primary: bool) -> Duration {
+    match may_use_primary {
+        true => bound / 2,
+        false => bound.saturating_sub(2 * BOUND_MARGIN),
     }
 }
 
-/// What earlier attempts of one statement have shown.
-#[derive(Default)]
-pub(crate) struct Rounds {
-    pub(crate) avoid: Vec<Name>,
-    pub(crate) last_error: Option<ErrorCode>,
-    /// Whether an owner was asked where the primary's log stood.
-    pub(crate) asked_for_sample: bool,
+/// Returns the error that an owner's refusal stands for, if it is one for want of room.
+pub(crate) fn refused_as(lost: &ConnectionLost) -> Option<ErrorCode> {
+    match lost {
+        ConnectionLost::NotGranted(NotSent::TooLate | NotSent::Overloaded) => {
+            Some(ErrorCode::Overloaded)
+        }
+        _ => None,
+    }
 }
--- a/crates/proxy/src/serve/floor.rs
+++ b/crates/proxy/src/serve/floor.rs
@@ -9,7 +9,7 @@
 
 /// A sample is given up this much before its bound, for the time between the choice and the moment
 /// at which the caller's first byte counts.
-const BOUND_MARGIN: Duration = Duration::from_millis(50);
+pub(crate) const BOUND_MARGIN: Duration = Duration::from_millis(50);
 
 /// Where a statement may run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- /dev/null
+++ b/crates/proxy/src/serve/holding.rs
@@ -0,0 +1,466 @@
+//! Statements that wait for a primary, and what those are told that don't.
+//!
+//! Who waits stands here, at the daemon that took the statement from its caller; with the daemon nothing is lost but its own
+//! callers' tries. [`overload::hold`] decides; `docs/design/hard-load.md` says what was weighed.
+
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use model::{LogPoint, Name, StatementClass};
+use overload::{
+    Rank,
+    come_back::ComeBack,
+    hold::{Hold, OngoingOutage, Outage, OutageHistory, Ticket, WaitingLine, decide},
+    try_budget::{Cause, TryBudget},
+};
+
+use crate::{
+    catalog::ReadRule,
+    control::beliefs::{Beliefs, Lead},
+    dialect::{CallerDialect, EndpointDialect},
+    serve::{
+        engine::{Engine, Group},
+        execute::{Denied, ROUND_PAUSE},
+        floor::place_for,
+        job::Job,
+        telling::Refusal,
+        verdict::Next,
+    },
+    statement::{ErrorCode, StatementError},
+};
+
+/// What a caller is told to wait where nothing better is known.
+const COME_BACK: Duration = Duration::from_millis(100);
+/// What a caller is told to wait while a primary is being replaced.
+const COME_BACK_CHANGING: Duration = Duration::from_millis(400);
+
+/// What a daemon has learned of outages, and the tries that its callers' accounts have left.
+#[derive(Default)]
+pub(crate) struct Holding {
+    history: RefCell<OutageHistory>,
+    tries: RefCell<TryBudget>,
+}
+
+/// The outage of one group, and who waits for its end.
+#[derive(Default)]
+pub(crate) struct GroupOutage {
+    ongoing: Cell<Option<OngoingOutage>>,
+    /// How long it was expected to take when it was found.
+    expected: Cell<Duration>,
+    line: RefCell<WaitingLine>,
+}
+
+/// What earlier attempts of one statement have shown.
+#[derive(Default)]
+pub(crate) struct Rounds {
+    pub(crate) avoid: Vec<Name>,
+    pub(crate) last_error: Option<ErrorCode>,
+    /// Whether an owner was asked where the primary's log stood.
+    pub(crate) asked_for_sample: bool,
+    /// How often it was sent to a server or an owner.
+    pub(crate) sent: u32,
+}
+
+/// A place in a group's line, which is left when this is dropped.
+struct Place<'a> {
+    outage: &'a GroupOutage,
+    ticket: Ticket,
+}
+
+impl GroupOutage {
+    fn join(&self, rank: Rank) -> Place<'_> {
+        Place { outage: self, ticket: self.line.borrow_mut().join(rank) }
+    }
+
+    /// Notes that an outage of this kind lasts, since `began_at` if it is new.
+    fn observe(
+        &self,
+        outage: Outage,
+        began_at: Instant,
+        history: &OutageHistory,
+        now: Instant,
+    ) -> OngoingOutage {
+        let known = self.ongoing.get().filter(|known| known.outage == outage);
+        let mut ongoing = known.unwrap_or_else(|| {
+            let new = OngoingOutage::new(outage, began_at, now);
+            let elapsed = new.elapsed(now);
+            self.expected.set(elapsed + history.remaining(outage, elapsed));
+            new
+        });
+        ongoing.observe(now);
+        self.ongoing.set(Some(ongoing));
+        self.line.borrow_mut().close();
+        ongoing
+    }
+}
+
+impl Place<'_> {
+    fn ahead(&self) -> u32 {
+        self.outage.line.borrow().ahead_of(self.ticket) as u32
+    }
+
+    fn turn(&self, pace: Duration, latest: Instant, now: Instant) -> Instant {
+        self.outage.line.borrow_mut().turn(self.ticket, pace, latest, now)
+    }
+}
+
+impl Drop for Place<'_> {
+    fn drop(&mut self) {
+        self.outage.line.borrow_mut().leave(self.ticket);
+    }
+}
+
+/// Says why no primary may be used, and since when as far as that is known.
+fn outage_of(beliefs: &Beliefs, service: &str, now: Instant) -> (Outage, Instant) {
+    match beliefs.leads.get(service) {
+        Some(lead) if lead.is_valid(now) => (Outage::Unreachable, now),
+        Some(lead) if lead.planned => (Outage::PlannedChange, now),
+        Some(lead) if lead.changing => (Outage::Failover, now),
+        Some(lead) => (Outage::LapsedRight, lead.valid_until),
+        None => (Outage::LapsedRight, now),
+    }
+}
+
+/// What is expected of an outage.
+#[derive(Clone, Copy, Debug)]
+struct Outlook {
+    outage: Outage,
+    elapsed: Duration,
+    remaining: Duration,
+}
+
+impl Outlook {
+    /// What a refused caller is told: when the outage is expected to be over, or when to try another daemon.
+    fn come_back(&self, route: ComeBack, history: &OutageHistory, right: Duration) -> Duration {
+        let draw = rand::random();
+        if self.outage != Outage::LapsedRight {
+            return route.after(self.remaining, draw);
+        }
+        // The daemons that can still reach the store and the servers replace the primary once every right has ended.
+        let replaced_after = right + history.remaining(Outage::Failover, Duration::ZERO);
+        let until_replaced = replaced_after.saturating_sub(self.elapsed);
+        match self.remaining.min(until_replaced) {
+            expected if expected > route.target => route.after(expected, draw),
+            _ => route.elsewhere(draw),
+        }
+    }
+}
+
+impl<C: CallerDialect, E: EndpointDialect> Engine<C, E> {
+    /// Whether statements of a group are held by what is known of outages.
+    pub(crate) fn holds(&self, group: &Group<E>) -> bool {
+        self.settings.overload.holding && group.is_contended()
+    }
+
+    /// Waits until there is a primary that may be used, or until a read can do without one.
+    pub(crate) async fn await_primary(
+        &self,
+        group: &Rc<Group<E>>,
+        job: &Job<'_>,
+        class: StatementClass,
+        rounds: &mut Rounds,
+    ) -> Result<Lead, Denied> {
+        if !self.holds(group) {
+            return self.await_primary_briefly(group, job, rounds).await;
+        }
+        let mut beliefs = self.beliefs.clone();
+        let mut stopping = self.stopping.clone();
+        let mut place = None;
+        loop {
+            let current = beliefs.borrow_and_update().clone();
+            let now = Instant::now();
+            if let Some(lead) = current.lead_in_force(&job.route.service, now) {
+                if rounds.avoid.contains(&lead.server) {
+                    rounds.avoid.clear();
+                    tokio::time::sleep(ROUND_PAUSE).await;
+                    continue;
+                }
+                let turn = self.on_primary(group, job, &lead.server, place.as_ref(), now);
+                if turn <= now {
+                    return Ok(lead.clone());
+                }
+                tokio::time::sleep_until(turn.into()).await;
+                place = None;
+                continue;
+            }
+            if self.floor_now(group, job, class).is_some() {
+                return Err(Denied::Again);
+            }
+            let (outage, began_at) = outage_of(&current, &job.route.service, now);
+            let ongoing = self.observe_outage(group, outage, began_at, now);
+            let held = place.get_or_insert_with(|| group.outage.join(job.rank()));
+            let backlog = self.pace(group, &job.route.service) * held.ahead();
+            let backlog = backlog.min(job.route.target_latency);
+            let hold = self.decide(&ongoing, job, backlog, now);
+            let was_stopping = stopping.borrow_and_update().is_some();
+            let until = match hold {
+                Hold::Wait { until } if !was_stopping && until > now => until,
+                Hold::Wait { .. } | Hold::Refuse { .. } => {
+                    return Err(Denied::Refuse(self.no_primary(group, job, rounds)));
+                }
+            };
+            tokio::select! {
+                changed = beliefs.changed() => {
+                    if changed.is_err() {
+                        return Err(Denied::Refuse(self.no_primary(group, job, rounds)));
+                    }
+                    rounds.avoid.clear();
+                }
+                () = tokio::time::sleep_until(until.into()) => {}
+                _ = stopping.changed() => {}
+            }
+        }
+    }
+
+    /// The same where daemons have connections enough: a fixed part of the statement's time.
+    async fn await_primary_briefly(
+        &self,
+        group: &Rc<Group<E>>,
+        job: &Job<'_>,
+        rounds: &mut Rounds,
+    ) -> Result<Lead, Denied> {
+        let mut beliefs = self.beliefs.clone();
+        loop {
+            let current = beliefs.borrow_and_update().clone();
+            let lead = current.lead_in_force(&job.route.service, Instant::now());
+            if let Some(lead) = lead
+                && !rounds.avoid.contains(&lead.server)
+            {
+                return Ok(lead.clone());
+            }
+            let hold_until = self.hold_until(job);
+            let changed = tokio::time::timeout_at(hold_until.into(), beliefs.changed()).await;
+            match changed {
+                Ok(Ok(())) => rounds.avoid.clear(),
+                Ok(Err(_)) | Err(_) => {
+                    return Err(Denied::Refuse(self.no_primary(group, job, rounds)));
+                }
+            }
+        }
+    }
+
+    /// Until when a statement may wait for a server that can run it.
+    pub(crate) fn hold_until(&self, job: &Job<'_>) -> Instant {
+        job.hold_until(self.beliefs().is_planned_gap(&job.route.service, Instant::now()))
+    }
+
+    /// Returns the point that a read's server must hold, if it may run at others than the primary by what is known now.
+    pub(crate) fn floor_now(
+        &self,
+        group: &Group<E>,
+        job: &Job<'_>,
+        class: StatementClass,
+    ) -> Option<LogPoint> {
+        let beliefs = self.beliefs();
+        let service = &job.route.service;
+        if let Some(sample) = beliefs.samples.get(service) {
+            group.samples.borrow_mut().add(sample.asked_at, sample.point);
+        }
+        let history = beliefs.leads.get(service).map(|lead| lead.history.clone());
+        let samples = group.samples.borrow();
+        let history = history.unwrap_or_default();
+        place_for(job.route.reads, class, job.own, &samples, &history, Instant::now()).floor()
+    }
+
+    /// Returns when a statement goes on, now that there is a primary.
+    fn on_primary(
+        &self,
+        group: &Group<E>,
+        job: &Job<'_>,
+        server: &Name,
+        place: Option<&Place<'_>>,
+        now: Instant,
+    ) -> Instant {
+        let ongoing = group.outage.ongoing.get();
+        if ongoing.is_some_and(|ongoing| ongoing.outage != Outage::Unreachable) {
+            self.end_outage(group, &job.route.service, now);
+        }
+        let Some(place) = place else { return now };
+        let outage = ongoing.map_or(Outage::Failover, |ongoing| ongoing.outage);
+        self.metrics.held.with_label_values(&[outage.as_str(), "released"]).inc();
+        let pace = self.pace_at(group, server);
+        place.turn(pace, job.patience().turn_until(outage, now), now)
+    }
+
+    /// Notes that a statement was answered by the primary, which so was in reach.
+    pub(crate) fn note_served(&self, group: &Group<E>, job: &Job<'_>, at_primary: bool) {
+        let account = Name::from(job.principal.told());
+        self.holding.tries.borrow_mut().on_success(&account, job.rank());
+        if at_primary && group.outage.ongoing.get().is_some() {
+            self.end_outage(group, &job.route.service, Instant::now());
+        }
+    }
+
+    fn end_outage(&self, group: &Group<E>, service: &Name, now: Instant) {
+        let Some(ongoing) = group.outage.ongoing.take() else { return };
+        let length = ongoing.length(now);
+        if let Some(length) = length {
+            self.holding.history.borrow_mut().note(ongoing.outage, length);
+        }
+        log::info!(
+            event = "outage_over", service = &**service, outage = ongoing.outage.as_str(),
+            took_ms = ongoing.elapsed(now).as_millis() as u64, counts = length.is_some(),
+            expected_ms = group.outage.expected.get().as_millis() as u64,
+            waiting = group.outage.line.borrow().len();
+            "a primary can be used again"
+        );
+    }
+
+    fn observe_outage(
+        &self,
+        group: &Group<E>,
+        outage: Outage,
+        began_at: Instant,
+        now: Instant,
+    ) -> OngoingOutage {
+        group.outage.observe(outage, began_at, &self.holding.history.borrow(), now)
+    }
+
+    fn decide(
+        &self,
+        ongoing: &OngoingOutage,
+        job: &Job<'_>,
+        backlog: Duration,
+        now: Instant,
+    ) -> Hold {
+        decide(&self.holding.history.borrow(), ongoing, &job.patience(), backlog, now)
+    }
+
+    /// How long the primary takes for a statement of this daemon's, as one of all that send it theirs.
+    fn pace(&self, group: &Group<E>, service: &Name) -> Duration {
+        let beliefs = self.beliefs();
+        beliefs.leads.get(service).map_or(Duration::ZERO, |lead| self.pace_at(group, &lead.server))
+    }
+
+    fn pace_at(&self, group: &Group<E>, server: &Name) -> Duration {
+        let slots = group.pool.entry_of(server).map_or(1, |entry| entry.slots).max(1);
+        let daemons = self.beliefs().sharers.daemons.max(1);
+        group.pool.latency_of(server) * daemons / slots
+    }
+
+    /// Returns what a statement is told that finds no primary.
+    fn no_primary(&self, group: &Group<E>, job: &Job<'_>, rounds: &Rounds) -> StatementError {
+        let changing = self.beliefs().is_changing(&job.route.service);
+        let (why, come_back) = if changing {
+            ("the primary is being replaced", COME_BACK_CHANGING)
+        } else {
+            ("no primary may be used at present", COME_BACK)
+        };
+        let refusal = Refusal {
+            code: ErrorCode::Overloaded,
+            why,
+            come_back,
+            outage: None,
+            remaining: Duration::ZERO,
+            sent: rounds.sent,
+        };
+        self.refuse(group, job, self.with_outlook(group, job, refusal))
+    }
+
+    /// Has a refusal tell what is expected of the group's outage, where there is one.
+    fn with_outlook(&self, group: &Group<E>, job: &Job<'_>, refusal: Refusal) -> Refusal {
+        let ongoing = group.outage.ongoing.get().filter(|_| self.holds(group));
+        let Some(ongoing) = ongoing else { return refusal };
+        let elapsed = ongoing.elapsed(Instant::now());
+        let history = self.holding.history.borrow();
+        let remaining = history.remaining(ongoing.outage, elapsed);
+        let outlook = Outlook { outage: ongoing.outage, elapsed, remaining };
+        let come_back = outlook.come_back(job.come_back(), &history, self.settings.right);
+        self.metrics.held.with_label_values(&[ongoing.outage.as_str(), "refused"]).inc();
+        Refusal { come_back, outage: Some(ongoing.outage), remaining, ..refusal }
+    }
+
+    /// Sets up another attempt; an error is what the caller is told instead.
+    pub(crate) async fn prepare_next_round(
+        &self,
+        rounds: &mut Rounds,
+        job: &Job<'_>,
+        next: Next,
+        server: Name,
+    ) -> Option<StatementError> {
+        let group = self.group(&job.route.service, &self.beliefs());
+        if Instant::now() + ROUND_PAUSE >= self.hold_until(job)
+            || self.is_in_vain(&group, job, rounds, &server)
+        {
+            return Some(self.no_answer(&group, job, rounds));
+        }
+        let reads_anywhere = job.route.reads != ReadRule::Primary;
+        match next {
+            Next::TryElsewhere if !rounds.avoid.contains(&server) && reads_anywhere => {
+                rounds.avoid.push(server);
+            }
+            _ => {
+                rounds.avoid.clear();
+                tokio::time::sleep(ROUND_PAUSE).await;
+            }
+        }
+        None
+    }
+
+    /// Whether another attempt would go where it can't be answered, or take room from others.
+    fn is_in_vain(&self, group: &Group<E>, job: &Job<'_>, rounds: &Rounds, server: &Name) -> bool {
+        if !self.holds(group) {
+            return false;
+        }
+        let now = Instant::now();
+        let beliefs = self.beliefs();
+        let lead = beliefs.lead_in_force(&job.route.service, now);
+        let only_primary =
+            job.work.class() == StatementClass::Write || job.route.reads == ReadRule::Primary;
+        if only_primary && lead.is_some_and(|lead| lead.server == *server || server.is_empty()) {
+            let ongoing = self.observe_outage(group, Outage::Unreachable, now, now);
+            if let Hold::Refuse { .. } = self.decide(&ongoing, job, Duration::ZERO, now) {
+                return true;
+            }
+        }
+        let cause = match rounds.last_error {
+            Some(ErrorCode::Overloaded | ErrorCode::TooManyConnections) => Cause::NoRoom,
+            Some(_) | None => Cause::Path,
+        };
+        let account = Name::from(job.principal.told());
+        let mut tries = self.holding.tries.borrow_mut();
+        let may = tries.may_send_again(&account, job.rank(), rounds.sent, cause);
+        if !may {
+            self.metrics.tries_denied.with_label_values(&[cause.as_str()]).inc();
+        }
+        !may
+    }
+
+    fn no_answer(&self, group: &Group<E>, job: &Job<'_>, rounds: &Rounds) -> StatementError {
+        let come_back = match self.holds(group) {
+            true => job.come_back().elsewhere(rand::random()),
+            false => COME_BACK,
+        };
+        let refusal = Refusal {
+            code: rounds.last_error.unwrap_or(ErrorCode::Overloaded),
+            why: "no server gave an answer",
+            come_back,
+            outage: None,
+            remaining: Duration::ZERO,
+            sent: rounds.sent,
+        };
+        self.refuse(group, job, self.with_outlook(group, job, refusal))
+    }
+
+    /// Returns what a statement is told that found no free connection.
+    pub(crate) fn no_room(
+        &self,
+        group: &Group<E>,
+        job: &Job<'_>,
+        why: &'static str,
+        sent: u32,
+    ) -> StatementError {
+        let expected = group.pool.expected_wait() + Duration::from_millis(1);
+        let come_back = match self.holds(group) {
+            true => job.come_back().after(expected, rand::random()),
+            false => expected,
+        };
+        let code = ErrorCode::Overloaded;
+        let refusal =
+            Refusal { code, why, come_back, outage: None, remaining: Duration::ZERO, sent };
+        self.refuse(group, job, refusal)
+    }
+}
--- a/crates/proxy/src/serve/job.rs
+++ b/crates/proxy/src/serve/job.rs
@@ -7,6 +7,7 @@
 
 use bytes::Bytes;
 use model::{LogPoint, StatementClass};
+use overload::{Rank, come_back::ComeBack, hold::Patience};
 
 use crate::{
     accounts::Principal,
@@ -113,6 +114,25 @@
         if now < self.arrived + waits { self.arrived + waits } else { now + waits }
     }
 
+    /// How urgent it is.
+    pub(crate) fn rank(&self) -> Rank {
+        Rank::of_priority(self.route.priority)
+    }
+
+    /// Returns what it bears.
+    pub(crate) fn patience(&self) -> Patience {
+        Patience {
+            arrived: self.arrived,
+            target: self.route.target_latency,
+            timeout: self.route.timeout,
+        }
+    }
+
+    /// Returns what its caller is told by if it is refused.
+    pub(crate) fn come_back(&self) -> ComeBack {
+        ComeBack { target: self.route.target_latency, timeout: self.route.timeout }
+    }
+
     /// Until when the statement may wait for a server that can run it.
     pub(crate) fn hold_until(&self, is_planned_gap: bool) -> Instant {
         let share = if is_planned_gap { HOLD_SHARE_PLANNED } else { HOLD_SHARE };
--- a/crates/proxy/src/serve/mod.rs
+++ b/crates/proxy/src/serve/mod.rs
@@ -10,6 +10,7 @@
 pub mod errand;
 pub mod execute;
 pub mod floor;
+mod holding;
 pub mod job;
 pub mod lent;
 pub(crate) mod limits;
--- a/crates/proxy/src/serve/pool.rs
+++ b/crates/proxy/src/serve/pool.rs
@@ -180,6 +180,7 @@
             priority: wish.priority,
             leads: wish.primary.as_ref() == Some(&slot.entry.server),
             yields: wish.yields,
+            tried: wish.tried,
             principal: wish.principal.clone().unwrap_or(Principal::Daemon),
         };
         let lease = Lease::new(self.relays.clone(), link, terms);
--- a/crates/proxy/src/serve/telling.rs
+++ b/crates/proxy/src/serve/telling.rs
@@ -1,8 +1,12 @@
 //! What callers are told when a statement was refused or its outcome is open, and the log's line on it.
 
-use std::{rc::Rc, time::Instant};
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use model::{LogPoint, Name};
+use overload::hold::Outage;
 
 use crate::{
     control::beliefs::Lead,
@@ -10,23 +14,26 @@
     serve::{
         connection::{ConnectionLost, refusal},
         engine::{Engine, Group},
-        execute::{COME_BACK_CHANGING_MS, COME_BACK_MS},
         job::{Job, id_text},
     },
     statement::{Answer, ErrorCode, StatementError, TransactionState},
 };
 
-impl<C: CallerDialect, E: EndpointDialect> Engine<C, E> {
-    pub(crate) fn no_primary(&self, group: &Group<E>, job: &Job<'_>) -> StatementError {
-        let changing = self.beliefs().is_changing(&job.route.service);
-        let (why, come_back_ms) = if changing {
-            ("the primary is being replaced", COME_BACK_CHANGING_MS)
-        } else {
-            ("no primary may be used at present", COME_BACK_MS)
-        };
-        self.refuse(group, job, ErrorCode::Overloaded, why, come_back_ms)
-    }
+/// Why a statement is refused, and when its caller should come back.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Refusal {
+    pub(crate) code: ErrorCode,
+    pub(crate) why: &'static str,
+    pub(crate) come_back: Duration,
+    /// What it would have had to wait for, if that is known.
+    pub(crate) outage: Option<Outage>,
+    /// How much longer that is expected to last.
+    pub(crate) remaining: Duration,
+    /// How often the statement was sent to a server or an owner.
+    pub(crate) sent: u32,
+}
 
+impl<C: CallerDialect, E: EndpointDialect> Engine<C, E> {
     pub(crate) fn note_refused(
         &self,
         group: &Rc<Group<E>>,
@@ -68,24 +75,25 @@
         &self,
         group: &Group<E>,
         job: &Job<'_>,
-        code: ErrorCode,
-        why: &str,
-        retry_after_ms: u64,
+        refusal: Refusal,
     ) -> StatementError {
         let beliefs = self.beliefs();
         let lead = beliefs.leads.get(&job.route.service);
+        let retry_after_ms = refusal.come_back.as_millis() as u64;
         log::info!(
             event = "refused", id = id_text(&job.id).as_str(), service = &*job.route.service,
-            reads = job.route.reads.as_str(), code = code.as_str(), why = why,
+            reads = job.route.reads.as_str(), code = refusal.code.as_str(), why = refusal.why,
             primary = lead.map_or("", |lead| &*lead.server),
             lead_valid = lead.is_some_and(|lead| lead.is_valid(Instant::now())),
             changing = beliefs.is_changing(&job.route.service),
+            outage = refusal.outage.map_or("", Outage::as_str),
+            remaining_ms = refusal.remaining.as_millis() as u64, sent = refusal.sent,
             expected_wait_ms = group.pool.expected_wait().as_millis() as u64,
             held_ms = job.arrived.elapsed().as_millis() as u64, retry_after_ms = retry_after_ms,
             configuration = beliefs.catalog.version;
             "a statement was refused"
         );
-        StatementError::come_back(code, why, retry_after_ms)
+        StatementError::come_back(refusal.code, refusal.why, retry_after_ms)
     }
 
     pub(crate) fn unknown_outcome(
--- a/crates/proxy/src/serve/transaction.rs
+++ b/crates/proxy/src/serve/transaction.rs
@@ -17,7 +17,8 @@
         connection::refusal,
         engine::{Engine, Group},
         errand::{Errand, Task},
-        execute::{Denied, Granted, ROUND_PAUSE, Rounds, Sample},
+        execute::{Denied, Granted, ROUND_PAUSE, Sample, refused_as},
+        holding::Rounds,
         job::{Job, Work},
         lent::Lent,
         verdict::{Next, after_error, transaction_after_loss},
@@ -167,6 +168,7 @@
             let task = Task::Begin { read_only: transaction.read_only };
             let begin = Errand { floor: granted.floor, ..Errand::own(task) };
             let sent_at = Instant::now();
+            rounds.sent += 1;
             let reached = granted.lent.reached();
             // Where an owner is asked the wait for its connection comes first.
             let waits = if reached.is_own { Duration::ZERO } else { job.waits() };
@@ -180,6 +182,7 @@
                         Next::AwaitPrimary
                     }
                     None => {
+                        self.note_served(group, job, granted.lead.is_some());
                         if let Some(lead) = &granted.lead {
                             let known = granted.known;
                             let sample = Sample { sent_at, known, point: answer.point };
@@ -204,6 +207,7 @@
                 },
                 Err((_, lost)) => {
                     drop(granted);
+                    rounds.last_error = refused_as(&lost);
                     self.note_loss(group, &job.route.service, &reached, &lost);
                     Next::TryElsewhere
                 }
--- a/crates/proxy/src/serve/wish.rs
+++ b/crates/proxy/src/serve/wish.rs
@@ -21,6 +21,8 @@
     pub yields: bool,
     /// Whether another daemon handed it over; then it runs on a connection of this one, whoever owns them.
     pub is_handed_over: bool,
+    /// How often the operation was sent before, over all daemons.
+    pub tried: u32,
     /// For whom the connection must work; `None` for a command of the daemon's own, which any will do for.
     pub principal: Option<Principal>,
 }
