feat(limits): each side of a partition lends its part of the accounts' limits

The side with the metadata store and the new primaries had no quorum for a keeper and could lend a twentieth of each limit; the other side had the quorum, and no primary.

A daemon now lends the part of each limit that it has of the members' votes, and the whole from three quarters on. A voter is bound to one candidate at a time, so the parts never add up to more than the whole.

--- a/crates/limits/src/budget.rs
+++ b/crates/limits/src/budget.rs
@@ -40,6 +40,18 @@
     pub window: Duration,
 }
 
+impl Budget {
+    /// Returns the part of it that a daemon lends which has that share of the members' votes.
+    pub fn part(&self, share: f64) -> Budget {
+        Budget {
+            rate_per_s: self.rate_per_s * share,
+            burst: self.burst * share,
+            outstanding: (self.outstanding * share).max(1.0),
+            ..*self
+        }
+    }
+}
+
 /// The part of a window's spare operations that the keeper may have saved up.
 const BURST_PART: f64 = 0.3;
 /// The part that may be lent and unused: a quarter of a second of the rate where bursts are a second of it.
--- a/crates/limits/src/election.rs
+++ b/crates/limits/src/election.rs
@@ -15,6 +15,9 @@
 /// members while some come and go. Any two such sets that differ by less than two fifths of the members have a voter in
 /// common.
 const QUORUM_PART: f64 = 0.55;
+/// The part of the members' votes from which a keeper lends the whole rate; with fewer it lends their part of it, and the others
+/// may lend theirs. Whoever has no more votes than are left beside it lends none of the rate, so that nothing is lent twice.
+const WHOLE_PART: f64 = 0.75;
 /// How often a daemon's part of what is lent without a keeper may be used in a window: by a candidate that it supported
 /// at the end of one window and still lends, by the next one, and once more where the daemon started anew and does not
 /// know. The part is divided by it.
@@ -147,6 +150,15 @@
         /// Since when.
         since: Instant,
     },
+    /// It keeps them for the part of the members that it reaches, as on one side of a partition.
+    Partial {
+        /// As for a keeper.
+        term: u64,
+        /// Since when it has every one of the votes that count.
+        since: Instant,
+        /// The part of the members' votes that it has, and so of each limit that it may lend.
+        share: f64,
+    },
     /// It wants to, and may lend this share of what is for that time.
     Candidate {
         /// The term that it would have.
@@ -169,31 +181,60 @@
     pub vote: Vote,
 }
 
+/// The last answer of a voter.
+#[derive(Clone, Debug)]
+struct Counted {
+    ballot: Ballot,
+    /// Since when its votes have counted without a gap, as far as that was worked out.
+    since: Option<Instant>,
+}
+
 /// A daemon as a candidate, or as the keeper.
 #[derive(Clone, Debug)]
 pub struct Candidacy {
     times: ElectionTimes,
-    ballots: HashMap<Name, Ballot>,
+    ballots: HashMap<Name, Counted>,
     term: u64,
+    /// Since when it has a quorum.
     since: Option<Instant>,
+    /// Since when it has so many votes that it lends the whole rate.
+    whole_since: Option<Instant>,
     valid_until: Option<Instant>,
 }
 
 impl Candidacy {
     /// Begins one; `term` is above those of former candidacies of this life.
     pub fn new(times: ElectionTimes, term: u64) -> Candidacy {
-        Candidacy { times, ballots: HashMap::new(), term, since: None, valid_until: None }
+        Candidacy {
+            times,
+            ballots: HashMap::new(),
+            term,
+            since: None,
+            whole_since: None,
+            valid_until: None,
+        }
     }
 
     /// Takes over an answer.
     pub fn count(&mut self, ballot: Ballot) {
-        self.ballots.insert(ballot.host.clone(), ballot);
+        let counts = self.times.counts;
+        let before = self.ballots.remove(&ballot.host).filter(|before| {
+            before.ballot.vote.is_granted && ballot.asked_at < before.ballot.asked_at + counts
+        });
+        let since = before.and_then(|before| before.since);
+        self.ballots.insert(ballot.host.clone(), Counted { ballot, since });
     }
 
     /// Works out until when the votes of these members hold.
     pub fn settle(&mut self, members: &[Name], now: Instant) {
+        for counted in self.ballots.values_mut().filter(|it| it.ballot.vote.is_granted) {
+            counted.since.get_or_insert(now);
+        }
         let counted = |ballot: &&Ballot| now < ballot.asked_at + self.times.counts;
-        let ballots = || members.iter().filter_map(|host| self.ballots.get(host)).filter(counted);
+        let ballots = || {
+            let answers = members.iter().filter_map(|host| self.ballots.get(host));
+            answers.map(|it| &it.ballot).filter(counted)
+        };
         let mut granted: Vec<Instant> =
             ballots().filter(|it| it.vote.is_granted).map(|it| it.asked_at).collect();
         let bound: Vec<Instant> =
@@ -203,6 +244,8 @@
         let by_quorum = granted.len().checked_sub(quorum).map(|place| granted[place]);
         let is_unanimous = !members.is_empty() && bound.len() == members.len();
         let by_all = bound.iter().min().copied().filter(|_| is_unanimous);
+        let is_whole = by_all.is_some() || is_whole(granted.len(), members.len());
+        self.whole_since = is_whole.then(|| self.whole_since.unwrap_or(now));
         let asked_at = by_quorum.max(by_all);
         self.valid_until = asked_at.map(|at| at + self.times.counts);
         match (self.valid_until, self.since) {
@@ -218,21 +261,26 @@
 
     /// Returns what this daemon is now.
     pub fn standing(&self, members: usize, now: Instant) -> Standing {
-        match (self.since, self.valid_until) {
-            (Some(since), Some(until)) if now < until => {
-                Standing::Keeper { term: self.term, since }
-            }
-            (Some(_), _) => Standing::None,
-            (None, _) => {
-                let supports = self
-                    .ballots
-                    .values()
-                    .filter(|it| it.vote.is_provisional && now < it.asked_at + self.times.counts);
-                let parts = supports.count() as f64 / members.max(1) as f64;
-                let share = parts.min(1.0) / USES_IN_WINDOW;
-                Standing::Candidate { term: self.term, share }
-            }
+        let is_valid = |it: &&Counted| now < it.ballot.asked_at + self.times.counts;
+        let votes = || self.ballots.values().filter(is_valid);
+        let is_granted = |it: &&Counted| it.ballot.vote.is_granted && it.since.is_some();
+        let granted = votes().filter(is_granted).count();
+        let bound = votes().filter(|it| it.ballot.vote.is_bound).count();
+        let is_whole = bound >= members || is_whole(granted, members);
+        if let Some(since) = self.whole_since.filter(|_| is_whole && self.is_keeper(now)) {
+            return Standing::Keeper { term: self.term, since };
         }
+        let share = granted as f64 / members.max(1) as f64;
+        let since = votes().filter(is_granted).filter_map(|it| it.since).max();
+        if let Some(since) = since.filter(|_| share > 1.0 - WHOLE_PART) {
+            return Standing::Partial { term: self.term, since, share: share.min(1.0) };
+        }
+        if self.since.is_some() {
+            return Standing::None;
+        }
+        let supports = votes().filter(|it| it.ballot.vote.is_provisional).count() as f64;
+        let parts = supports / members.max(1) as f64;
+        Standing::Candidate { term: self.term, share: parts.min(1.0) / USES_IN_WINDOW }
     }
 
     /// Returns the term that the next candidacy of this life begins with.
@@ -242,10 +290,15 @@
 
     /// Whether it has a quorum.
     pub fn is_keeper(&self, now: Instant) -> bool {
-        matches!(self.standing(1, now), Standing::Keeper { .. })
+        self.since.is_some() && self.valid_until.is_some_and(|until| now < until)
     }
 }
 
+/// Whether so many votes leave none of the others enough to lend a part of the rate.
+fn is_whole(votes: usize, members: usize) -> bool {
+    members > 0 && votes as f64 >= members as f64 * WHOLE_PART
+}
+
 /// How long nothing may be heard of a keeper before a daemon asks for votes itself, by its place among the members: one
 /// after the other, so that they don't take each other's votes.
 pub fn campaign_after(silence: Duration, place: usize) -> Duration {
--- a/crates/limits/src/ledger.rs
+++ b/crates/limits/src/ledger.rs
@@ -66,7 +66,9 @@
         now: Instant,
     ) -> Grant {
         let (term, since) = match standing {
-            Standing::Keeper { term, since } => (term, since),
+            Standing::Keeper { term, since } | Standing::Partial { term, since, .. } => {
+                (term, since)
+            }
             Standing::Candidate { term, .. } => (term, now),
             Standing::None => return Grant::NotKeeper,
         };
@@ -87,6 +89,9 @@
             Standing::Candidate { share, .. } => {
                 ledger.lend_provisionally(budget, wanted, share, now)
             }
+            Standing::Partial { share, .. } => {
+                ledger.lend(&budget.part(share), wanted, since, lasts, now)
+            }
             _ => ledger.lend(budget, wanted, since, lasts, now),
         }
     }
--- a/crates/proxy/src/serve/limits.rs
+++ b/crates/proxy/src/serve/limits.rs
@@ -48,6 +48,9 @@
 const MEMBERS_SETTLED: Duration = Duration::from_millis(200);
 /// How long a candidate without a quorum goes on before it lets others have its voters.
 const CANDIDATE_FOR: Duration = Duration::from_millis(1_200);
+/// The same for one that lends its part of the limits: longer, since its voters are served meanwhile, and not for good, since the
+/// others may be back without a quorum for either.
+const PARTIAL_FOR: Duration = Duration::from_millis(5_000);
 /// How often it is looked whether somebody has to become the keeper.
 const LOOK_EVERY: Duration = Duration::from_millis(25);
 /// The same where no account has a limit.
@@ -143,7 +146,7 @@
     }
 
     fn is_keeper(&self, now: Instant) -> bool {
-        matches!(self.standing(now), Standing::Keeper { .. })
+        self.candidacy.borrow().as_ref().is_some_and(|candidacy| candidacy.is_keeper(now))
     }
 
     /// Answers a candidate.
@@ -270,7 +273,11 @@
         limits.member_since.set(Some(member_since));
         let is_candidate = limits.candidacy.borrow().is_some();
         if is_candidate {
-            let is_long = now.duration_since(limits.began_at.get()) > CANDIDATE_FOR;
+            let goes_on_for = match limits.standing(now) {
+                Standing::Partial { .. } => PARTIAL_FOR,
+                _ => CANDIDATE_FOR,
+            };
+            let is_long = now.duration_since(limits.began_at.get()) > goes_on_for;
             if limits.is_keeper(now) {
                 limits.began_at.set(now);
             } else if is_long {
