--- a/crates/overload/src/lib.rs
+++ b/crates/overload/src/lib.rs
@@ -6,12 +6,15 @@
 //! `docs/design/hard-load.md` says who decides what and where the state lives.
 
 mod circuit;
+pub mod come_back;
 mod concurrency;
 mod demand;
+pub mod hold;
 mod layout;
 mod load_report;
 mod rank;
 mod reuse;
+pub mod try_budget;
 mod turns;
 mod work_queue;
 
--- a/crates/proxy/src/events.rs
+++ b/crates/proxy/src/events.rs
@@ -26,6 +26,10 @@
     pub refused: IntCounterVec,
     /// Changes of circuits, by the hop that they watch and what they became.
     pub circuits: IntCounterVec,
+    /// Statements that found no primary to use, by why and by what became of them.
+    pub held: IntCounterVec,
+    /// Attempts that were not made because they would have taken room from others, by why they were wanted.
+    pub tries_denied: IntCounterVec,
     /// Numbers as they are now: callers, version of the configuration, members.
     pub now: IntGaugeVec,
 }
@@ -84,6 +88,16 @@
             "Changes of the circuits of paths to servers, by hop and new state.",
             &["hop", "state"],
         );
+        let held = counter(
+            "wardtiller_proxy_held_total",
+            "Statements that found no primary to use, by reason and end.",
+            &["outage", "end"],
+        );
+        let tries_denied = counter(
+            "wardtiller_proxy_tries_denied_total",
+            "Attempts that were not made so that they take no room from others, by cause.",
+            &["cause"],
+        );
         let statement_seconds = HistogramVec::new(
             HistogramOpts::new(
                 "wardtiller_proxy_statement_seconds",
@@ -113,6 +127,8 @@
             contradictions,
             refused,
             circuits,
+            held,
+            tries_denied,
             now,
         }
     }
--- a/crates/proxy/src/relay/answering.rs
+++ b/crates/proxy/src/relay/answering.rs
@@ -390,6 +390,7 @@
         yields: request.yields,
         opens_transaction: matches!(request.task, Some(RelayTask::Begin(_))),
         is_handed_over: true,
+        tried: request.tried,
         principal: match &request.task {
             Some(RelayTask::Command(_)) => None,
             _ => Some(Principal::from_told(&request.account)),
--- a/crates/proxy/src/relay/lease.rs
+++ b/crates/proxy/src/relay/lease.rs
@@ -39,6 +39,8 @@
     pub leads: bool,
     /// Whether it leaves room at the primary for others.
     pub yields: bool,
+    /// How often the operation was sent before.
+    pub tried: u32,
     /// For whom it runs.
     pub principal: Principal,
 }
@@ -137,6 +139,7 @@
             leads: self.terms.leads,
             yields: self.terms.yields,
             account: self.terms.principal.told().to_owned(),
+            tried: self.terms.tried,
             ..RelayRequest::default()
         }
     }
