perf(control): servers that others suspect are looked at by 45 witnesses, suspicions are told in batches, detours are few

Now: 45 witnesses a server look, once a second at the most; a third of them says that it is lost; up to 45 members nothing changes. Suspicions go out 64 at a time with 100 ms between. Three near and three far daemons are tried as detours.

--- a/crates/proxy/src/control/duty.rs
+++ b/crates/proxy/src/control/duty.rs
@@ -4,6 +4,7 @@
 //! fencing token. Its holder looks after the groups and changes their primaries (`change`).
 
 use std::{
+    collections::HashSet,
     rc::Rc,
     sync::Arc,
     time::{Duration, Instant},
@@ -21,7 +22,8 @@
         outside::Outside,
         record::is_primary_lost,
         runner::{Control, RENEWALS_PER_LEASE},
-        state::HeldLease,
+        state::{HeldLease, State},
+        witnesses::witnesses_of,
     },
     metadata::{MetadataStore, Revision, Transaction, TransactionOutcome},
 };
@@ -282,9 +284,7 @@
             return other.then_some(Reason::Leaving);
         }
         let state = self.state.borrow();
-        let prefix = self.key(&format!("suspicions/{service}/{}/", known.record.primary));
-        let suspecting = state.mirror.below(&prefix).count();
-        if is_primary_lost(suspecting, state.members.len()) {
+        if self.is_lost_to_witnesses(&state, service, &known.record.primary) {
             return Some(Reason::Unreachable);
         }
         let times = MoveTimes {
@@ -295,6 +295,23 @@
         times.allow_move(Instant::now()).then_some(Reason::ReplicasBehind)
     }
 
+    /// Whether so many of a primary's witnesses can't reach it that it is to be replaced.
+    fn is_lost_to_witnesses(&self, state: &State, service: &Name, primary: &str) -> bool {
+        let prefix = self.key(&format!("suspicions/{service}/{primary}/"));
+        let suspecting: HashSet<&str> = state
+            .mirror
+            .below(&prefix)
+            .filter_map(|item| item.key.strip_prefix(&prefix))
+            .collect();
+        // Most groups are suspected by nobody, and ranking the members takes its time.
+        if suspecting.is_empty() {
+            return false;
+        }
+        let witnesses = witnesses_of(primary, state.members.keys().map(|host| &**host));
+        let agreeing = witnesses.iter().filter(|host| suspecting.contains(**host)).count();
+        is_primary_lost(agreeing, witnesses.len())
+    }
+
     /// Returns the life of a service's server as its entry tells it.
     pub(crate) fn life_of(&self, service: &Name, server: &str) -> Option<ServerLife> {
         self.state.borrow_mut().servers.life_of(service, server)
--- a/crates/proxy/src/control/following.rs
+++ b/crates/proxy/src/control/following.rs
@@ -172,7 +172,7 @@
                 state.heard_of.reading_at = Some(reading.asked_at);
             }
             self.take_reading(reading);
-            self.retell_suspicions();
+            self.tell_and_look();
         }
         for evidence in told.evidence {
             self.take_evidence(&evidence);
--- /dev/null
+++ b/crates/proxy/src/control/looks.rs
@@ -0,0 +1,56 @@
+//! When this daemon looks at servers that others suspect: at once, and then only now and then.
+//!
+//! Forty daemons that suspect a server say so one after the other. A look for each of these words would open forty
+//! connections from each daemon, to a server that may only be slow.
+
+use std::{
+    collections::HashMap,
+    time::{Duration, Instant},
+};
+
+use model::Name;
+
+/// How long after a look the next word of others is no reason for another one.
+const LOOK_AGAIN_AFTER: Duration = Duration::from_secs(1);
+
+/// A look at a server, and whether somebody has suspected it since.
+#[derive(Clone, Copy, Debug)]
+struct Look {
+    at: Instant,
+    is_asked_again: bool,
+}
+
+/// The looks of the last moments, by service and server.
+#[derive(Debug, Default)]
+pub struct Looks {
+    made: HashMap<(Name, Name), Look>,
+}
+
+impl Looks {
+    /// Notes that somebody suspects a server; whether to look at it now.
+    pub fn on_suspected(&mut self, pair: &(Name, Name), now: Instant) -> bool {
+        match self.made.get_mut(pair) {
+            Some(look) if now.duration_since(look.at) < LOOK_AGAIN_AFTER => {
+                look.is_asked_again = true;
+                false
+            }
+            _ => {
+                self.made.insert(pair.clone(), Look { at: now, is_asked_again: false });
+                true
+            }
+        }
+    }
+
+    /// Returns the servers that were suspected soon after a look and whose next one is due.
+    pub fn take_due(&mut self, now: Instant) -> Vec<(Name, Name)> {
+        let is_recent = |look: &Look| now.duration_since(look.at) < LOOK_AGAIN_AFTER;
+        let is_due = |look: &Look| look.is_asked_again && !is_recent(look);
+        let made = self.made.iter().filter(|(_, look)| is_due(look));
+        let due: Vec<(Name, Name)> = made.map(|(pair, _)| pair.clone()).collect();
+        self.made.retain(|_, look| is_recent(look));
+        for pair in &due {
+            self.made.insert(pair.clone(), Look { at: now, is_asked_again: false });
+        }
+        due
+    }
+}
--- a/crates/proxy/src/control/membership.rs
+++ b/crates/proxy/src/control/membership.rs
@@ -79,6 +79,7 @@
         let mut state = self.state.borrow_mut();
         state.lease = Some(HeldLease { id, valid_until: sent_at + lasts });
         state.acknowledged.clear();
+        state.suspicions_told.forget_written();
         let is_read_before = state.servers_known;
         drop(state);
         log::info!(event = "joined", lease = id.0; "this daemon is a member");
--- a/crates/proxy/src/control/records.rs
+++ b/crates/proxy/src/control/records.rs
@@ -15,7 +15,7 @@
         change::VersionedRecord,
         outside::Outside,
         record::{LeadershipRecord, PrimaryChange},
-        runner::{Ask, Control},
+        runner::Control,
         state::{MemberValue, SeenMember, State},
     },
     metadata::Transaction,
@@ -48,6 +48,7 @@
         if let Some(host) = rest.strip_prefix("members/") {
             self.on_member(key, host);
         } else if let Some(suspicion) = rest.strip_prefix("suspicions/") {
+            self.note_own_suspicion(key);
             self.look_at_suspicion(key, suspicion);
         }
         None
@@ -179,17 +180,4 @@
         };
         self.write_soon(transaction, "acknowledge_stop");
     }
-
-    /// Has a server looked at that another daemon suspects: one daemon alone may be wrong, and the
-    /// others may have no reason of their own to notice.
-    pub(crate) fn look_at_suspicion(&self, key: &str, suspicion: &str) {
-        if self.state.borrow().mirror.get(key).is_none() {
-            return;
-        }
-        let mut parts = suspicion.split('/');
-        let (Some(service), Some(server)) = (parts.next(), parts.next()) else { return };
-        let ask = Ask::Probe { service: Name::from(service), server: Name::from(server) };
-        // A full ring means that the serving thread is behind; its own traffic will show it.
-        let _ = self.asks.try_send(ask);
-    }
 }
--- a/crates/proxy/src/control/rights.rs
+++ b/crates/proxy/src/control/rights.rs
@@ -156,7 +156,7 @@
     /// Does what follows from any reading.
     fn finish_reading(&self, now: Instant) {
         self.note_members(now);
-        self.retell_suspicions();
+        self.tell_and_look();
         self.publish();
         self.news.notify_waiters();
     }
--- a/crates/proxy/src/control/runner.rs
+++ b/crates/proxy/src/control/runner.rs
@@ -138,6 +138,8 @@
     pub(crate) epoch: Instant,
     /// Wakes the lease loop when this daemon's key is found to be gone.
     pub(crate) rejoin: Notify,
+    /// Wakes whoever tells of suspicions when the store may not show them as it should.
+    pub(crate) suspicions_due: Notify,
     pub(crate) writes: (flume::Sender<PendingWrite>, flume::Receiver<PendingWrite>),
 }
 
@@ -173,6 +175,7 @@
         life: rand::rng().random(),
         epoch: Instant::now(),
         rejoin: Notify::new(),
+        suspicions_due: Notify::new(),
         writes: flume::bounded(MOST_PENDING_WRITES),
     });
     let mut ended = parts.ended;
@@ -186,6 +189,7 @@
             control.clone().observation_loop(),
             control.clone().duty_loop(),
             control.clone().write_loop(),
+            control.clone().suspicion_loop(),
             control.clone().duty_lease_loop(),
             control.clone().peer_loop(parts.peer_listener),
         );
--- a/crates/proxy/src/control/state.rs
+++ b/crates/proxy/src/control/state.rs
@@ -17,10 +17,13 @@
         change::VersionedRecord,
         following::HeardOf,
         knowledge::{Knowledge, Sighting},
+        looks::Looks,
         mirror::Mirror,
         peers::{Evidence, PrimarySample, StoreReading},
         record::LeadershipRecord,
         servers::{ServerList, ServersByService},
+        telling::Told,
+        witnesses::Witnessing,
     },
     metadata::{LeaseId, Revision},
 };
@@ -110,6 +113,11 @@
     pub(crate) acknowledged: HashMap<Name, String>,
     /// Servers that this daemon can't reach, and when it last tried.
     pub(crate) suspected: HashMap<(Name, Name), Instant>,
+    /// What the store was told of that.
+    pub(crate) suspicions_told: Told,
+    /// When servers were looked at that others suspect, and of which this daemon is a witness.
+    pub(crate) looks: Looks,
+    pub(crate) witnessing: Witnessing,
     /// When the store was last found again after a time without it.
     pub(crate) store_back_at: Option<Instant>,
     pub(crate) published_servers: Arc<ServersByService>,
--- a/crates/proxy/src/control/suspicion.rs
+++ b/crates/proxy/src/control/suspicion.rs
@@ -1,6 +1,13 @@
 //! Telling other daemons which servers can't be reached, and writes that need no answer.
 
-use std::{collections::BTreeSet, rc::Rc, sync::Arc, time::Instant};
+use std::{
+    collections::{BTreeSet, HashSet},
+    net::SocketAddr,
+    ops::Bound::{Excluded, Unbounded},
+    rc::Rc,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use bytes::Bytes;
 use model::Name;
@@ -9,12 +16,22 @@
     control::{
         beliefs::{Detours, Observation},
         outside::Outside,
+        pause::Pause,
         runner::{Ask, Control},
         state::State,
+        telling::Untold,
+        witnesses::is_witness,
     },
-    metadata::{MetadataStore, Transaction},
+    metadata::{LeaseId, MetadataStore, Transaction, TransactionOutcome},
 };
 
+/// The rest between two writes of suspicions. The first one goes out at once, which is what a lost primary waits for.
+const TELL_EVERY: Duration = Duration::from_millis(100);
+/// Daemons that tell of a server although they are not its witnesses.
+const MOST_OTHERS: usize = 3;
+/// Daemons of each kind, of the same availability zone and of others, that are tried as a way around.
+const DETOURS_EACH: usize = 3;
+
 impl<P: Outside> Control<P> {
     /// Tells the other daemons which primaries this one can't reach.
     pub(crate) async fn observation_loop(self: Rc<Self>) {
@@ -54,46 +71,144 @@
             };
             if changed {
                 self.publish();
-                self.tell_suspicion(self.suspicion_key(&service, &server), !reachable);
-            } else if !reachable {
-                self.retell_suspicions();
+            }
+            if changed || !reachable {
+                self.suspicions_due.notify_one();
             }
         }
     }
 
-    /// Writes again what the store does not show of this daemon's suspicions, as it should after a
-    /// reading that is as young as the mirror. A primary that fails while the store is away would else
-    /// never be replaced: the daemons told of it once, in vain, and their leases may have ended too.
+    /// Writes what the store does not show of this daemon's suspicions, whenever that may have changed: many at a time, and
+    /// not in the next moment again. A primary that fails while the store is away would never be replaced if they were
+    /// told once, in vain; the daemons' leases may have ended too.
+    ///
+    /// A write for each suspicion, without a rest, is what a large fleet can't bear: a hundred daemons that start at once
+    /// and are slow to reach a thousand servers filled the store's rate and every daemon's link with them.
+    pub(crate) async fn suspicion_loop(self: Rc<Self>) {
+        let mut pause = Pause::default();
+        loop {
+            self.suspicions_due.notified().await;
+            let Some((untold, lease)) = self.untold_suspicions() else { continue };
+            let put = |key: &String| (key.clone(), Bytes::from_static(b"{}"), Some(lease));
+            let transaction = Transaction {
+                puts: untold.puts.iter().map(put).collect(),
+                removes: untold.removes.clone(),
+                ..Transaction::default()
+            };
+            let written = self.store.commit(&transaction, self.write_timeout()).await;
+            self.count_call("commit", &written);
+            match written {
+                Ok(TransactionOutcome::Done(_)) => {
+                    pause.reset();
+                    self.state.borrow_mut().suspicions_told.on_written(&untold, Instant::now());
+                    // What did not fit is told next.
+                    self.suspicions_due.notify_one();
+                    tokio::time::sleep(TELL_EVERY).await;
+                }
+                Ok(TransactionOutcome::Conflict | TransactionOutcome::LeaseOver) => {
+                    log::info!(event = "write_failed", what = "suspicions"; "the lease was over");
+                    pause.wait().await;
+                }
+                Err(error) => {
+                    log::info!(
+                        event = "write_failed", what = "suspicions",
+                        why = error.to_string().as_str();
+                        "a write to the store may not have been done"
+                    );
+                    pause.wait().await;
+                }
+            }
+        }
+    }
+
+    /// Returns what the store should show and does not, with the lease to write it under.
     ///
     /// What cut a daemon from a server has often cut it from the store as well, and ends for both at once. So
     /// after a time without the store a suspicion counts only once the server was tried again in vain: forty
     /// daemons that came back with what they had found behind a partition had a healthy primary replaced.
-    pub(crate) fn retell_suspicions(&self) {
-        let (wanted, shown) = {
-            let state = self.state.borrow();
-            if state.mirror.get(&self.member_key()).is_none() {
+    ///
+    /// Of daemons that are no witnesses of a server a few are enough to have the witnesses look at it.
+    fn untold_suspicions(&self) -> Option<(Untold, LeaseId)> {
+        let mut state = self.state.borrow_mut();
+        let lease = state.lease?.id;
+        let is_confirmed =
+            |asked_at: &Instant| state.store_back_at.is_none_or(|back_at| *asked_at >= back_at);
+        let suspected = state.suspected.iter().filter(|(_, asked_at)| is_confirmed(asked_at));
+        let wanted: BTreeSet<String> = suspected
+            .map(|((service, server), _)| self.suspicion_key(service, server))
+            .collect();
+        let State { suspicions_told, witnessing, members, members_version, mirror, .. } =
+            &mut *state;
+        let may_put = |key: &str| {
+            let Some((below, _)) = key.rsplit_once('/') else { return false };
+            let Some((_, server)) = below.rsplit_once('/') else { return false };
+            let hosts = || members.keys().map(|host| &**host);
+            let look = || is_witness(server, &self.settings.host, hosts());
+            witnessing.is_witness(&Name::from(server), *members_version, look)
+                || mirror.below(&format!("{below}/")).nth(MOST_OTHERS - 1).is_none()
+        };
+        let untold = suspicions_told.untold(&wanted, Instant::now(), may_put);
+        (!untold.is_empty()).then_some((untold, lease))
+    }
+
+    /// Notes that the store shows a suspicion of this daemon's own, or does not any more.
+    pub(crate) fn note_own_suspicion(&self, key: &str) {
+        let is_own = key.rsplit_once('/').is_some_and(|(_, host)| *host == *self.settings.host);
+        if is_own {
+            let mut state = self.state.borrow_mut();
+            let is_there = state.mirror.get(key).is_some();
+            state.suspicions_told.on_shown(key, is_there);
+        }
+    }
+
+    /// Has a server looked at that another daemon suspects, if this one is a witness: one daemon alone may be wrong, and
+    /// the witnesses may have no reason of their own to notice. A server that this one can't reach either is tried again
+    /// and again anyhow.
+    pub(crate) fn look_at_suspicion(&self, key: &str, suspicion: &str) {
+        let mut parts = suspicion.split('/');
+        let (Some(service), Some(server)) = (parts.next(), parts.next()) else { return };
+        let pair = (Name::from(service), Name::from(server));
+        {
+            let mut state = self.state.borrow_mut();
+            if state.mirror.get(key).is_none() || state.suspected.contains_key(&pair) {
+                return;
+            }
+            let State { witnessing, members, members_version, looks, .. } = &mut *state;
+            let hosts = || members.keys().map(|host| &**host);
+            let look = || is_witness(server, &self.settings.host, hosts());
+            if !witnessing.is_witness(&pair.1, *members_version, look)
+                || !looks.on_suspected(&pair, Instant::now())
+            {
                 return;
             }
-            let is_confirmed =
-                |asked_at: &Instant| state.store_back_at.is_none_or(|back_at| *asked_at >= back_at);
-            let suspected = state.suspected.iter().filter(|(_, asked_at)| is_confirmed(asked_at));
-            let wanted: BTreeSet<String> = suspected
-                .map(|((service, server), _)| self.suspicion_key(service, server))
-                .collect();
-            let (prefix, own) = (self.key("suspicions/"), format!("/{}", self.settings.host));
-            let items = state.mirror.below(&prefix).map(|item| &item.key);
-            let shown: BTreeSet<String> =
-                items.filter(|key| key.ends_with(&own)).cloned().collect();
-            (wanted, shown)
-        };
-        for missing in wanted.difference(&shown) {
-            self.tell_suspicion(missing.clone(), true);
         }
-        for surplus in shown.difference(&wanted) {
-            self.tell_suspicion(surplus.clone(), false);
+        self.have_probed(pair);
+    }
+
+    /// Does what follows from a reading: suspicions that the store should show by now and does not are told, and servers
+    /// that were suspected again are looked at.
+    pub(crate) fn tell_and_look(&self) {
+        self.suspicions_due.notify_one();
+        self.look_again();
+    }
+
+    /// Looks again at servers that somebody still suspects a while after this daemon found them alive.
+    fn look_again(&self) {
+        let due = self.state.borrow_mut().looks.take_due(Instant::now());
+        for (service, server) in due {
+            let prefix = self.key(&format!("suspicions/{service}/{server}/"));
+            let is_suspected = self.state.borrow().mirror.below(&prefix).next().is_some();
+            if is_suspected {
+                self.have_probed((service, server));
+            }
         }
     }
 
+    fn have_probed(&self, (service, server): (Name, Name)) {
+        // A full ring means that the serving thread is behind; its own traffic will show it.
+        let _ = self.asks.try_send(Ask::Probe { service, server });
+    }
+
     /// Has the servers tried again that this daemon could not reach before the store was back.
     pub(crate) fn try_suspected_again(&self) {
         let unconfirmed: Vec<(Name, Name)> = {
@@ -109,27 +224,29 @@
         }
     }
 
-    /// Returns, for each server that this daemon can't reach, the daemons that have not said so too.
+    /// Returns, for each server that this daemon can't reach, some daemons that have not said so too. Each daemon begins
+    /// its search behind itself in the list, so that one that many need is not the same for all of them.
     pub(crate) fn detours(&self, state: &State, now: Instant) -> Detours {
         let mut detours = Detours::new();
+        let own = &self.settings.host;
         for (service, server) in state.suspected.keys() {
-            let mut near = Vec::new();
-            let mut far = Vec::new();
-            for (host, member) in &state.members {
-                let suspicion = self.key(&format!("suspicions/{service}/{server}/{host}"));
-                let is_other = *host != self.settings.host;
-                let Some(address) = member.peer_address.filter(|_| is_other) else { continue };
-                if state.mirror.get(&suspicion).is_some() || self.asker.is_silent(address, now) {
-                    continue;
-                }
-                match member.availability_zone == *self.settings.availability_zone {
-                    true => near.push(address),
-                    false => far.push(address),
-                }
-            }
-            near.append(&mut far);
-            if !near.is_empty() {
-                detours.insert(server.clone(), Arc::from(near));
+            let prefix = self.key(&format!("suspicions/{service}/{server}/"));
+            let cut_off: HashSet<&str> = state
+                .mirror
+                .below(&prefix)
+                .filter_map(|item| item.key.strip_prefix(&prefix))
+                .collect();
+            let behind = state.members.range::<Name, _>((Excluded(own), Unbounded));
+            let around = behind.chain(state.members.range::<Name, _>(..own));
+            let reachable = around.filter_map(|(host, member)| {
+                let address = member.peer_address?;
+                let may_reach = !cut_off.contains(&**host) && !self.asker.is_silent(address, now);
+                let is_near = member.availability_zone == *self.settings.availability_zone;
+                may_reach.then_some((is_near, address))
+            });
+            let some = choose_detours(reachable);
+            if !some.is_empty() {
+                detours.insert(server.clone(), Arc::from(some));
             }
         }
         detours
@@ -139,18 +256,6 @@
         self.key(&format!("suspicions/{service}/{server}/{}", self.settings.host))
     }
 
-    /// Writes or removes the key by which this daemon suspects a primary; it ends with the lease.
-    fn tell_suspicion(&self, key: String, suspects: bool) {
-        let Some(lease) = self.state.borrow().lease else { return };
-        let transaction = if suspects {
-            let put = (key, Bytes::from_static(b"{}"), Some(lease.id));
-            Transaction { puts: vec![put], ..Transaction::default() }
-        } else {
-            Transaction { removes: vec![key], ..Transaction::default() }
-        };
-        self.write_soon(transaction, "suspicion");
-    }
-
     /// Starts a write whose failure costs time and nothing else.
     pub(crate) fn write_soon(&self, transaction: Transaction, what: &'static str) {
         // A full ring means that the store has been silent for long; a later reading makes up for it.
@@ -173,3 +278,19 @@
         }
     }
 }
+
+/// Takes the first few that are near and the first few that are not, near ones first.
+fn choose_detours(reachable: impl Iterator<Item = (bool, SocketAddr)>) -> Vec<SocketAddr> {
+    let (mut near, mut far) = (Vec::new(), Vec::new());
+    for (is_near, address) in reachable {
+        let kind = if is_near { &mut near } else { &mut far };
+        if kind.len() < DETOURS_EACH {
+            kind.push(address);
+        }
+        if near.len() == DETOURS_EACH && far.len() == DETOURS_EACH {
+            break;
+        }
+    }
+    near.append(&mut far);
+    near
+}
