--- a/crates/proxy/src/control/duty.rs
+++ b/crates/proxy/src/control/duty.rs
@@ -298,11 +298,8 @@
     /// Whether so many of a primary's witnesses can't reach it that it is to be replaced.
     fn is_lost_to_witnesses(&self, state: &State, service: &Name, primary: &str) -> bool {
         let prefix = self.key(&format!("suspicions/{service}/{primary}/"));
-        let suspecting: HashSet<&str> = state
-            .mirror
-            .below(&prefix)
-            .filter_map(|item| item.key.strip_prefix(&prefix))
-            .collect();
+        let suspecting: HashSet<&str> =
+            state.mirror.below(&prefix).filter_map(|item| item.key.strip_prefix(&prefix)).collect();
         // Most groups are suspected by nobody, and ranking the members takes its time.
         if suspecting.is_empty() {
             return false;
--- a/crates/proxy/src/control/following.rs
+++ b/crates/proxy/src/control/following.rs
@@ -16,7 +16,7 @@
     control::{
         mirror::News,
         outside::Outside,
-        peer_link::answer_askers,
+        peer_link::{SplitAnswer, answer_askers},
         peers::{
             ClockMessage, DetourRequest, FollowAnswer, FollowRequest, OwnKeys, SharedReading,
             StoreReading, judge_reading,
@@ -135,6 +135,7 @@
             heard: heard_of.clock.map(|(clock, _)| clock),
             samples: self.samples_since(heard_of.clock.map(|(_, heard_at)| heard_at)),
             behind: Vec::new(),
+            takes_packed: !self.state.borrow().servers_known,
         };
         let sent_at = Instant::now();
         match self.asker.ask(reader, &request).await {
@@ -233,7 +234,7 @@
     }
 
     /// Answers a daemon that follows the store through this one, as soon as there is news for it.
-    pub(crate) async fn answer_follower(&self, request: FollowRequest) -> FollowAnswer {
+    pub(crate) async fn answer_follower(&self, request: FollowRequest) -> SplitAnswer {
         let received_at = Instant::now();
         self.take_samples(request.samples_here(self.life, self.epoch, received_at));
         for service in &request.behind {
@@ -262,15 +263,21 @@
             || state.evidence_number != request.evidence_number
     }
 
-    fn tell_follower(&self, request: &FollowRequest, received_at: Instant) -> FollowAnswer {
+    fn tell_follower(&self, request: &FollowRequest, received_at: Instant) -> SplitAnswer {
         let now = Instant::now();
         let state = self.state.borrow();
-        let news = state.mirror.news_since(request.followed_to);
         let reading = state.reading.filter(|_| state.reading_number != request.reading_number);
         // Only whoever changes a primary asks who has stopped, and that one reads the store itself.
         let stopped = self.key("stopped/");
         let is_wanted = |change: &Change| !change.key().starts_with(&stopped);
-        FollowAnswer {
+        let is_starting = request.takes_packed && request.followed_to == 0;
+        let whole = (is_starting && state.mirror.followed_to() > 0)
+            .then(|| self.packer.whole(&state.mirror, now, is_wanted))
+            // Where removals since then are forgotten, what is known now is told in the usual way.
+            .filter(|whole| !state.mirror.news_since(whole.followed_to).is_whole);
+        let known_to = whole.as_ref().map_or(request.followed_to, |whole| whole.followed_to);
+        let news = state.mirror.news_since(known_to);
+        let answer = FollowAnswer {
             held_ms: now.duration_since(received_at).as_millis() as u64,
             reading: reading.map(|reading| reading.told_at(state.reading_number, now)),
             changes: news
@@ -302,7 +309,8 @@
                 .filter(|(_, sample)| now.duration_since(sample.asked_at) < SAMPLES_TOLD_FOR)
                 .map(|(service, sample)| sample.told_at(service, now))
                 .collect(),
-        }
+        };
+        answer.split(whole.map(|whole| whole.packed).unwrap_or_default())
     }
 
     /// Returns where a server listens that another daemon wants a detour to; nothing once this daemon
--- a/crates/proxy/src/control/mod.rs
+++ b/crates/proxy/src/control/mod.rs
@@ -27,6 +27,7 @@
 mod rights;
 pub mod runner;
 pub mod servers;
+mod starting;
 mod state;
 mod suspicion;
 pub mod telling;
--- a/crates/proxy/src/control/packing.rs
+++ b/crates/proxy/src/control/packing.rs
@@ -6,13 +6,18 @@
 use std::{
     cell::RefCell,
     io::{Read, Write},
+    time::{Duration, Instant},
 };
 
 use bytes::Bytes;
 use flate2::{Compression, read::DeflateDecoder, write::DeflateEncoder};
+use prost::Message;
 
 use crate::{
-    control::peers::ChangeMessage,
+    control::{
+        mirror::Mirror,
+        peers::{ChangeMessage, ChangesMessage},
+    },
     metadata::{Change, Revision},
 };
 
@@ -20,11 +25,29 @@
 const PACK_FROM_BYTES: usize = 8 * 1024;
 /// The largest value that is taken out of a message; the store's own limit is a megabyte.
 const LONGEST_VALUE_BYTES: u64 = 16 * 1024 * 1024;
+/// The most that is taken out of the one piece that holds everything; several times what 22,000 groups need.
+const LONGEST_WHOLE_BYTES: u64 = 64 * 1024 * 1024;
 
-/// Packs large values, each once: the same one goes to several daemons.
+/// How long what the store holds is sent as it was packed, with what has changed since behind it: daemons that start
+/// together ask one after the other, and each of them changes something by joining.
+const WHOLE_LASTS: Duration = Duration::from_secs(2);
+
+/// All that the store held at a revision, packed in one piece. Entries of servers are small and resemble each other, so
+/// that together they pack to a tenth, and by themselves not at all.
+#[derive(Clone)]
+pub(crate) struct PackedWhole {
+    packed_at: Instant,
+    /// Every change up to here is in it.
+    pub(crate) followed_to: Revision,
+    /// A packed [`ChangesMessage`].
+    pub(crate) packed: Bytes,
+}
+
+/// Packs what is large, each once: the same goes to several daemons.
 #[derive(Default)]
 pub(crate) struct Packer {
     last: RefCell<Option<(String, Revision, Bytes)>>,
+    whole: RefCell<Option<PackedWhole>>,
 }
 
 impl Packer {
@@ -38,6 +61,28 @@
         message
     }
 
+    /// Returns everything that is known of the store, as it was a moment ago, but for keys that nobody wants told.
+    pub(crate) fn whole(
+        &self,
+        mirror: &Mirror,
+        now: Instant,
+        is_wanted: impl Fn(&Change) -> bool,
+    ) -> PackedWhole {
+        let mut whole = self.whole.borrow_mut();
+        if let Some(known) = whole.as_ref()
+            && now.duration_since(known.packed_at) < WHOLE_LASTS
+        {
+            return known.clone();
+        }
+        let changes = mirror.news_since(0).changes.into_iter().filter(is_wanted);
+        let changes = changes.map(ChangeMessage::from).collect();
+        let message = ChangesMessage { changes, packed: Bytes::new() };
+        let packed = deflate(&message.encode_to_vec());
+        let made = PackedWhole { packed_at: now, followed_to: mirror.followed_to(), packed };
+        *whole = Some(made.clone());
+        made
+    }
+
     fn packed(&self, key: &str, revision: Revision, value: &Bytes) -> Bytes {
         let mut last = self.last.borrow_mut();
         if let Some((known, at, packed)) = last.as_ref()
@@ -46,14 +91,47 @@
         {
             return packed.clone();
         }
-        let mut encoder = DeflateEncoder::new(Vec::new(), Compression::fast());
-        let packed = encoder.write_all(value).and_then(|()| encoder.finish());
-        let packed = Bytes::from(packed.expect("writing into memory does not fail"));
+        let packed = deflate(value);
         *last = Some((key.to_owned(), revision, packed.clone()));
         packed
     }
 }
 
+fn deflate(value: &[u8]) -> Bytes {
+    let mut encoder = DeflateEncoder::new(Vec::new(), Compression::fast());
+    let packed = encoder.write_all(value).and_then(|()| encoder.finish());
+    Bytes::from(packed.expect("writing into memory does not fail"))
+}
+
+fn inflate(packed: &[u8], longest_bytes: u64) -> std::io::Result<Bytes> {
+    let mut unpacked = Vec::new();
+    let mut decoder = DeflateDecoder::new(packed).take(longest_bytes + 1);
+    decoder.read_to_end(&mut unpacked)?;
+    if unpacked.len() as u64 > longest_bytes {
+        return Err(std::io::Error::other("a packed value is too long"));
+    }
+    Ok(Bytes::from(unpacked))
+}
+
+/// Returns all changes of a message, oldest first, with those that it holds in one packed piece.
+///
+/// # Errors
+///
+/// If something in it is no packed value, or longer than may be.
+pub fn unpack_all(message: ChangesMessage) -> std::io::Result<Vec<ChangeMessage>> {
+    let mut changes = Vec::new();
+    if !message.packed.is_empty() {
+        let whole = inflate(&message.packed, LONGEST_WHOLE_BYTES)?;
+        let whole = ChangesMessage::decode(whole).map_err(std::io::Error::other)?;
+        changes.extend(whole.changes);
+    }
+    changes.extend(message.changes);
+    for change in &mut changes {
+        unpack(change)?;
+    }
+    Ok(changes)
+}
+
 /// Takes a packed value out of a message.
 ///
 /// # Errors
@@ -61,13 +139,7 @@
 /// If it is no packed value, or longer than any value may be.
 pub fn unpack(message: &mut ChangeMessage) -> std::io::Result<()> {
     let Some(value) = message.value.as_mut().filter(|_| message.is_packed) else { return Ok(()) };
-    let mut unpacked = Vec::new();
-    let mut decoder = DeflateDecoder::new(&value[..]).take(LONGEST_VALUE_BYTES + 1);
-    decoder.read_to_end(&mut unpacked)?;
-    if unpacked.len() as u64 > LONGEST_VALUE_BYTES {
-        return Err(std::io::Error::other("a packed value is too long"));
-    }
-    *value = Bytes::from(unpacked);
+    *value = inflate(value, LONGEST_VALUE_BYTES)?;
     message.is_packed = false;
     Ok(())
 }
--- a/crates/proxy/src/control/peer_link.rs
+++ b/crates/proxy/src/control/peer_link.rs
@@ -21,7 +21,7 @@
 use crate::{
     control::{
         detour::give_detour,
-        packing::unpack,
+        packing::unpack_all,
         peers::{
             ChangesMessage, DetourRequest, FollowAnswer, FollowRequest, PeerQuestion, PeerRequest,
         },
@@ -33,6 +33,9 @@
 /// connection: a round trip within a zone and the scheduling of a busy host. Whoever looks for somebody to follow
 /// among daemons that are cut off finds twenty-five of them silent before the first is asked again.
 const ANSWER_WITHIN: Duration = Duration::from_millis(120);
+/// The same for a daemon that starts, whose answer waits on the way behind all that others of the same zone are sent as
+/// they start with it.
+const FIRST_ANSWER_WITHIN: Duration = Duration::from_secs(2);
 /// How long the changes behind an answer may take: a configuration of a megabyte, packed to a tenth, for
 /// eight daemons over a link of a megabyte a second, and others' traffic beside it.
 const CHANGES_WITHIN: Duration = Duration::from_secs(5);
@@ -44,6 +47,9 @@
 /// The largest frame: everything that the store holds for a large installation.
 const LONGEST_FRAME_BYTES: usize = 16 * 1024 * 1024;
 
+/// An answer, with the changes that follow it.
+pub(crate) type SplitAnswer = (FollowAnswer, Option<ChangesMessage>);
+
 pub(crate) type Frames = Framed<TcpStream, LengthDelimitedCodec>;
 
 pub(crate) fn framed(stream: TcpStream) -> Frames {
@@ -77,7 +83,7 @@
 /// Answers askers for as long as the daemon runs.
 pub(crate) async fn answer_askers(
     listener: TcpListener,
-    answer: impl AsyncFn(FollowRequest) -> FollowAnswer + Clone + 'static,
+    answer: impl AsyncFn(FollowRequest) -> SplitAnswer + Clone + 'static,
     find_server: impl Fn(&DetourRequest) -> Option<SocketAddr> + Clone + 'static,
     hand_over: impl Fn(HandedOver) + Clone + 'static,
 ) {
@@ -104,7 +110,7 @@
 /// Answers one asker's questions in turn, until it leaves.
 async fn answer_asker(
     stream: TcpStream,
-    answer: impl AsyncFn(FollowRequest) -> FollowAnswer,
+    answer: impl AsyncFn(FollowRequest) -> SplitAnswer,
     find_server: impl Fn(&DetourRequest) -> Option<SocketAddr>,
     hand_over: impl Fn(HandedOver),
     detours: Arc<Semaphore>,
@@ -134,7 +140,7 @@
                 return;
             }
         };
-        let (answer, changes) = answer(request).await.split();
+        let (answer, changes) = answer(request).await;
         if send_all(&mut frames, &answer, changes.as_ref()).await.is_err() {
             return;
         }
@@ -197,7 +203,11 @@
     }
 
     async fn exchange(&self, address: SocketAddr, request: &FollowRequest) -> Option<FollowAnswer> {
-        let within = Duration::from_millis(request.wait_ms) + ANSWER_WITHIN;
+        let within = if request.takes_packed {
+            FIRST_ANSWER_WITHIN
+        } else {
+            Duration::from_millis(request.wait_ms) + ANSWER_WITHIN
+        };
         let asked = tokio::time::timeout(within, self.ask_first(address, request)).await;
         let (mut frames, mut answer) = asked.ok()??;
         if answer.changes_follow {
@@ -205,16 +215,17 @@
             let received = tokio::time::timeout(CHANGES_WITHIN, frames.next()).await;
             self.receives_since.set(None);
             let frame = received.ok()??.ok()?;
-            answer.changes = ChangesMessage::decode(frame).ok()?.changes;
-        }
-        for change in &mut answer.changes {
-            if let Err(error) = unpack(change) {
-                log::warn!(
-                    event = "peer_garbled", peer = address.to_string().as_str(),
-                    why = error.to_string().as_str();
-                    "another daemon's answer can't be understood"
-                );
-                return None;
+            let changes = ChangesMessage::decode(frame).map_err(std::io::Error::other);
+            match changes.and_then(unpack_all) {
+                Ok(changes) => answer.changes = changes,
+                Err(error) => {
+                    log::warn!(
+                        event = "peer_garbled", peer = address.to_string().as_str(),
+                        why = error.to_string().as_str();
+                        "another daemon's answer can't be understood"
+                    );
+                    return None;
+                }
             }
         }
         self.open.borrow_mut().insert(address, frames);
--- a/crates/proxy/src/control/peers.rs
+++ b/crates/proxy/src/control/peers.rs
@@ -98,6 +98,9 @@
     /// Services whose reads the asker refuses because every replica is behind; for whoever promotes.
     #[prost(string, repeated, tag = "9")]
     pub behind: Vec<String>,
+    /// Whether the asker, which knows nothing yet, takes what the store holds in one packed piece.
+    #[prost(bool, tag = "10")]
+    pub takes_packed: bool,
 }
 
 /// A daemon's steady clock.
@@ -229,6 +232,9 @@
     /// The changes, oldest first.
     #[prost(message, repeated, tag = "1")]
     pub changes: Vec<ChangeMessage>,
+    /// What comes before these, packed as a message of this kind; see [`super::packing`].
+    #[prost(bytes = "bytes", tag = "2")]
+    pub packed: Bytes,
 }
 
 /// A change of one key.
@@ -329,10 +335,12 @@
 impl FollowAnswer {
     /// Takes the changes out, to be sent behind the answer: the answer itself is small and shows at once
     /// that the daemon lives, while a configuration may take seconds over a slow link.
-    pub fn split(mut self) -> (FollowAnswer, Option<ChangesMessage>) {
+    ///
+    /// `packed` goes before the changes, for an asker that knows nothing yet; empty for any other.
+    pub fn split(mut self, packed: Bytes) -> (FollowAnswer, Option<ChangesMessage>) {
         let changes = std::mem::take(&mut self.changes);
-        self.changes_follow = !changes.is_empty();
-        let changes = self.changes_follow.then_some(ChangesMessage { changes });
+        self.changes_follow = !changes.is_empty() || !packed.is_empty();
+        let changes = self.changes_follow.then_some(ChangesMessage { changes, packed });
         (self, changes)
     }
 
--- a/crates/proxy/src/control/suspicion.rs
+++ b/crates/proxy/src/control/suspicion.rs
@@ -134,9 +134,8 @@
         let is_confirmed =
             |asked_at: &Instant| state.store_back_at.is_none_or(|back_at| *asked_at >= back_at);
         let suspected = state.suspected.iter().filter(|(_, asked_at)| is_confirmed(asked_at));
-        let wanted: BTreeSet<String> = suspected
-            .map(|((service, server), _)| self.suspicion_key(service, server))
-            .collect();
+        let wanted: BTreeSet<String> =
+            suspected.map(|((service, server), _)| self.suspicion_key(service, server)).collect();
         let State { suspicions_told, witnessing, members, members_version, mirror, .. } =
             &mut *state;
         let may_put = |key: &str| {
--- a/crates/proxy/src/control/watching.rs
+++ b/crates/proxy/src/control/watching.rs
@@ -35,8 +35,13 @@
         let mut pause = Pause::default();
         // A store that does not let this daemon join may still let it read.
         let _ = tokio::time::timeout(JOINED_WITHIN, self.has_joined.notified()).await;
+        let mut is_heard = self.hear_everything().await;
         loop {
-            match self.read_everything().await {
+            let known = match std::mem::take(&mut is_heard) {
+                true => Ok(()),
+                false => self.read_everything().await,
+            };
+            match known {
                 Ok(()) => {
                     pause.reset();
                     let error = self.follow().await;
@@ -69,15 +74,9 @@
         let own = Snapshot { items: own_items.cloned().collect(), revision };
         let changes = self.state.borrow().mirror.changes_to("", everything);
         self.take_over(changes);
-        {
-            let mut state = self.state.borrow_mut();
-            state.servers_known = true;
-            // A long time without the store may have made entries lapse that servers renew now.
-            state.servers.restart_grace(Instant::now());
-        }
         self.state.borrow_mut().note_followed(revision);
         self.on_own_snapshot(own, asked_at);
-        self.has_read.notify_one();
+        self.note_everything_known();
         Ok(())
     }
 
--- a/crates/proxy/src/control/witnesses.rs
+++ b/crates/proxy/src/control/witnesses.rs
@@ -13,10 +13,7 @@
 pub const MOST_WITNESSES: usize = 45;
 
 /// Returns the witnesses of a server; the same on every daemon that knows the same members.
-pub fn witnesses_of<'a>(
-    server: &str,
-    members: impl IntoIterator<Item = &'a str>,
-) -> Vec<&'a str> {
+pub fn witnesses_of<'a>(server: &str, members: impl IntoIterator<Item = &'a str>) -> Vec<&'a str> {
     let mut witnesses = ranked(server, members);
     witnesses.truncate(MOST_WITNESSES);
     witnesses
