--- a/crates/proxy/src/control/asking.rs
+++ b/crates/proxy/src/control/asking.rs
@@ -19,6 +19,7 @@
         peers::Evidence,
         runner::{Ask, CommandAsk, Control},
     },
+    metadata::MetadataStore,
     statement::{EndpointStatus, EndpointText},
 };
 
@@ -47,7 +48,7 @@
         let mut running = FuturesUnordered::new();
         let mut asked = HashMap::new();
         loop {
-            let look_after = if self.is_store_silent() { LOOK_EVERY } else { every };
+            let look_after = if self.needs_evidence() { LOOK_EVERY } else { every };
             tokio::select! {
                 () = tokio::time::sleep(look_after) => {}
                 Some(found) = running.next(), if !running.is_empty() => {
@@ -58,7 +59,7 @@
                     self.take_found(found.into_iter().flatten());
                 }
             }
-            if !self.is_store_silent() {
+            if !self.needs_evidence() {
                 self.state.borrow_mut().evidence.clear();
                 continue;
             }
@@ -74,8 +75,12 @@
         }
     }
 
-    fn is_store_silent(&self) -> bool {
-        self.state.borrow().is_store_silent(self.patience())
+    /// Whether the store says nothing of who leads, because it is silent or was restored and what it holds is not confirmed.
+    fn needs_evidence(&self) -> bool {
+        let state = self.state.borrow();
+        state.is_store_silent(self.patience())
+            || self.store.era() > state.mirror.era()
+            || state.records.values().any(|known| !state.is_confirmed(&known.record))
     }
 
     fn take_found(&self, found: impl Iterator<Item = Evidence>) {
@@ -132,7 +137,7 @@
         Some(Evidence { service, server: found.server, term: found.term, asked_at })
     }
 
-    fn held_right(&self, service: &Name, now: Instant) -> HeldRight {
+    pub(crate) fn held_right(&self, service: &Name, now: Instant) -> HeldRight {
         let state = self.state.borrow();
         let lead = state.leads.get(service);
         let in_force = lead.filter(|lead| lead.is_valid(now));
--- a/crates/proxy/src/control/change.rs
+++ b/crates/proxy/src/control/change.rs
@@ -23,7 +23,7 @@
         },
         runner::Control,
     },
-    metadata::{MetadataError, MetadataStore, Revision, Transaction, TransactionOutcome},
+    metadata::{Item, MetadataError, MetadataStore, Revision, Transaction, TransactionOutcome},
     order::{OrderError, PromotionOrder, PromotionOrders},
     statement::{EndpointStatus, EndpointText},
 };
@@ -79,6 +79,8 @@
     Unknown,
     /// Another daemon began a change and did not finish it.
     LeftUnfinished,
+    /// The store was restored, and its record may be older than what was done since.
+    Restored,
     /// The primary's entry is gone.
     Gone,
     /// The primary started again and holds nothing of what it led with.
@@ -97,6 +99,7 @@
         match self {
             Reason::Unknown => "unknown",
             Reason::LeftUnfinished => "left_unfinished",
+            Reason::Restored => "restored",
             Reason::Gone => "gone",
             Reason::Reborn => "reborn",
             Reason::Leaving => "leaving",
@@ -152,6 +155,7 @@
         let began = Instant::now();
         let ended = match reason {
             Reason::Unknown => self.find_first_primary(service).await,
+            Reason::Restored => self.confirm_record(service).await,
             _ => self.change_primary(service, reason).await,
         };
         let took_ms = began.elapsed().as_millis() as u64;
@@ -180,7 +184,8 @@
         expected: Revision,
     ) -> Result<Revision, ChangeEnd> {
         let duty = self.held_duty().ok_or(ChangeEnd::Superseded)?;
-        let value = serde_json::to_vec(record).expect("a record is plain data");
+        let record = self.state.borrow_mut().next_edition(service, record);
+        let value = serde_json::to_vec(&record).expect("a record is plain data");
         let value = Bytes::from(value);
         let key = self.record_key(service);
         let transaction = Transaction {
@@ -197,12 +202,16 @@
                 // The answer to an earlier attempt may have been lost: what stands there decides.
                 let read = self.store.get(&key, self.read_timeout()).await;
                 self.count_call("get", &read);
+                let in_era = |item: &Item| item.revision.era() == duty.revision.era();
                 match read.map_err(ChangeEnd::Store)? {
-                    Some(item) if item.value == value => Ok(item.revision),
+                    Some(item) if item.value == value && in_era(&item) => Ok(item.revision),
                     _ => Err(ChangeEnd::Superseded),
                 }
             }
-            Ok(TransactionOutcome::LeaseOver) => Err(ChangeEnd::Superseded),
+            // Where the store was restored meanwhile, whatever was done was done under a duty that has ended.
+            Ok(TransactionOutcome::LeaseOver) | Err(MetadataError::EraChanged(_)) => {
+                Err(ChangeEnd::Superseded)
+            }
             Err(error) => Err(ChangeEnd::Store(error)),
         }
     }
@@ -462,7 +471,7 @@
             primary_life: entry.life,
             ..LeadershipRecord::default()
         };
-        self.write_record(service, &record, 0).await?;
+        self.write_record(service, &record, Revision::ABSENT).await?;
         Ok(())
     }
 }
--- a/crates/proxy/src/control/duty.rs
+++ b/crates/proxy/src/control/duty.rs
@@ -23,7 +23,7 @@
         runner::{Control, RENEWALS_PER_LEASE},
         state::HeldLease,
     },
-    metadata::{MetadataStore, Revision, Transaction, TransactionOutcome},
+    metadata::{LeaseId, MetadataStore, Revision, Transaction, TransactionOutcome},
 };
 
 /// How often the duty's holder looks at the groups if nothing wakes it.
@@ -88,8 +88,11 @@
         let state = self.state.borrow();
         let item = state.mirror.get(&self.duty_key())?;
         let lease = state.duty_lease?;
-        let ours = item.value == self.duty_value(lease.id.0) && Instant::now() < lease.valid_until;
-        ours.then_some(HeldDuty { fencing_token: item.created, revision: item.revision })
+        let ours = item.value == self.duty_value(lease.id) && Instant::now() < lease.valid_until;
+        ours.then_some(HeldDuty {
+            fencing_token: item.created.fencing_token(),
+            revision: item.revision,
+        })
     }
 
     /// Returns how much is left of the duty's lease by this daemon's own clock; nothing if it does not hold the duty.
@@ -100,7 +103,7 @@
     }
 
     /// The value names the lease too, so that a restarted daemon does not take over its former life's.
-    pub(crate) fn duty_value(&self, lease: u64) -> Bytes {
+    pub(crate) fn duty_value(&self, lease: LeaseId) -> Bytes {
         Bytes::from(format!("{} {lease}", self.settings.host))
     }
 
@@ -109,7 +112,9 @@
         let is_free = |control: &Self| {
             let state = control.state.borrow();
             let fresh = state.last_read_at.is_some_and(|at| at.elapsed() < control.right());
-            fresh && state.lease.is_some() && state.mirror.get(&control.duty_key()).is_none()
+            let is_member = state.lease.is_some_and(|lease| lease.id.era == state.mirror.era());
+            let is_held = state.mirror.get(&control.duty_key()).is_some();
+            fresh && is_member && (!is_held || control.ended_duty(&state).is_some())
         };
         if !is_free(self) {
             return;
@@ -120,17 +125,22 @@
         if !is_free(self) {
             return;
         }
+        let ended = self.ended_duty(&self.state.borrow());
+        if let Some(revision) = ended {
+            // Its key goes first, so that whoever takes the duty creates it: that is what makes the fencing token.
+            return self.remove_ended_duty(revision).await;
+        }
         let Some(lease) = self.duty_lease().await else { return };
         let transaction = Transaction {
-            expected: vec![(self.duty_key(), 0)],
-            puts: vec![(self.duty_key(), self.duty_value(lease.id.0), Some(lease.id))],
+            expected: vec![(self.duty_key(), Revision::ABSENT)],
+            puts: vec![(self.duty_key(), self.duty_value(lease.id), Some(lease.id))],
             removes: Vec::new(),
         };
         let taken = self.store.commit(&transaction, self.write_timeout()).await;
         self.count_call("commit", &taken);
         match taken {
-            Ok(TransactionOutcome::Done(token)) => log::info!(
-                event = "duty_taken", fencing_token = token;
+            Ok(TransactionOutcome::Done(revision)) => log::info!(
+                event = "duty_taken", fencing_token = revision.fencing_token();
                 "this daemon promotes from now on"
             ),
             Ok(TransactionOutcome::Conflict) => {}
@@ -144,7 +154,7 @@
     }
 
     /// Returns how many members come before this daemon by name.
-    fn members_before(&self) -> usize {
+    pub(crate) fn members_before(&self) -> usize {
         let state = self.state.borrow();
         state.members.keys().take_while(|host| **host < self.settings.host).count()
     }
@@ -236,6 +246,9 @@
             if self.changes_running.borrow().contains_key(&service) {
                 continue;
             }
+            if self.must_settle(&service, Instant::now()) {
+                continue;
+            }
             let Some(reason) = self.reason_to_change(&service) else { continue };
             if !self.may_begin(reason) {
                 continue;
@@ -252,11 +265,12 @@
 
     /// Whether one more change for this reason may begin beside those that run.
     fn may_begin(&self, reason: Reason) -> bool {
-        if reason != Reason::Unknown {
+        let asks_all = |reason: &Reason| matches!(reason, Reason::Unknown | Reason::Restored);
+        if !asks_all(&reason) {
             return true;
         }
         let running = self.changes_running.borrow();
-        running.values().filter(|reason| **reason == Reason::Unknown).count() < MOST_FIRST_AT_ONCE
+        running.values().filter(|reason| asks_all(reason)).count() < MOST_FIRST_AT_ONCE
     }
 
     /// Says why a group's primary has to be changed; `None` if it need not be.
@@ -264,9 +278,21 @@
         let Some(known) = self.known_record(service) else {
             return (!self.entries(service).is_empty()).then_some(Reason::Unknown);
         };
+        if !self.state.borrow().is_confirmed(&known.record) {
+            return Some(Reason::Restored);
+        }
         if known.record.change.is_some() {
             return Some(Reason::LeftUnfinished);
         }
+        self.fault_of_primary(service, &known)
+    }
+
+    /// Says what is wrong with a group's recorded primary; `None` if nothing is.
+    pub(crate) fn fault_of_primary(
+        &self,
+        service: &Name,
+        known: &VersionedRecord,
+    ) -> Option<Reason> {
         let entries = self.entries(service);
         let Some(primary) = entries.iter().find(|entry| *entry.server == *known.record.primary)
         else {
--- a/crates/proxy/src/control/following.rs
+++ b/crates/proxy/src/control/following.rs
@@ -24,7 +24,7 @@
         runner::{Ask, Control},
         tree::{TreeMember, daemon_to_follow},
     },
-    metadata::{Change, Revision, Snapshot},
+    metadata::{Change, MetadataStore, Revision, Snapshot},
 };
 
 /// How long a question to the zone's reader waits for news; a little longer than the time between two
@@ -94,7 +94,7 @@
             |reader: Option<SocketAddr>| reader.map_or("store".to_owned(), |it| it.to_string());
         log::info!(
             event = "following", peer = name(now).as_str(), before = name(before).as_str(),
-            knowledge_age_ms = self.knowledge_age_ms(), revision = self.state.borrow().mirror.followed_to();
+            knowledge_age_ms = self.knowledge_age_ms(), revision = self.state.borrow().mirror.followed_to().number();
             "changes are heard from somebody else now"
         );
     }
@@ -125,10 +125,13 @@
             }
             state.heard_of
         };
+        let followed_to = self.state.borrow().mirror.followed_to();
         let request = FollowRequest {
             host: self.settings.host.to_string(),
-            followed_to: self.state.borrow().mirror.followed_to(),
-            heard_to: heard_of.heard_to,
+            followed_to: followed_to.number(),
+            era: followed_to.era().0,
+            heard_to: heard_of.heard_to.number(),
+            heard_era: heard_of.heard_to.era().0,
             reading_number: heard_of.reading_number,
             evidence_number: heard_of.evidence_number,
             wait_ms: NEWS_WAIT.as_millis() as u64,
@@ -151,20 +154,22 @@
 
     fn take_answer(&self, mut answer: FollowAnswer, sent_at: Instant) {
         let told = answer.take_told(sent_at);
+        self.store.note_era(answer.era());
         let reading = answer.reading.take();
         {
             let mut state = self.state.borrow_mut();
-            state.heard_of.heard_to = answer.heard_to;
+            state.heard_of.heard_to = answer.revision(answer.heard_to);
             state.heard_of.evidence_number = answer.evidence_number;
             state.heard_of.clock = answer.clock.map(|clock| (clock, Instant::now()));
         }
         self.take_over_news(told.news);
         {
             let mut state = self.state.borrow_mut();
-            state.own_followed_to = state.own_followed_to.max(answer.own_followed_to);
+            let own_followed_to = answer.revision(answer.own_followed_to);
+            state.own_followed_to = state.own_followed_to.max(own_followed_to);
         }
         if let Some(told) = reading
-            && let Some(reading) = told.reading(answer.made_at(sent_at))
+            && let Some(reading) = told.reading(answer.made_at(sent_at), answer.era())
         {
             {
                 let mut state = self.state.borrow_mut();
@@ -224,6 +229,7 @@
                 Change::Removed { .. } => None,
             });
             let snapshot = Snapshot { items: items.collect(), revision: followed_to };
+            self.enter_era(followed_to);
             self.state.borrow().mirror.changes_to("", snapshot)
         } else {
             changes
@@ -235,6 +241,8 @@
     /// Answers a daemon that follows the store through this one, as soon as there is news for it.
     pub(crate) async fn answer_follower(&self, request: FollowRequest) -> FollowAnswer {
         let received_at = Instant::now();
+        // An asker that was in another zone's reach may have heard of a restore first.
+        self.store.note_era(request.followed_revision().era());
         self.take_samples(request.samples_here(self.life, self.epoch, received_at));
         for service in &request.behind {
             self.note_behind(Name::from(service.as_str()));
@@ -257,7 +265,7 @@
 
     fn has_news_for(&self, request: &FollowRequest) -> bool {
         let state = self.state.borrow();
-        state.urgent_to > request.followed_to.max(request.heard_to)
+        state.urgent_to > request.followed_revision().max(request.heard_revision())
             || state.reading_number != request.reading_number
             || state.evidence_number != request.evidence_number
     }
@@ -265,7 +273,7 @@
     fn tell_follower(&self, request: &FollowRequest, received_at: Instant) -> FollowAnswer {
         let now = Instant::now();
         let state = self.state.borrow();
-        let news = state.mirror.news_since(request.followed_to);
+        let news = state.mirror.news_since(request.followed_revision());
         let reading = state.reading.filter(|_| state.reading_number != request.reading_number);
         // Only whoever changes a primary asks who has stopped, and that one reads the store itself.
         let stopped = self.key("stopped/");
@@ -280,11 +288,12 @@
                 .map(|change| self.packer.pack(change))
                 .collect(),
             is_whole: news.is_whole,
-            followed_to: news.followed_to,
-            heard_to: state.mirror.last_revision(),
+            followed_to: news.followed_to.number(),
+            heard_to: state.mirror.last_revision().number(),
+            era: state.mirror.era().0,
             // Set as the changes are split off.
             changes_follow: false,
-            own_followed_to: state.own_followed_to,
+            own_followed_to: state.own_followed_to.number(),
             evidence: state
                 .evidence
                 .iter()
--- a/crates/proxy/src/control/membership.rs
+++ b/crates/proxy/src/control/membership.rs
@@ -22,7 +22,13 @@
         let mut pause = Pause::default();
         loop {
             let held = self.state.borrow().lease;
+            let era = self.state.borrow().mirror.era();
             let outcome = match held {
+                // The store has lost it, or gives its number to somebody else.
+                Some(lease) if lease.id.era < era => {
+                    self.await_turn_to_join().await;
+                    self.join(lasts).await
+                }
                 Some(lease) => self.renew(lease, lasts).await,
                 None => self.join(lasts).await,
             };
@@ -81,7 +87,7 @@
         state.acknowledged.clear();
         let is_read_before = state.servers_known;
         drop(state);
-        log::info!(event = "joined", lease = id.0; "this daemon is a member");
+        log::info!(event = "joined", lease = id.to_string().as_str(); "this daemon is a member");
         match is_read_before {
             // What was read as no member gave no right.
             true => self.refresh_now.notify_one(),
@@ -148,7 +154,7 @@
                 Ok(())
             }
             Ok(false) => {
-                log::info!(event = "lease_lost", lease = lease.id.0; "the lease was over");
+                log::info!(event = "lease_lost", lease = lease.id.to_string().as_str(); "the lease was over");
                 self.state.borrow_mut().lease = None;
                 self.join(lasts).await
             }
--- a/crates/proxy/src/control/mirror.rs
+++ b/crates/proxy/src/control/mirror.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashSet};
 
-use crate::metadata::{Change, Item, Revision, Snapshot};
+use crate::metadata::{Change, Era, Item, Revision, Snapshot};
 
 /// Removals that are remembered; who has heard of less than the oldest of them is told everything.
 const MOST_REMOVED: usize = 1_024;
@@ -10,6 +10,8 @@
 /// The keys of the store, as last heard, and what was removed lately.
 #[derive(Default)]
 pub struct Mirror {
+    /// Only what was heard of this era of the store is taken over.
+    era: Era,
     items: BTreeMap<String, Item>,
     /// Keys that were removed, so that an older reading can't bring them back.
     removed_at: BTreeMap<String, Revision>,
@@ -33,8 +35,26 @@
 }
 
 impl Mirror {
-    /// Takes over a change, unless a later one of its key is known.
+    /// Begins a later era: what is held stays until the whole reading that follows says what became of it, and whoever knows
+    /// only of earlier eras is told everything from now on.
+    pub fn enter(&mut self, era: Era) {
+        self.era = self.era.max(era);
+        for (key, revision) in std::mem::take(&mut self.removed_at) {
+            self.by_revision.remove(&(revision, key));
+        }
+        self.forgotten_to = Revision::new(self.era, 0);
+    }
+
+    /// Returns the era of the store that this is a copy of.
+    pub fn era(&self) -> Era {
+        self.era
+    }
+
+    /// Takes over a change, unless a later one of its key is known or it is of another era.
     pub fn apply(&mut self, change: Change) -> bool {
+        if change.revision().era() != self.era {
+            return false;
+        }
         match change {
             Change::Put(item) => self.put(item),
             Change::Removed { key, revision } => self.remove(&key, revision),
@@ -58,14 +78,14 @@
         self.followed_to = self.followed_to.max(revision);
     }
 
-    /// Returns the revision up to which every change is known; 0 before the first whole reading.
+    /// Returns the revision up to which every change is known; [`Revision::ABSENT`] before the first whole reading.
     pub fn followed_to(&self) -> Revision {
         self.followed_to
     }
 
     /// Returns the revision of the latest change that is known.
     pub fn last_revision(&self) -> Revision {
-        self.by_revision.last().map_or(0, |(revision, _)| *revision)
+        self.by_revision.last().map_or(Revision::ABSENT, |(revision, _)| *revision)
     }
 
     /// Whether something was heard that somebody who knows everything up to `after` has not.
@@ -76,7 +96,7 @@
     /// Returns what somebody has not heard who knows everything up to `after`.
     pub fn news_since(&self, after: Revision) -> News {
         let is_whole = after < self.forgotten_to;
-        let from = if is_whole { 0 } else { after.saturating_add(1) };
+        let from = if is_whole { Revision::ABSENT } else { after.next() };
         let changes = self.by_revision.range((from, String::new())..).filter_map(
             |(revision, key)| match self.items.get(key) {
                 Some(item) => Some(Change::Put(item.clone())),
@@ -92,6 +112,11 @@
         self.items.get(key)
     }
 
+    /// Returns the revision at which a key was removed, if that was lately.
+    pub fn removed_at(&self, key: &str) -> Option<Revision> {
+        self.removed_at.get(key).copied()
+    }
+
     /// Returns the items below a prefix, by key.
     pub fn below<'a>(&'a self, prefix: &str) -> impl Iterator<Item = &'a Item> + use<'a> {
         let prefix = prefix.to_owned();
@@ -125,8 +150,8 @@
     }
 
     fn last_change_of(&self, key: &str) -> Revision {
-        let put = self.items.get(key).map_or(0, |item| item.revision);
-        put.max(self.removed_at.get(key).copied().unwrap_or(0))
+        let put = self.items.get(key).map_or(Revision::ABSENT, |item| item.revision);
+        put.max(self.removed_at.get(key).copied().unwrap_or(Revision::ABSENT))
     }
 
     fn forget_place_of(&mut self, key: &str) {
--- a/crates/proxy/src/control/packing.rs
+++ b/crates/proxy/src/control/packing.rs
@@ -30,9 +30,10 @@
 impl Packer {
     /// Returns a change as it is sent.
     pub(crate) fn pack(&self, change: Change) -> ChangeMessage {
+        let revision = change.revision();
         let mut message = ChangeMessage::from(change);
         if let Some(value) = message.value.as_mut().filter(|it| it.len() >= PACK_FROM_BYTES) {
-            *value = self.packed(&message.key, message.revision, value);
+            *value = self.packed(&message.key, revision, value);
             message.is_packed = true;
         }
         message
--- a/crates/proxy/src/control/peers.rs
+++ b/crates/proxy/src/control/peers.rs
@@ -19,7 +19,7 @@
 
 use crate::{
     control::mirror::News,
-    metadata::{Change, Item, Revision},
+    metadata::{Change, Era, Item, Revision},
 };
 
 /// What one daemon asks another.
@@ -76,10 +76,10 @@
     pub host: String,
     /// The asker knows every change up to this revision.
     #[prost(uint64, tag = "2")]
-    pub followed_to: Revision,
+    pub followed_to: u64,
     /// The latest change that this daemon told the asker of; what is later is news.
     #[prost(uint64, tag = "3")]
-    pub heard_to: Revision,
+    pub heard_to: u64,
     /// The number of the last reading that the asker was told of.
     #[prost(uint64, tag = "4")]
     pub reading_number: u64,
@@ -98,6 +98,12 @@
     /// Services whose reads the asker refuses because every replica is behind; for whoever promotes.
     #[prost(string, repeated, tag = "9")]
     pub behind: Vec<String>,
+    /// The store's era that `followed_to` is of.
+    #[prost(uint64, tag = "10")]
+    pub era: u64,
+    /// That of `heard_to`.
+    #[prost(uint64, tag = "11")]
+    pub heard_era: u64,
 }
 
 /// A daemon's steady clock.
@@ -165,6 +171,16 @@
 }
 
 impl FollowRequest {
+    /// Returns the revision up to which the asker knows every change.
+    pub fn followed_revision(&self) -> Revision {
+        Revision::new(Era(self.era), self.followed_to)
+    }
+
+    /// Returns the latest change that the asker was told of here.
+    pub fn heard_revision(&self) -> Revision {
+        Revision::new(Era(self.heard_era), self.heard_to)
+    }
+
     /// Returns the samples by this daemon's clock, which counts from `epoch` in this `life`; none if the
     /// asker's last answer was from another life, or claims to be from a time that has not come.
     pub fn samples_here(
@@ -199,10 +215,10 @@
     pub is_whole: bool,
     /// Every change up to this revision is known to the answering daemon.
     #[prost(uint64, tag = "5")]
-    pub followed_to: Revision,
+    pub followed_to: u64,
     /// The latest change that it knows of.
     #[prost(uint64, tag = "6")]
-    pub heard_to: Revision,
+    pub heard_to: u64,
     /// Who leads by the word of a majority of the servers.
     #[prost(message, repeated, tag = "7")]
     pub evidence: Vec<EvidenceMessage>,
@@ -217,10 +233,13 @@
     pub samples: Vec<SampleMessage>,
     /// Every change of the daemons' own keys up to this revision is known to the answering daemon.
     #[prost(uint64, tag = "11")]
-    pub own_followed_to: Revision,
+    pub own_followed_to: u64,
     /// Whether the changes come in a frame of their own.
     #[prost(bool, tag = "12")]
     pub changes_follow: bool,
+    /// The store's era that all revisions of the answer are of, as far as the answering daemon knows.
+    #[prost(uint64, tag = "13")]
+    pub era: u64,
 }
 
 /// Changes on their way.
@@ -231,7 +250,7 @@
     pub changes: Vec<ChangeMessage>,
 }
 
-/// A change of one key.
+/// A change of one key; the answer that it comes with tells the era of its revisions.
 #[derive(Clone, PartialEq, Message)]
 pub struct ChangeMessage {
     /// The key.
@@ -239,10 +258,10 @@
     pub key: String,
     /// The revision of the change.
     #[prost(uint64, tag = "2")]
-    pub revision: Revision,
+    pub revision: u64,
     /// The revision at which the key was created.
     #[prost(uint64, tag = "3")]
-    pub created: Revision,
+    pub created: u64,
     /// The value; none if the key was removed.
     #[prost(bytes = "bytes", optional, tag = "4")]
     pub value: Option<Bytes>,
@@ -254,21 +273,28 @@
 impl From<Change> for ChangeMessage {
     fn from(change: Change) -> ChangeMessage {
         match change {
-            Change::Put(Item { key, value, revision, created }) => {
-                ChangeMessage { key, revision, created, value: Some(value), is_packed: false }
-            }
+            Change::Put(Item { key, value, revision, created }) => ChangeMessage {
+                key,
+                revision: revision.number(),
+                created: created.number(),
+                value: Some(value),
+                is_packed: false,
+            },
             Change::Removed { key, revision } => {
-                ChangeMessage { key, revision, created: 0, value: None, is_packed: false }
+                ChangeMessage { key, revision: revision.number(), ..ChangeMessage::default() }
             }
         }
     }
 }
 
-impl From<ChangeMessage> for Change {
-    fn from(message: ChangeMessage) -> Change {
-        let ChangeMessage { key, revision, created, value, .. } = message;
+impl ChangeMessage {
+    fn change(self, era: Era) -> Change {
+        let ChangeMessage { key, revision, created, value, .. } = self;
+        let revision = Revision::new(era, revision);
         match value {
-            Some(value) => Change::Put(Item { key, value, revision, created }),
+            Some(value) => {
+                Change::Put(Item { key, value, revision, created: Revision::new(era, created) })
+            }
             None => Change::Removed { key, revision },
         }
     }
@@ -341,14 +367,25 @@
         sent_at + Duration::from_millis(self.held_ms)
     }
 
+    /// Returns the store's era that the answer is of.
+    pub fn era(&self) -> Era {
+        Era(self.era)
+    }
+
+    /// Returns a revision of this answer.
+    pub fn revision(&self, number: u64) -> Revision {
+        Revision::new(self.era(), number)
+    }
+
     /// Takes the changes and the evidence out.
     pub fn take_told(&mut self, sent_at: Instant) -> Told {
         let made_at = self.made_at(sent_at);
-        let changes = std::mem::take(&mut self.changes).into_iter().map(Change::from);
+        let era = Era(self.era);
+        let changes = std::mem::take(&mut self.changes).into_iter();
         let news = News {
-            changes: changes.collect(),
+            changes: changes.map(|change| change.change(era)).collect(),
             is_whole: self.is_whole,
-            followed_to: self.followed_to,
+            followed_to: Revision::new(era, self.followed_to),
         };
         let evidence = std::mem::take(&mut self.evidence).into_iter().filter_map(|it| {
             Some(Evidence {
@@ -382,7 +419,7 @@
     pub age_ms: u64,
     /// The store's revision as it was made.
     #[prost(uint64, tag = "3")]
-    pub revision: Revision,
+    pub revision: u64,
 }
 
 /// A linearizable reading of the daemons' own keys, by whomever.
@@ -397,15 +434,16 @@
 impl StoreReading {
     /// Returns what an asker is told at `now`.
     pub fn told_at(&self, number: u64, now: Instant) -> ReadingMessage {
-        ReadingMessage { number, age_ms: age_ms(self.asked_at, now), revision: self.revision }
+        let revision = self.revision.number();
+        ReadingMessage { number, age_ms: age_ms(self.asked_at, now), revision }
     }
 }
 
 impl ReadingMessage {
-    /// Returns the reading as it was told at `made_at` at the earliest.
-    pub fn reading(&self, made_at: Instant) -> Option<StoreReading> {
+    /// Returns the reading, of a store in this era, as it was told at `made_at` at the earliest.
+    pub fn reading(&self, made_at: Instant, era: Era) -> Option<StoreReading> {
         let asked_at = made_at.checked_sub(Duration::from_millis(self.age_ms))?;
-        Some(StoreReading { asked_at, revision: self.revision })
+        Some(StoreReading { asked_at, revision: Revision::new(era, self.revision) })
     }
 }
 
--- a/crates/proxy/src/control/record.rs
+++ b/crates/proxy/src/control/record.rs
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 use session::{Standing, TermHistory};
 
-use crate::{catalog::ServerLife, statement::EndpointStatus};
+use crate::{catalog::ServerLife, metadata::Era, statement::EndpointStatus};
 
 /// The record of one service.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -25,6 +25,45 @@
     pub starts: Vec<TermStart>,
     /// A change of primary that is under way.
     pub change: Option<PrimaryChange>,
+    /// The store's era in which it was written; 0 where the store tells of none. Nobody may use a primary by a record of an
+    /// era that has ended: the store lost what was written after it.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub era: u64,
+    /// Rises with each write where there are eras, so that of two records of an ended era the later one can be told.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub edition: u64,
+}
+
+fn is_zero(number: &u64) -> bool {
+    *number == 0
+}
+
+/// Which of two records of a group counts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CountingRecord {
+    /// The one that the store holds.
+    Stored,
+    /// The one that this daemon knows from before the store was restored.
+    Known,
+}
+
+impl CountingRecord {
+    /// Decides between what a daemon knows and what the store holds in this era.
+    ///
+    /// Whoever writes a record in the present era has gathered what daemons know first, so it counts. One of an ended era
+    /// came out of the copy, or was written by a call that was late: the latest of those counts.
+    pub fn choose(
+        known: Option<&LeadershipRecord>,
+        stored: Option<&LeadershipRecord>,
+        era: Era,
+    ) -> CountingRecord {
+        match (known, stored) {
+            (_, Some(stored)) if stored.era == era.0 => CountingRecord::Stored,
+            (Some(known), Some(stored)) if known.is_after(stored) => CountingRecord::Known,
+            (Some(_), None) if era > Era::NONE => CountingRecord::Known,
+            _ => CountingRecord::Stored,
+        }
+    }
 }
 
 /// A change of primary that is under way.
@@ -51,6 +90,18 @@
 const KEPT_STARTS: usize = 32;
 
 impl LeadershipRecord {
+    /// Whether this record was written after another one of the group, by all that both tell. Records from before the first
+    /// era have no edition; of those the one that is further on in a change counts, since an order may have been given.
+    pub fn is_after(&self, other: &LeadershipRecord) -> bool {
+        let stage = |record: &LeadershipRecord| match &record.change {
+            None => 0,
+            Some(change) => 1 + u8::from(change.chosen.is_some()),
+        };
+        let place =
+            |record: &LeadershipRecord| (record.era, record.edition, record.term, stage(record));
+        place(self) > place(other)
+    }
+
     /// Returns the record once the chosen server leads in `term`.
     pub fn settled(
         &self,
@@ -67,7 +118,8 @@
         let surplus = starts.len().saturating_sub(KEPT_STARTS);
         starts.drain(..surplus);
         let primary = chosen.server.clone();
-        LeadershipRecord { term, primary, primary_life: life, starts, change: None }
+        let change = None;
+        LeadershipRecord { term, primary, primary_life: life, starts, change, ..self.clone() }
     }
 }
 
--- a/crates/proxy/src/control/records.rs
+++ b/crates/proxy/src/control/records.rs
@@ -14,11 +14,12 @@
         beliefs::{Basis, Lead},
         change::VersionedRecord,
         outside::Outside,
-        record::{LeadershipRecord, PrimaryChange},
+        put_back::KEPT_CONFIGURATION,
+        record::{CountingRecord, LeadershipRecord, PrimaryChange},
         runner::{Ask, Control},
         state::{MemberValue, SeenMember, State},
     },
-    metadata::Transaction,
+    metadata::{Revision, Transaction},
 };
 
 /// How long a daemon counts among those that share the servers' connections after its key was last
@@ -30,6 +31,7 @@
     pub(crate) fn note_members(&self, now: Instant) {
         let own_zone = &*self.settings.availability_zone;
         let mut state = self.state.borrow_mut();
+        state.drop_lost_members(&self.key("members/"), now);
         let State { members, members_seen, .. } = &mut *state;
         for (host, member) in members {
             let is_near = member.availability_zone == own_zone;
@@ -47,6 +49,8 @@
         }
         if let Some(host) = rest.strip_prefix("members/") {
             self.on_member(key, host);
+        } else if rest == KEPT_CONFIGURATION {
+            self.on_kept_configuration(key);
         } else if let Some(suspicion) = rest.strip_prefix("suspicions/") {
             self.look_at_suspicion(key, suspicion);
         }
@@ -59,7 +63,9 @@
         let mut state = self.state.borrow_mut();
         state.members_version += 1;
         let Some(item) = state.mirror.get(key) else {
-            state.members.remove(host);
+            if !state.is_lost_by_restore(key) {
+                state.members.remove(host);
+            }
             return;
         };
         let member = match serde_json::from_slice(&item.value) {
@@ -103,18 +109,53 @@
         }
     }
 
-    /// Reads a leadership record as it lies in the mirror; `None` if there is none, or none that can be read.
+    /// Reads a leadership record as it lies in the mirror; `None` if there is none, or none that can be read. Where the
+    /// store was restored to an earlier one, the one that is known goes on, to be written over what stands there.
     fn read_record(&self, service: &Name) -> Option<Arc<VersionedRecord>> {
+        let stored = self.stored_record(service);
         let mut state = self.state.borrow_mut();
-        state.records.remove(service);
+        let known = state.records.remove(service);
+        let (before, now) = (known.as_ref().map(|it| &it.record), stored.as_ref());
+        let counting = CountingRecord::choose(before, now.map(|it| &it.record), state.mirror.era());
+        let counts = match counting {
+            CountingRecord::Stored => {
+                if let (Some(known), Some(stored)) = (before, &stored) {
+                    self.tell_given_up(service, known, &stored.record);
+                }
+                stored?
+            }
+            CountingRecord::Known => {
+                self.put_back.notify_one();
+                let item = state.mirror.get(&self.record_key(service));
+                let revision = item.map_or(Revision::ABSENT, |item| item.revision);
+                VersionedRecord { record: known?.record.clone(), revision }
+            }
+        };
+        state.note_edition(service, &counts.record);
+        let counts = Arc::new(counts);
+        state.records.insert(service.clone(), counts.clone());
+        Some(counts)
+    }
+
+    /// Tells the log where a daemon that was away knows of a later term than those knew who confirmed the record meanwhile.
+    fn tell_given_up(&self, service: &Name, known: &LeadershipRecord, stored: &LeadershipRecord) {
+        if known.era >= stored.era || known.term <= stored.term {
+            return;
+        }
+        self.metrics.restores.with_label_values(&["given_up"]).inc();
+        log::warn!(
+            event = "record_given_up", service = &**service, known_term = known.term,
+            term = stored.term, primary = stored.primary.as_str();
+            "a term that the store lost was not known to those who confirmed who leads"
+        );
+    }
+
+    /// Returns a leadership record as it lies in the mirror, if it can be read.
+    pub(crate) fn stored_record(&self, service: &Name) -> Option<VersionedRecord> {
+        let state = self.state.borrow();
         let item = state.mirror.get(&self.record_key(service))?;
-        let revision = item.revision;
         match serde_json::from_slice(&item.value) {
-            Ok(record) => {
-                let known = Arc::new(VersionedRecord { record, revision });
-                state.records.insert(service.clone(), known.clone());
-                Some(known)
-            }
+            Ok(record) => Some(VersionedRecord { record, revision: item.revision }),
             Err(error) => {
                 log::error!(
                     event = "record_unreadable", service = &**service,
--- a/crates/proxy/src/control/reports.rs
+++ b/crates/proxy/src/control/reports.rs
@@ -71,8 +71,10 @@
     fn bare_question(&self) -> FollowRequest {
         FollowRequest {
             host: self.settings.host.to_string(),
-            followed_to: Revision::MAX,
-            heard_to: Revision::MAX,
+            followed_to: Revision::MAX.number(),
+            heard_to: Revision::MAX.number(),
+            era: Revision::MAX.era().0,
+            heard_era: Revision::MAX.era().0,
             ..FollowRequest::default()
         }
     }
--- a/crates/proxy/src/control/rights.rs
+++ b/crates/proxy/src/control/rights.rs
@@ -104,12 +104,18 @@
     /// bytes instead of some hundred for each daemon of the fleet; the whole is read only by who is behind.
     async fn renew_rights(&self, asked_at: Instant) -> Result<(), MetadataError> {
         let own = self.read_below(&self.member_key()).await?;
+        if own.revision.era() > self.state.borrow().mirror.era() {
+            return self.meet_era(StoreReading { asked_at, revision: own.revision }).await;
+        }
         if self.state.borrow().own_followed_to >= own.revision {
             self.on_own_reading(own.revision, asked_at);
             return Ok(());
         }
         let asked_at = Instant::now();
         let everything = self.read_below(&self.key("")).await?;
+        if everything.revision.era() > self.state.borrow().mirror.era() {
+            return self.meet_era(StoreReading { asked_at, revision: everything.revision }).await;
+        }
         self.on_own_snapshot(everything, asked_at);
         Ok(())
     }
@@ -198,15 +204,17 @@
         let valid_until = asked_at + self.right();
         let shown: Option<HashSet<&Name>> = services.map(|services| services.iter().collect());
         let mut state = self.state.borrow_mut();
-        let State { leads, records, servers, .. } = &mut *state;
+        let State { leads, records, servers, mirror, .. } = &mut *state;
         let leads = Arc::make_mut(leads);
         for (service, known) in records {
             let record = &known.record;
             if shown.as_ref().is_some_and(|shown| !shown.contains(service)) {
                 continue;
             }
-            // The lead may not say so any more: evidence from before the change overrules it.
+            // The lead may not say so any more: evidence from before the change overrules it. A record from before a restore
+            // may be older than the change that followed it.
             if record.change.is_some()
+                || record.era != mirror.era().0
                 || servers.is_reborn(service, &record.primary, record.primary_life)
             {
                 continue;
--- a/crates/proxy/src/control/runner.rs
+++ b/crates/proxy/src/control/runner.rs
@@ -138,6 +138,8 @@
     pub(crate) epoch: Instant,
     /// Wakes the lease loop when this daemon's key is found to be gone.
     pub(crate) rejoin: Notify,
+    /// Wakes whoever writes again what the store lost.
+    pub(crate) put_back: Notify,
     pub(crate) writes: (flume::Sender<PendingWrite>, flume::Receiver<PendingWrite>),
 }
 
@@ -173,6 +175,7 @@
         life: rand::rng().random(),
         epoch: Instant::now(),
         rejoin: Notify::new(),
+        put_back: Notify::new(),
         writes: flume::bounded(MOST_PENDING_WRITES),
     });
     let mut ended = parts.ended;
@@ -188,6 +191,7 @@
             control.clone().write_loop(),
             control.clone().duty_lease_loop(),
             control.clone().peer_loop(parts.peer_listener),
+            control.clone().put_back_loop(),
         );
     };
     tokio::select! {
@@ -241,6 +245,7 @@
     /// Publishes what is believed now.
     pub(crate) fn publish(&self) {
         let now = Instant::now();
+        self.take_doubted_entries(now);
         let mut state = self.state.borrow_mut();
         let grace = Duration::from_millis(self.settings.leadership.lapse_grace_ms);
         if state.is_store_silent(self.patience()) {
--- a/crates/proxy/src/control/servers.rs
+++ b/crates/proxy/src/control/servers.rs
@@ -95,11 +95,22 @@
             self.by_service = None;
             return true;
         }
+        self.lapse(key, now);
+        false
+    }
+
+    /// Notes that an entry is missing that its server did not take away, as in a store that was restored.
+    pub fn lapse(&mut self, key: &str, now: Instant) {
+        let Some(known) = self.known.get_mut(key) else { return };
         if known.lapsed_at.is_none() {
             known.lapsed_at = Some(now);
             self.lapsed += 1;
         }
-        false
+    }
+
+    /// Returns the server whose entry has this key, or had it a moment ago.
+    pub fn at(&self, key: &str) -> Option<&ServerEntry> {
+        self.known.get(key).map(|known| &*known.entry)
     }
 
     /// Takes servers whose entry has been gone for longer than `grace` for leaving ones, and drops them
--- a/crates/proxy/src/control/state.rs
+++ b/crates/proxy/src/control/state.rs
@@ -19,7 +19,9 @@
         knowledge::{Knowledge, Sighting},
         mirror::Mirror,
         peers::{Evidence, PrimarySample, StoreReading},
+        put_back::ConfigurationsHeard,
         record::LeadershipRecord,
+        restored::Restore,
         servers::{ServerList, ServersByService},
     },
     metadata::{LeaseId, Revision},
@@ -121,6 +123,11 @@
     pub(crate) owners_of_members: Option<u64>,
     /// Availability zones that have members.
     pub(crate) zones: u32,
+    /// What the store's last restore asks for.
+    pub(crate) restore: Restore,
+    /// The latest edition of each record that was seen or written here.
+    pub(crate) editions: HashMap<Name, u64>,
+    pub(crate) configurations: ConfigurationsHeard,
 }
 
 impl State {
--- a/crates/proxy/src/control/watching.rs
+++ b/crates/proxy/src/control/watching.rs
@@ -67,6 +67,7 @@
         let own_prefix = self.key("");
         let own_items = everything.items.iter().filter(|item| item.key.starts_with(&own_prefix));
         let own = Snapshot { items: own_items.cloned().collect(), revision };
+        self.enter_era(revision);
         let changes = self.state.borrow().mirror.changes_to("", everything);
         self.take_over(changes);
         {
@@ -216,14 +217,18 @@
     /// Takes over a change of what operators and servers write.
     fn on_foreign_change(&self, change: Change) {
         match change {
-            Change::Put(item) if item.key == self.format.configuration_key() => {
+            Change::Put(item) if self.is_operators_configuration(&item.key) => {
                 self.on_configuration(&item);
             }
             Change::Put(item) if item.key.starts_with(self.format.servers_prefix()) => {
                 self.on_server(&item);
             }
             Change::Removed { key, .. } if key.starts_with(self.format.servers_prefix()) => {
-                self.state.borrow_mut().servers.remove(&key, Instant::now());
+                self.on_server_removed(&key);
+            }
+            Change::Removed { key, .. } if self.is_operators_configuration(&key) => {
+                self.state.borrow_mut().configurations.operators = 0;
+                self.put_back.notify_one();
             }
             Change::Put(_) | Change::Removed { .. } => {}
         }
@@ -235,7 +240,7 @@
             Ok(catalog) => catalog,
             Err(error) => {
                 log::error!(
-                    event = "configuration_unreadable", revision = item.revision,
+                    event = "configuration_unreadable", revision = item.revision.number(),
                     why = error.to_string().as_str();
                     "a configuration can't be read; the present one stays in force"
                 );
@@ -243,6 +248,10 @@
             }
         };
         let mut state = self.state.borrow_mut();
+        let is_operators = self.is_operators_configuration(&item.key);
+        if state.configurations.note(catalog.version, &item.value, is_operators) {
+            self.put_back.notify_one();
+        }
         if catalog.version <= state.catalog.version {
             return;
         }
@@ -259,6 +268,9 @@
         match self.format.decode_server(&item.key, &item.value) {
             Ok(entry) => {
                 let mut state = self.state.borrow_mut();
+                if state.doubts(item, &entry, self.lapse_grace()) {
+                    return;
+                }
                 let (server, leaving, leads) =
                     (entry.server.clone(), entry.leaving, entry.claims_lead);
                 let (service, life) = (entry.service.clone(), entry.life);
@@ -266,7 +278,7 @@
                 if state.servers.put(&item.key, entry) {
                     log::info!(
                         event = "server", server = &*server, leaving = leaving,
-                        claims_lead = leads, revision = item.revision;
+                        claims_lead = leads, revision = item.revision.number();
                         "a server's entry changed"
                     );
                 }
@@ -274,7 +286,7 @@
                     state.forget_life(&service, &server);
                     log::info!(
                         event = "server_reborn", service = &*service, server = &*server,
-                        revision = item.revision;
+                        revision = item.revision.number();
                         "a server started again and knows nothing of before"
                     );
                 }
--- a/crates/proxy/src/events.rs
+++ b/crates/proxy/src/events.rs
@@ -24,6 +24,8 @@
     pub contradictions: IntCounterVec,
     /// Operations refused for their client account, by why: its limit, or a key that nobody holds.
     pub refused: IntCounterVec,
+    /// What was done because the store was restored, by what it was.
+    pub restores: IntCounterVec,
     /// Numbers as they are now: callers, version of the configuration, members.
     pub now: IntGaugeVec,
 }
@@ -77,6 +79,11 @@
             "Operations refused for their client account, by reason.",
             &["why"],
         );
+        let restores = counter(
+            "wardtiller_proxy_restores_total",
+            "Restores of the metadata store that were seen, and what was put back, confirmed or given up after them.",
+            &["what"],
+        );
         let statement_seconds = HistogramVec::new(
             HistogramOpts::new(
                 "wardtiller_proxy_statement_seconds",
@@ -105,6 +112,7 @@
             promotion_steps,
             contradictions,
             refused,
+            restores,
             now,
         }
     }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -16,5 +16,6 @@
 pub mod metadata;
 pub mod order;
 pub mod relay;
+pub mod revision;
 pub mod serve;
 pub mod statement;
--- a/crates/proxy/src/metadata.rs
+++ b/crates/proxy/src/metadata.rs
@@ -4,12 +4,26 @@
 
 use bytes::Bytes;
 
-/// A revision of the store; each change anywhere in it raises it.
-pub type Revision = u64;
+pub use crate::revision::{Era, Revision};
 
-/// A lease, by the store's number for it.
+/// A lease, by the store's number for it. A store that was restored gives its numbers out again, so the number alone may
+/// name somebody else's lease.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct LeaseId(pub u64);
+pub struct LeaseId {
+    /// The era in which it was granted; it ends with it.
+    pub era: Era,
+    /// The store's number.
+    pub number: u64,
+}
+
+impl fmt::Display for LeaseId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.era {
+            Era::NONE => write!(f, "{}", self.number),
+            era => write!(f, "{}@{era}", self.number),
+        }
+    }
+}
 
 /// A key with its value.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -77,7 +91,7 @@
 /// A change under conditions: all of it or nothing.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Transaction {
-    /// Keys with the revision that they must have; 0 means that the key must not exist.
+    /// Keys with the revision that they must have; [`Revision::ABSENT`] means that the key must not exist.
     pub expected: Vec<(String, Revision)>,
     /// Keys to write, with the lease that they go with.
     pub puts: Vec<(String, Bytes, Option<LeaseId>)>,
@@ -116,6 +130,9 @@
     Unfinished,
     /// The history that a watch asked for is gone.
     HistoryGone,
+    /// What the call rests on is of another era of the store than its answer, or than answers before it. A write may have
+    /// been done.
+    EraChanged(Era),
     /// The store answered something that can't be understood.
     Malformed(String),
 }
@@ -129,6 +146,7 @@
                 f.write_str("only part of the store's answer came in time")
             }
             MetadataError::HistoryGone => f.write_str("the store's history is gone"),
+            MetadataError::EraChanged(era) => write!(f, "the store is in era {era}"),
             MetadataError::Malformed(why) => write!(f, "the store's answer is malformed: {why}"),
         }
     }
@@ -155,6 +173,10 @@
 /// The store. Every call ends after the time it is given; none is repeated by the adapter.
 #[allow(async_fn_in_trait, reason = "the engine uses it on one thread only")]
 pub trait MetadataStore: 'static {
+    /// Returns the latest era that an answer of the store told of, and that answers are taken from.
+    fn era(&self) -> Era;
+    /// Notes an era that another daemon heard of: answers of an earlier one are refused from then on.
+    fn note_era(&self, era: Era);
     /// Reads a key; `None` when it does not exist.
     async fn get(&self, key: &str, timeout: Duration) -> Result<Option<Item>, MetadataError>;
     /// Reads every key below a prefix.
--- a/crates/proxy/tests/control.rs
+++ b/crates/proxy/tests/control.rs
@@ -11,12 +11,12 @@
         mirror::{Mirror, News},
         move_times::MoveTimes,
         record::{
-            ChosenServer, LeadershipRecord, RightBounds, StopProgress, StoppedServer, Succession,
-            is_primary_lost,
+            ChosenServer, CountingRecord, LeadershipRecord, PrimaryChange, RightBounds,
+            StopProgress, StoppedServer, Succession, is_primary_lost,
         },
         servers::{Lapsed, ServerList},
     },
-    metadata::{Change, Item, Snapshot},
+    metadata::{Change, Era, Item, Revision, Snapshot},
     statement::EndpointStatus,
 };
 
@@ -287,8 +287,13 @@
     assert!(servers.by_service().is_empty());
 }
 
+/// A revision of a store that tells of no era.
+fn at(number: u64) -> Revision {
+    Revision::new(Era::NONE, number)
+}
+
 fn item(key: &str, revision: u64) -> Item {
-    Item { key: key.to_owned(), value: Bytes::new(), revision, created: 1 }
+    Item { key: key.to_owned(), value: Bytes::new(), revision: at(revision), created: at(1) }
 }
 
 #[test]
@@ -296,13 +301,13 @@
     let mut mirror = Mirror::default();
     assert!(mirror.apply(Change::Put(item("p/a", 5))));
     assert!(!mirror.apply(Change::Put(item("p/a", 4))), "an older write");
-    assert!(!mirror.apply(Change::Removed { key: "p/a".to_owned(), revision: 3 }));
-    assert!(mirror.apply(Change::Removed { key: "p/a".to_owned(), revision: 6 }));
+    assert!(!mirror.apply(Change::Removed { key: "p/a".to_owned(), revision: at(3) }));
+    assert!(mirror.apply(Change::Removed { key: "p/a".to_owned(), revision: at(6) }));
     assert!(!mirror.apply(Change::Put(item("p/a", 5))), "a write from before the removal");
     assert!(mirror.apply(Change::Put(item("p/a", 7))));
     assert!(mirror.apply(Change::Put(item("p/b", 9))));
     // A reading at revision 8 says nothing of what came later.
-    let snapshot = Snapshot { items: vec![item("p/c", 8)], revision: 8 };
+    let snapshot = Snapshot { items: vec![item("p/c", 8)], revision: at(8) };
     let changes = mirror.changes_to("p/", snapshot);
     let keys: Vec<&str> = changes.iter().map(Change::key).collect();
     assert_eq!(keys, ["p/a", "p/c"]);
@@ -318,14 +323,15 @@
     let mut mirror = Mirror::default();
     mirror.apply(Change::Put(item("p/a", 5)));
     mirror.apply(Change::Put(item("q/a", 6)));
-    let changes = mirror.changes_to("p/", Snapshot { items: Vec::new(), revision: 9 });
-    assert_eq!(changes, [Change::Removed { key: "p/a".to_owned(), revision: 9 }]);
+    let changes = mirror.changes_to("p/", Snapshot { items: Vec::new(), revision: at(9) });
+    assert_eq!(changes, [Change::Removed { key: "p/a".to_owned(), revision: at(9) }]);
 }
 
 #[test]
 fn whoever_follows_hears_what_is_new_in_order_and_each_key_once() {
     let mut mirror = Mirror::default();
-    let removed = |key: &str, revision| Change::Removed { key: key.to_owned(), revision };
+    let removed =
+        |key: &str, revision| Change::Removed { key: key.to_owned(), revision: at(revision) };
     for change in [
         Change::Put(item("p/a", 3)),
         Change::Put(item("p/b", 4)),
@@ -334,7 +340,7 @@
     ] {
         mirror.apply(change);
     }
-    mirror.note_followed(7);
+    mirror.note_followed(at(7));
     let cases = [
         ("everything", 0, vec![Change::Put(item("p/a", 6)), removed("p/b", 7)]),
         ("what it was told last", 6, vec![removed("p/b", 7)]),
@@ -342,9 +348,9 @@
         ("nothing, as it knows more", 9, Vec::new()),
     ];
     for (name, after, expected) in cases {
-        let news = mirror.news_since(after);
-        assert_eq!(news, News { changes: expected, is_whole: false, followed_to: 7 }, "{name}");
-        assert_eq!(mirror.has_news(after), !news.changes.is_empty(), "{name}");
+        let news = mirror.news_since(at(after));
+        assert_eq!(news, News { changes: expected, is_whole: false, followed_to: at(7) }, "{name}");
+        assert_eq!(mirror.has_news(at(after)), !news.changes.is_empty(), "{name}");
     }
 }
 
@@ -355,16 +361,88 @@
     for number in 0..2_000 {
         let key = format!("gone/{number}");
         mirror.apply(Change::Put(item(&key, 2 + 2 * number)));
-        mirror.apply(Change::Removed { key, revision: 3 + 2 * number });
+        mirror.apply(Change::Removed { key, revision: at(3 + 2 * number) });
     }
-    let news = mirror.news_since(5);
+    let news = mirror.news_since(at(5));
     assert!(news.is_whole);
     assert_eq!(news.changes, [Change::Put(item("kept", 1))]);
-    let late = mirror.news_since(3_999);
+    let late = mirror.news_since(at(3_999));
     assert!(!late.is_whole);
     assert_eq!(late.changes.len(), 1);
 }
 
+/// After a restore the same numbers stand for something else, and what the copy has not is gone.
+#[test]
+fn the_mirror_of_a_restored_store_takes_nothing_of_the_era_before() {
+    let restored = |number| Revision::new(Era(1), number);
+    let put = |key: &str, revision| {
+        Change::Put(Item { key: key.to_owned(), value: Bytes::new(), revision, created: revision })
+    };
+    let mut mirror = Mirror::default();
+    for key in ["p/kept", "p/lost"] {
+        mirror.apply(put(key, at(9)));
+    }
+    mirror.apply(Change::Removed { key: "p/gone".to_owned(), revision: at(10) });
+    mirror.note_followed(at(10));
+    assert!(!mirror.apply(put("p/early", restored(6))), "a change of an era not begun");
+    mirror.enter(Era(1));
+    let Change::Put(kept) = put("p/kept", restored(4)) else { unreachable!() };
+    let changes = mirror.changes_to("", Snapshot { items: vec![kept], revision: restored(5) });
+    for change in changes {
+        assert!(mirror.apply(change));
+    }
+    mirror.note_followed(restored(5));
+    assert_eq!(mirror.followed_to(), restored(5));
+    assert_eq!(mirror.last_revision(), restored(5));
+    assert_eq!(mirror.get("p/kept").unwrap().revision, restored(4));
+    assert!(mirror.get("p/lost").is_none());
+    assert_eq!(mirror.removed_at("p/lost"), Some(restored(5)));
+    assert!(!mirror.apply(put("p/kept", at(11))), "a write that was late");
+    assert!(!mirror.apply(Change::Removed { key: "p/kept".to_owned(), revision: at(12) }));
+    // Who knows only of the era before is told everything, whatever number it stands at.
+    let news = mirror.news_since(at(u64::MAX));
+    assert!(news.is_whole && news.changes.len() == 1, "{news:?}");
+    assert!(!mirror.news_since(restored(4)).is_whole);
+}
+
+fn written(era: u64, edition: u64, term: u64) -> LeadershipRecord {
+    LeadershipRecord { era, edition, term, primary: "i-1".to_owned(), ..Default::default() }
+}
+
+/// What is known is put back over the copy, and never over what was confirmed in the present era.
+#[test]
+fn the_latest_record_of_an_ended_era_counts_until_one_is_confirmed() {
+    use CountingRecord::{Known, Stored};
+    let changing = |chosen: Option<&str>| {
+        let chosen = chosen.map(|server| ChosenServer { server: server.to_owned(), keeps: 1 });
+        let change = PrimaryChange { id: "1.1".to_owned(), reason: "gone".to_owned(), chosen };
+        LeadershipRecord { change: Some(change), ..written(0, 0, 4) }
+    };
+    let cases = [
+        ("no eras", Some(written(0, 0, 5)), Some(written(0, 0, 4)), 0, Stored),
+        ("no eras, and it is gone", Some(written(0, 0, 5)), None, 0, Stored),
+        ("a later term is known", Some(written(0, 0, 5)), Some(written(0, 0, 4)), 1, Known),
+        ("it is lost", Some(written(0, 0, 5)), None, 1, Known),
+        ("nothing is known", None, Some(written(0, 0, 4)), 1, Stored),
+        ("another put a later one back", Some(written(0, 0, 5)), Some(written(0, 0, 6)), 1, Stored),
+        ("an order may be under way", Some(changing(Some("i-2"))), Some(changing(None)), 1, Known),
+        ("a later edition of a term", Some(written(1, 8, 4)), Some(written(1, 7, 4)), 2, Known),
+        ("a late write of an ended era", Some(written(2, 9, 5)), Some(written(1, 12, 6)), 3, Known),
+        ("confirmed meanwhile", Some(written(1, 9, 6)), Some(written(2, 3, 5)), 2, Stored),
+    ];
+    for (name, known, stored, era, expected) in cases {
+        let counts = CountingRecord::choose(known.as_ref(), stored.as_ref(), Era(era));
+        assert_eq!(counts, expected, "{name}");
+    }
+}
+
+/// A site whose store tells of no eras keeps records as they were.
+#[test]
+fn a_record_without_an_era_is_written_as_before() {
+    let text = serde_json::to_string(&written(0, 0, 4)).unwrap();
+    assert!(!text.contains("era") && !text.contains("edition"), "{text}");
+}
+
 /// A look that found no replica level must not keep the lead in place for as long as a move does.
 #[test]
 fn the_lead_moves_when_replicas_are_behind_and_not_again_and_again() {
--- a/crates/proxy/tests/peers.rs
+++ b/crates/proxy/tests/peers.rs
@@ -15,7 +15,7 @@
             OwnKeys, PrimarySample, SharedReading, StoreReading, judge_reading,
         },
     },
-    metadata::{Change, Item},
+    metadata::{Change, Era, Item, Revision},
 };
 
 const USEFUL: Duration = Duration::from_millis(700);
@@ -24,17 +24,22 @@
     Duration::from_millis(ms)
 }
 
-fn known(records: &[(&str, u64)]) -> HashMap<Name, u64> {
-    records.iter().map(|(service, revision)| (Name::from(*service), *revision)).collect()
+/// A revision of a store that tells of no era.
+fn at(number: u64) -> Revision {
+    Revision::new(Era::NONE, number)
+}
+
+fn known(records: &[(&str, u64)]) -> HashMap<Name, Revision> {
+    records.iter().map(|(service, revision)| (Name::from(*service), at(*revision))).collect()
 }
 
 #[test]
 fn a_reading_renews_what_it_showed_to_whoever_knows_all_of_it() {
     let base = Instant::now() + ms(10_000);
-    let reading = StoreReading { asked_at: base, revision: 20 };
-    let keys = |followed_to, member, records: &[(&str, u64)]| OwnKeys {
-        followed_to,
-        member,
+    let reading = StoreReading { asked_at: base, revision: at(20) };
+    let keys = |followed_to, member: Option<u64>, records: &[(&str, u64)]| OwnKeys {
+        followed_to: at(followed_to),
+        member: member.map(at),
         records: known(records),
     };
     let renews = |services: &[&str]| {
@@ -54,6 +59,19 @@
     }
 }
 
+/// A restored store gives revisions out again: the same number shows nothing of another era.
+#[test]
+fn a_reading_of_another_era_renews_nothing() {
+    let base = Instant::now() + ms(10_000);
+    let restored = |number| Revision::new(Era(2), number);
+    let keys = OwnKeys { followed_to: at(20), member: Some(at(3)), records: known(&[("a", 5)]) };
+    let later = StoreReading { asked_at: base, revision: restored(10) };
+    assert_eq!(judge_reading(&later, base, USEFUL, &keys), SharedReading::Useless);
+    let keys = OwnKeys { followed_to: restored(10), member: Some(restored(3)), ..keys };
+    let earlier = StoreReading { asked_at: base, revision: at(20) };
+    assert_eq!(judge_reading(&earlier, base, USEFUL, &keys), SharedReading::Useless);
+}
+
 #[test]
 fn a_question_that_waited_counts_from_when_the_answer_was_made_and_never_later() {
     let base = Instant::now() + ms(10_000);
@@ -66,7 +84,7 @@
         term: Term(3),
         asked_at: servers_asked_at,
     };
-    let reading = StoreReading { asked_at: base + ms(300), revision: 20 };
+    let reading = StoreReading { asked_at: base + ms(300), revision: at(20) };
     let mut answer = FollowAnswer {
         held_ms: made_at.duration_since(received_at).as_millis() as u64,
         reading: Some(reading.told_at(4, made_at)),
@@ -79,8 +97,8 @@
     assert_eq!((&*heard.server, heard.term), ("s1", Term(3)));
     assert!(heard.asked_at <= servers_asked_at, "evidence seems older than it is, never younger");
     assert!(heard.asked_at >= servers_asked_at - ms(42), "by the way of the question at the most");
-    let heard = answer.reading.unwrap().reading(answer.made_at(sent_at)).unwrap();
-    assert_eq!(heard.revision, 20);
+    let heard = answer.reading.unwrap().reading(answer.made_at(sent_at), Era::NONE).unwrap();
+    assert_eq!(heard.revision, at(20));
     assert!(heard.asked_at <= reading.asked_at && heard.asked_at >= reading.asked_at - ms(42));
 }
 
@@ -89,16 +107,16 @@
     let put = Change::Put(Item {
         key: "k".to_owned(),
         value: vec![0, 255, 7].into(),
-        revision: 9,
-        created: 4,
+        revision: at(9),
+        created: at(4),
     });
     let empty = Change::Put(Item {
         key: "e".to_owned(),
         value: Vec::new().into(),
-        revision: 10,
-        created: 10,
+        revision: at(10),
+        created: at(10),
     });
-    let removed = Change::Removed { key: "r".to_owned(), revision: 11 };
+    let removed = Change::Removed { key: "r".to_owned(), revision: at(11) };
     let sent = vec![put, empty, removed];
     let message = FollowAnswer {
         changes: sent.iter().cloned().map(Into::into).collect(),
@@ -111,6 +129,14 @@
     let mut received = FollowAnswer::decode(&*head.encode_to_vec()).unwrap();
     received.changes = ChangesMessage::decode(&*changes.unwrap().encode_to_vec()).unwrap().changes;
     assert_eq!(received.take_told(Instant::now()).news.changes, sent);
+    // All revisions of an answer are of the era that it tells.
+    let mut restored = FollowAnswer {
+        changes: sent.iter().cloned().map(Into::into).collect(),
+        era: 3,
+        ..FollowAnswer::default()
+    };
+    let told = restored.take_told(Instant::now()).news.changes;
+    assert!(told.iter().all(|change| change.revision().era() == Era(3)));
     let (head, changes) = FollowAnswer::default().split();
     assert!(!head.changes_follow && changes.is_none());
 }
