--- a/crates/proxy/src/control/packing.rs
+++ b/crates/proxy/src/control/packing.rs
@@ -53,9 +53,10 @@
 impl Packer {
     /// Returns a change as it is sent.
     pub(crate) fn pack(&self, change: Change) -> ChangeMessage {
+        let revision = change.revision();
         let mut message = ChangeMessage::from(change);
         if let Some(value) = message.value.as_mut().filter(|it| it.len() >= PACK_FROM_BYTES) {
-            *value = self.packed(&message.key, message.revision, value);
+            *value = self.packed(&message.key, revision, value);
             message.is_packed = true;
         }
         message
@@ -71,10 +72,12 @@
         let mut whole = self.whole.borrow_mut();
         if let Some(known) = whole.as_ref()
             && now.duration_since(known.packed_at) < WHOLE_LASTS
+            // The answer that it goes with tells one era for all.
+            && known.followed_to.era() == mirror.era()
         {
             return known.clone();
         }
-        let changes = mirror.news_since(0).changes.into_iter().filter(is_wanted);
+        let changes = mirror.news_since(Revision::ABSENT).changes.into_iter().filter(is_wanted);
         let changes = changes.map(ChangeMessage::from).collect();
         let message = ChangesMessage { changes, packed: Bytes::new() };
         let packed = deflate(&message.encode_to_vec());
--- a/crates/proxy/src/control/runner.rs
+++ b/crates/proxy/src/control/runner.rs
@@ -140,6 +140,8 @@
     pub(crate) rejoin: Notify,
     /// Wakes whoever tells of suspicions when the store may not show them as it should.
     pub(crate) suspicions_due: Notify,
+    /// Wakes whoever writes again what the store lost.
+    pub(crate) put_back: Notify,
     pub(crate) writes: (flume::Sender<PendingWrite>, flume::Receiver<PendingWrite>),
 }
 
@@ -176,6 +178,7 @@
         epoch: Instant::now(),
         rejoin: Notify::new(),
         suspicions_due: Notify::new(),
+        put_back: Notify::new(),
         writes: flume::bounded(MOST_PENDING_WRITES),
     });
     let mut ended = parts.ended;
@@ -192,6 +195,7 @@
             control.clone().suspicion_loop(),
             control.clone().duty_lease_loop(),
             control.clone().peer_loop(parts.peer_listener),
+            control.clone().put_back_loop(),
         );
     };
     tokio::select! {
@@ -245,6 +249,7 @@
     /// Publishes what is believed now.
     pub(crate) fn publish(&self) {
         let now = Instant::now();
+        self.take_doubted_entries(now);
         let mut state = self.state.borrow_mut();
         let grace = Duration::from_millis(self.settings.leadership.lapse_grace_ms);
         if state.is_store_silent(self.patience()) {
--- a/crates/proxy/src/control/starting.rs
+++ b/crates/proxy/src/control/starting.rs
@@ -14,7 +14,7 @@
         state::MemberValue,
         tree::{TreeMember, daemon_to_follow},
     },
-    metadata::{Consistency, MetadataError, MetadataStore},
+    metadata::{Consistency, MetadataError, MetadataStore, Revision},
 };
 
 /// Members up to which each daemon reads everything itself when it starts: that takes one step instead of the three of the
@@ -94,6 +94,6 @@
 
     /// Whether another daemon has told all of it, and that its reading of the store is young and shows this daemon.
     fn has_heard_everything(&self) -> bool {
-        self.state.borrow().mirror.followed_to() > 0 && self.is_reading_shared()
+        self.state.borrow().mirror.followed_to() > Revision::ABSENT && self.is_reading_shared()
     }
 }
--- a/crates/proxy/src/events.rs
+++ b/crates/proxy/src/events.rs
@@ -30,6 +30,8 @@
     pub held: IntCounterVec,
     /// Attempts that were not made because they would have taken room from others, by why they were wanted.
     pub tries_denied: IntCounterVec,
+    /// What was done because the store was restored, by what it was.
+    pub restores: IntCounterVec,
     /// Numbers as they are now: callers, version of the configuration, members.
     pub now: IntGaugeVec,
 }
@@ -98,6 +100,11 @@
             "Attempts that were not made so that they take no room from others, by cause.",
             &["cause"],
         );
+        let restores = counter(
+            "wardtiller_proxy_restores_total",
+            "Restores of the metadata store that were seen, and what was put back, confirmed or given up after them.",
+            &["what"],
+        );
         let statement_seconds = HistogramVec::new(
             HistogramOpts::new(
                 "wardtiller_proxy_statement_seconds",
@@ -129,6 +136,7 @@
             circuits,
             held,
             tries_denied,
+            restores,
             now,
         }
     }
