--- a/crates/proxy/tests/peers.rs
+++ b/crates/proxy/tests/peers.rs
@@ -124,7 +124,7 @@
         ..FollowAnswer::default()
     };
     // The changes travel behind the answer, so that it is small whatever they are.
-    let (head, changes) = message.split(Bytes::new());
+    let (head, changes) = message.split(Vec::new().into());
     assert!(head.changes_follow && head.changes.is_empty());
     let mut received = FollowAnswer::decode(&*head.encode_to_vec()).unwrap();
     received.changes = ChangesMessage::decode(&*changes.unwrap().encode_to_vec()).unwrap().changes;
@@ -137,7 +137,7 @@
     };
     let told = restored.take_told(Instant::now()).news.changes;
     assert!(told.iter().all(|change| change.revision().era() == Era(3)));
-    let (head, changes) = FollowAnswer::default().split(Bytes::new());
+    let (head, changes) = FollowAnswer::default().split(Vec::new().into());
     assert!(!head.changes_follow && changes.is_none());
 }
 
