--- a/crates/overload/src/hold.rs
+++ b/crates/overload/src/hold.rs
@@ -146,6 +146,11 @@
 }
 
 impl Patience {
+    /// Returns until when the statement may be sent once more after a path failed: another one may be free at once.
+    pub fn tries_until(&self) -> Instant {
+        self.arrived + self.timeout.mul_f64(UNDER_WAY_SHARE)
+    }
+
     /// Returns until when the statement may wait for its turn, once the outage ended at `now`.
     pub fn turn_until(&self, outage: Outage, now: Instant) -> Instant {
         self.until(outage).min(now + self.target.mul_f64(RELEASE_TARGET_SHARE))
--- a/crates/proxy/src/serve/holding.rs
+++ b/crates/proxy/src/serve/holding.rs
@@ -382,7 +382,11 @@
         server: Name,
     ) -> Option<StatementError> {
         let group = self.group(&job.route.service, &self.beliefs());
-        if Instant::now() + ROUND_PAUSE >= self.hold_until(job)
+        let until = match self.holds(&group) && rounds.sent > 0 {
+            true => job.patience().tries_until(),
+            false => self.hold_until(job),
+        };
+        if Instant::now() + ROUND_PAUSE >= until
             || self.is_in_vain(&group, job, rounds, &server)
         {
             return Some(self.no_answer(&group, job, rounds));
