--- a/crates/proxy/src/serve/admission.rs
+++ b/crates/proxy/src/serve/admission.rs
@@ -40,7 +40,9 @@
 /// How long an account is refused without a question where no keeper was found.
 const NO_KEEPER_FOR: Duration = Duration::from_millis(100);
 /// What a caller is told to wait at the least where its account is at its limit; others of its callers come back too.
-const COME_BACK_MS: u64 = 200;
+const COME_BACK: Duration = Duration::from_millis(200);
+/// How often the log tells that an account is at its limit.
+const AT_LIMIT_TOLD_EVERY: Duration = Duration::from_secs(1);
 
 /// What this daemon holds of one account's limit.
 #[derive(Default)]
@@ -49,6 +51,21 @@
     is_asking: Cell<bool>,
     waiting: Cell<u32>,
     answered: Notify,
+    /// Operations refused since the log last told of it, and when that was.
+    refused: Cell<u32>,
+    told_at: Cell<Option<Instant>>,
+}
+
+impl Held {
+    /// Counts a refusal; returns how many there were if the log should tell of them now.
+    fn count_refused(&self, now: Instant) -> Option<u32> {
+        self.refused.set(self.refused.get() + 1);
+        if self.told_at.get().is_some_and(|at| now.duration_since(at) < AT_LIMIT_TOLD_EVERY) {
+            return None;
+        }
+        self.told_at.set(Some(now));
+        Some(self.refused.take())
+    }
 }
 
 impl Limits {
@@ -91,13 +108,13 @@
                 Taken::Full { until: full_until, lasts } => {
                     if lasts || full_until >= until {
                         let wait = full_until.saturating_duration_since(now);
-                        return Err(self.at_limit(account, limit, wait, id));
+                        return Err(self.at_limit(account, limit, &held, wait, id));
                     }
                     tokio::time::sleep_until(full_until.into()).await;
                     continue;
                 }
                 Taken::Ask if now >= until => {
-                    return Err(self.at_limit(account, limit, Duration::ZERO, id));
+                    return Err(self.at_limit(account, limit, &held, Duration::ZERO, id));
                 }
                 Taken::Ask => self.ask_keeper(account, &held),
             }
@@ -112,16 +129,26 @@
         &self,
         account: &Account,
         limit: RateLimit,
+        held: &Held,
         wait: Duration,
         id: &[u8],
     ) -> StatementError {
-        let come_back_ms = COME_BACK_MS.max(wait.as_millis() as u64 + 1);
+        let come_back_ms = self.spread(wait.max(COME_BACK)).as_millis() as u64 + 1;
         self.metrics.refused.with_label_values(&["limit"]).inc();
         log::debug!(
             event = "at_limit", id = id_text(id).as_str(), account = &*account.name,
             rate_per_s = limit.rate_per_s, retry_after_ms = come_back_ms;
             "an operation was refused since its account is at its limit"
         );
+        let now = Instant::now();
+        if let Some(refused) = held.count_refused(now) {
+            let keeper = self.limits.keeper(now);
+            log::info!(
+                event = "account_limited", account = &*account.name, refused = refused,
+                rate_per_s = limit.rate_per_s, keeper = keeper.as_deref().unwrap_or("");
+                "operations of an account were refused since it is at its limit"
+            );
+        }
         let why = "the client account is at its limit";
         StatementError::come_back(ErrorCode::Overloaded, why, come_back_ms)
     }
--- a/crates/proxy/src/serve/engine.rs
+++ b/crates/proxy/src/serve/engine.rs
@@ -25,9 +25,10 @@
     relay::links::RelayLinks,
     serve::{
         connection::{ConnectionLost, EndpointConnection, Introduction},
-        holding::{GroupOutage, Holding},
+        holding::Holding,
         lent::{Lent, OpeningPlace},
         limits::Limits,
+        outage::GroupOutage,
         pool::{GroupPool, NoConnection, Offer},
         reachability::ProbeState,
         replay::SessionValues,
--- a/crates/proxy/src/serve/holding.rs
+++ b/crates/proxy/src/serve/holding.rs
@@ -4,28 +4,28 @@
 //! callers' tries. [`overload::hold`] decides; `docs/design/hard-load.md` says what was weighed.
 
 use std::{
-    cell::{Cell, RefCell},
+    cell::RefCell,
     rc::Rc,
     time::{Duration, Instant},
 };
 
 use model::{LogPoint, Name, StatementClass};
 use overload::{
-    Rank,
-    come_back::ComeBack,
-    hold::{Hold, OngoingOutage, Outage, OutageHistory, Ticket, WaitingLine, decide},
+    come_back::spread,
+    hold::{Hold, OngoingOutage, Outage, OutageHistory, decide},
     try_budget::{Cause, TryBudget},
 };
 
 use crate::{
     catalog::ReadRule,
-    control::beliefs::{Beliefs, Lead},
+    control::beliefs::Lead,
     dialect::{CallerDialect, EndpointDialect},
     serve::{
         engine::{Engine, Group},
         execute::{Denied, ROUND_PAUSE},
         floor::place_for,
         job::Job,
+        outage::{Outlook, Place, outage_of},
         telling::Refusal,
         verdict::Next,
     },
@@ -44,15 +44,6 @@
     tries: RefCell<TryBudget>,
 }
 
-/// The outage of one group, and who waits for its end.
-#[derive(Default)]
-pub(crate) struct GroupOutage {
-    ongoing: Cell<Option<OngoingOutage>>,
-    /// How long it was expected to take when it was found.
-    expected: Cell<Duration>,
-    line: RefCell<WaitingLine>,
-}
-
 /// What earlier attempts of one statement have shown.
 #[derive(Default)]
 pub(crate) struct Rounds {
@@ -64,97 +55,20 @@
     pub(crate) sent: u32,
 }
 
-/// A place in a group's line, which is left when this is dropped.
-struct Place<'a> {
-    outage: &'a GroupOutage,
-    ticket: Ticket,
-}
-
-impl GroupOutage {
-    fn join(&self, rank: Rank) -> Place<'_> {
-        Place { outage: self, ticket: self.line.borrow_mut().join(rank) }
-    }
-
-    /// Notes that an outage of this kind lasts, since `began_at` if it is new.
-    fn observe(
-        &self,
-        outage: Outage,
-        began_at: Instant,
-        history: &OutageHistory,
-        now: Instant,
-    ) -> OngoingOutage {
-        let known = self.ongoing.get().filter(|known| known.outage == outage);
-        let mut ongoing = known.unwrap_or_else(|| {
-            let new = OngoingOutage::new(outage, began_at, now);
-            let elapsed = new.elapsed(now);
-            self.expected.set(elapsed + history.remaining(outage, elapsed));
-            new
-        });
-        ongoing.observe(now);
-        self.ongoing.set(Some(ongoing));
-        self.line.borrow_mut().close();
-        ongoing
-    }
-}
-
-impl Place<'_> {
-    fn ahead(&self) -> u32 {
-        self.outage.line.borrow().ahead_of(self.ticket) as u32
-    }
-
-    fn turn(&self, pace: Duration, latest: Instant, now: Instant) -> Instant {
-        self.outage.line.borrow_mut().turn(self.ticket, pace, latest, now)
-    }
-}
-
-impl Drop for Place<'_> {
-    fn drop(&mut self) {
-        self.outage.line.borrow_mut().leave(self.ticket);
-    }
-}
-
-/// Says why no primary may be used, and since when as far as that is known.
-fn outage_of(beliefs: &Beliefs, service: &str, now: Instant) -> (Outage, Instant) {
-    match beliefs.leads.get(service) {
-        Some(lead) if lead.is_valid(now) => (Outage::Unreachable, now),
-        Some(lead) if lead.planned => (Outage::PlannedChange, now),
-        Some(lead) if lead.changing => (Outage::Failover, now),
-        Some(lead) => (Outage::LapsedRight, lead.valid_until),
-        None => (Outage::LapsedRight, now),
-    }
-}
-
-/// What is expected of an outage.
-#[derive(Clone, Copy, Debug)]
-struct Outlook {
-    outage: Outage,
-    elapsed: Duration,
-    remaining: Duration,
-}
-
-impl Outlook {
-    /// What a refused caller is told: when the outage is expected to be over, or when to try another daemon.
-    fn come_back(&self, route: ComeBack, history: &OutageHistory, right: Duration) -> Duration {
-        let draw = rand::random();
-        if self.outage != Outage::LapsedRight {
-            return route.after(self.remaining, draw);
-        }
-        // The daemons that can still reach the store and the servers replace the primary once every right has ended.
-        let replaced_after = right + history.remaining(Outage::Failover, Duration::ZERO);
-        let until_replaced = replaced_after.saturating_sub(self.elapsed);
-        match self.remaining.min(until_replaced) {
-            expected if expected > route.target => route.after(expected, draw),
-            _ => route.elsewhere(draw),
-        }
-    }
-}
-
 impl<C: CallerDialect, E: EndpointDialect> Engine<C, E> {
     /// Whether statements of a group are held by what is known of outages.
     pub(crate) fn holds(&self, group: &Group<E>) -> bool {
         self.settings.overload.holding && group.is_contended()
     }
 
+    /// Returns a time to come back that differs for each caller, where statements are held.
+    pub(crate) fn spread(&self, come_back: Duration) -> Duration {
+        match self.settings.overload.holding {
+            true => spread(come_back, rand::random()),
+            false => come_back,
+        }
+    }
+
     /// Waits until there is a primary that may be used, or until a read can do without one.
     pub(crate) async fn await_primary(
         &self,
@@ -386,9 +300,7 @@
             true => job.patience().tries_until(),
             false => self.hold_until(job),
         };
-        if Instant::now() + ROUND_PAUSE >= until
-            || self.is_in_vain(&group, job, rounds, &server)
-        {
+        if Instant::now() + ROUND_PAUSE >= until || self.is_in_vain(&group, job, rounds, &server) {
             return Some(self.no_answer(&group, job, rounds));
         }
         let reads_anywhere = job.route.reads != ReadRule::Primary;
--- a/crates/proxy/src/serve/mod.rs
+++ b/crates/proxy/src/serve/mod.rs
@@ -14,6 +14,7 @@
 pub mod job;
 pub mod lent;
 pub(crate) mod limits;
+mod outage;
 pub mod pool;
 pub(crate) mod reachability;
 pub mod replay;
--- a/crates/proxy/src/serve/session.rs
+++ b/crates/proxy/src/serve/session.rs
@@ -35,7 +35,7 @@
 const CONFIGURATION_WITHIN: Duration = Duration::from_millis(1_500);
 /// What a caller is told to wait whose session is refused; a daemon that starts has read the configuration
 /// by then if the store answers.
-const SESSION_COMES_BACK_MS: u64 = 500;
+const SESSION_COMES_BACK: Duration = Duration::from_millis(500);
 /// Values and prepared names that one session may hold; they are replayed and kept in memory.
 const MOST_NAMES: usize = 1_024;
 
@@ -171,12 +171,13 @@
 
     /// Ends a session that has not begun, and tells its caller when to come back.
     async fn refuse_session(&mut self, database: &Name, why: &'static str) {
+        let come_back_ms = self.engine.spread(SESSION_COMES_BACK).as_millis() as u64;
         log::info!(
             event = "session_refused", database = &**database, why = why,
-            callers = self.engine.callers.get(), retry_after_ms = SESSION_COMES_BACK_MS;
+            callers = self.engine.callers.get(), retry_after_ms = come_back_ms;
             "a session was refused"
         );
-        let error = StatementError::come_back(ErrorCode::Overloaded, why, SESSION_COMES_BACK_MS);
+        let error = StatementError::come_back(ErrorCode::Overloaded, why, come_back_ms);
         self.link.put_error(error);
         // A caller that has gone need not be told.
         let _ = self.link.flush().await;
