--- a/crates/proxy/src/serve/mod.rs
+++ b/crates/proxy/src/serve/mod.rs
@@ -15,6 +15,7 @@
 pub mod job;
 pub mod lent;
 pub(crate) mod limits;
+mod outage;
 pub(crate) mod paths;
 pub mod pool;
 pub(crate) mod reachability;
