--- a/crates/proxy/src/control/membership.rs
+++ b/crates/proxy/src/control/membership.rs
@@ -87,7 +87,7 @@
         state.acknowledged.clear();
         let is_read_before = state.servers_known;
         drop(state);
-        log::info!(event = "joined", lease = id.to_string().as_str(); "this daemon is a member");
+        log::info!(event = "joined", lease = id.number; "this daemon is a member");
         match is_read_before {
             // What was read as no member gave no right.
             true => self.refresh_now.notify_one(),
@@ -154,7 +154,7 @@
                 Ok(())
             }
             Ok(false) => {
-                log::info!(event = "lease_lost", lease = lease.id.to_string().as_str(); "the lease was over");
+                log::info!(event = "lease_lost", lease = lease.id.number; "the lease was over");
                 self.state.borrow_mut().lease = None;
                 self.join(lasts).await
             }
--- a/crates/proxy/src/control/record.rs
+++ b/crates/proxy/src/control/record.rs
@@ -47,6 +47,32 @@
     Known,
 }
 
+/// How a daemon came to the present era of the store.
+#[derive(Clone, Copy, Debug)]
+pub struct EraSeen {
+    /// The era.
+    pub era: Era,
+    /// For how long this daemon has known of it.
+    pub known_for: Duration,
+    /// Whether it knew the store in an earlier one.
+    pub knew_before: bool,
+}
+
+impl EraSeen {
+    /// Whether a group's leadership is left as it is for now, if its record is this one: an order that was given before the
+    /// restore may still take effect, though the store has lost all trace of it.
+    pub fn must_wait(&self, record: Option<&LeadershipRecord>, order_settles: Duration) -> bool {
+        if self.known_for >= order_settles {
+            return false;
+        }
+        match record {
+            Some(record) => record.era != self.era.0,
+            // Before the first record there was nothing to lose, as far as a daemon can know that has just started.
+            None => self.knew_before,
+        }
+    }
+}
+
 impl CountingRecord {
     /// Decides between what a daemon knows and what the store holds in this era.
     ///
--- a/crates/proxy/src/control/restored.rs
+++ b/crates/proxy/src/control/restored.rs
@@ -15,7 +15,10 @@
 use crate::{
     catalog::{CatalogFormat, ServerEntry},
     control::{
-        outside::Outside, peers::StoreReading, record::LeadershipRecord, runner::Control,
+        outside::Outside,
+        peers::StoreReading,
+        record::{EraSeen, LeadershipRecord},
+        runner::Control,
         state::State,
     },
     metadata::{Era, Item, MetadataError, Revision},
@@ -185,19 +188,16 @@
         tokio::time::sleep(longest.mul_f64(part)).await;
     }
 
-    /// Whether a group's leadership is left as it is for now: an order that was given before the restore may still take
-    /// effect, though nobody may know of it any more.
+    /// Whether a group's leadership is left as it is for now.
     pub(crate) fn must_settle(&self, service: &Name, now: Instant) -> bool {
         let settles = Duration::from_millis(self.settings.leadership.order_settles_ms);
         let state = self.state.borrow();
-        if state.restore.age(now) >= settles {
-            return false;
-        }
-        match state.records.get(service) {
-            Some(known) => !state.is_confirmed(&known.record),
-            // Before the first record there was nothing to lose, as far as a daemon can know that has just started.
-            None => state.restore.knew_before,
-        }
+        let seen = EraSeen {
+            era: state.mirror.era(),
+            known_for: state.restore.age(now),
+            knew_before: state.restore.knew_before,
+        };
+        seen.must_wait(state.records.get(service).map(|known| &known.record), settles)
     }
 
     /// Takes over that a server's entry is not there any more.
--- a/crates/telemetry/src/explain.rs
+++ b/crates/telemetry/src/explain.rs
@@ -8,7 +8,14 @@
 use serde_json::Value;
 
 /// Events that change what a daemon believes of a service; the last one before a request's line decided.
-const BELIEFS: [&str; 4] = ["leadership", "right_gained", "change_step", "server_reachability"];
+const BELIEFS: [&str; 6] = [
+    "leadership",
+    "right_gained",
+    "change_step",
+    "server_reachability",
+    "store_restored",
+    "record_confirmed",
+];
 
 /// One line of a log, with the daemon that wrote it where that is known.
 #[derive(Clone, Debug, PartialEq)]
@@ -36,7 +43,10 @@
         if text_of(&entry.fields, "id") == id {
             let known = beliefs
                 .iter()
-                .filter(|((source, about, _), _)| *source == entry.source && *about == service);
+                // What is said of no service concerns all of them.
+                .filter(|((source, about, _), _)| {
+                    *source == entry.source && (*about == service || about.is_empty())
+                });
             for (_, line) in known {
                 story.push(format!("    known: {line}"));
             }
