feat(proxy): an owner that is refused a connection exchanges its own; accounts' spares rest for 4 s

Now what is held when one is refused is all that is granted, for a second, and one is ended for each that is opened.

The queue tells what it refuses (queue_refused, wardtiller_proxy_queued_total).

--- a/crates/overload/src/lib.rs
+++ b/crates/overload/src/lib.rs
@@ -7,12 +7,14 @@
 
 mod concurrency;
 mod demand;
+mod granted;
 mod load_report;
 mod rank;
 mod reuse;
 mod turns;
 mod work_queue;
 
+pub use granted::{AfterRefusal, Granted};
 pub use load_report::{AgedReport, LoadReport};
 pub use rank::{RANKS, Rank};
 pub use reuse::{Resting, Reuse};
--- a/crates/proxy/src/events.rs
+++ b/crates/proxy/src/events.rs
@@ -16,6 +16,8 @@
     pub sent: IntCounterVec,
     /// Connections opened to servers, by how that ended.
     pub connections_opened: IntCounterVec,
+    /// Statements that went through an owner's queue, by rank and how that ended.
+    pub queued: IntCounterVec,
     /// Calls to the metadata store by kind and how they ended.
     pub store_calls: IntCounterVec,
     /// Steps of changes of primary.
@@ -57,6 +59,11 @@
             "Connections opened to servers, by outcome.",
             &["outcome"],
         );
+        let queued = counter(
+            "wardtiller_proxy_queued_total",
+            "Statements offered to the queue of a server, by rank and outcome.",
+            &["rank", "outcome"],
+        );
         let store_calls = counter(
             "wardtiller_proxy_store_calls_total",
             "Calls to the metadata store, by kind and outcome.",
@@ -101,6 +108,7 @@
             statement_seconds,
             sent,
             connections_opened,
+            queued,
             store_calls,
             promotion_steps,
             contradictions,
--- a/crates/proxy/src/serve/engine.rs
+++ b/crates/proxy/src/serve/engine.rs
@@ -12,6 +12,7 @@
 use config::OverloadSettings;
 use limits::WindowRule;
 use model::Name;
+use overload::Rank;
 use routing::RetryBudget;
 use session::StalenessSamples;
 use tokio::sync::{Notify, watch};
@@ -304,7 +305,9 @@
         deadline: Instant,
     ) -> Result<Lent<E>, AcquireError> {
         loop {
-            let offer = match group.pool.lend(wish.clone(), values, deadline).await {
+            let lent = group.pool.lend(wish.clone(), values, deadline).await;
+            self.count_queued(&wish, &lent);
+            let offer = match lent {
                 Ok(offer) => offer,
                 Err(NoConnection::Nowhere) => return Err(AcquireError::Nowhere),
                 Err(NoConnection::QueueFull) => return Err(AcquireError::QueueFull),
@@ -343,6 +346,21 @@
         }
     }
 
+    /// Counts what became of a statement that this daemon runs on connections of its own for others.
+    fn count_queued(&self, wish: &Wish, lent: &Result<Offer<E>, NoConnection>) {
+        if !wish.is_handed_over || wish.principal.is_none() {
+            return;
+        }
+        let outcome = match lent {
+            Ok(_) => "begun",
+            Err(NoConnection::Overloaded { .. } | NoConnection::QueueFull) => "refused",
+            Err(NoConnection::TooLate) => "too_late",
+            Err(NoConnection::Nowhere) => "nowhere",
+        };
+        let rank = Rank::of_priority(wish.priority).index().to_string();
+        self.metrics.queued.with_label_values(&[rank.as_str(), outcome]).inc();
+    }
+
     /// Returns what a server is told of who connects.
     pub(crate) fn introduce<'a>(&'a self, principal: &'a Principal) -> Introduction<'a> {
         Introduction { host: &self.settings.host, principal }
--- a/crates/proxy/src/serve/server_queue.rs
+++ b/crates/proxy/src/serve/server_queue.rs
@@ -1,12 +1,13 @@
 //! The queue in front of one server, and a statement's turn in it, which gives itself back however it ends.
 
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     collections::HashMap,
     rc::Rc,
     time::{Duration, Instant},
 };
 
+use model::Name;
 use overload::{LoadReport, Next, Offered, Request, Room, Stage, Ticket, WorkQueue};
 use tokio::sync::oneshot;
 
@@ -22,19 +23,31 @@
     TooLate,
 }
 
+/// How often a server's queue tells that it refuses statements.
+const TOLD_EVERY: Duration = Duration::from_secs(1);
+
 type Answer = Result<Turn, NotBegun>;
 
 /// The queue of one server at this daemon.
 pub(crate) struct ServerQueue {
     work: RefCell<WorkQueue>,
     waiting: RefCell<HashMap<Ticket, oneshot::Sender<Answer>>>,
+    server: Name,
+    told_at: Cell<Option<Instant>>,
+    /// Statements that did not begin, since that was told.
+    not_begun: Cell<u64>,
 }
 
 impl ServerQueue {
     /// Makes an empty one.
-    pub(crate) fn new(room: Room) -> Rc<ServerQueue> {
-        let work = RefCell::new(WorkQueue::new(room));
-        Rc::new(ServerQueue { work, waiting: RefCell::default() })
+    pub(crate) fn new(server: Name, room: Room) -> Rc<ServerQueue> {
+        Rc::new(ServerQueue {
+            work: RefCell::new(WorkQueue::new(room)),
+            waiting: RefCell::default(),
+            server,
+            told_at: Cell::default(),
+            not_begun: Cell::default(),
+        })
     }
 
     /// Takes over what may be used of the server.
@@ -45,9 +58,17 @@
 
     /// Waits until a statement may begin. Whoever stops waiting is taken out.
     pub(crate) async fn await_turn(self: &Rc<Self>, request: Request) -> Answer {
+        let answer = self.offer(&request).await;
+        if answer.is_err() {
+            self.tell_not_begun(&request);
+        }
+        answer
+    }
+
+    async fn offer(self: &Rc<Self>, request: &Request) -> Answer {
         let offered = self.work.borrow_mut().offer(request.clone(), Instant::now());
         match offered {
-            Offered::Begin => Ok(Turn::new(self, request)),
+            Offered::Begin => Ok(Turn::new(self, request.clone())),
             Offered::Refused { come_back } => Err(NotBegun::Overloaded { come_back }),
             Offered::Waits { ticket, displaced } => {
                 let (answer, answered) = oneshot::channel();
@@ -72,6 +93,25 @@
         work.running() + work.waiting() as u32
     }
 
+    /// Tells operators whose statements did not begin, and what was before them; bounded, since many don't at a time.
+    fn tell_not_begun(&self, request: &Request) {
+        let now = Instant::now();
+        self.not_begun.set(self.not_begun.get() + 1);
+        if self.told_at.get().is_some_and(|at| now.duration_since(at) < TOLD_EVERY) {
+            return;
+        }
+        self.told_at.set(Some(now));
+        let work = self.work.borrow();
+        log::info!(
+            event = "queue_refused", server = &*self.server, statements = self.not_begun.take(),
+            account = &*request.account, rank = request.rank.index(),
+            stage = format!("{:?}", request.stage).as_str(), waiting = work.waiting(),
+            running = work.running(), limit = work.limit(),
+            come_back_ms = work.expected_wait(request.rank, now).as_millis() as u64;
+            "a server's queue has no room in time for some statements"
+        );
+    }
+
     async fn await_answer(
         self: &Rc<Self>,
         ticket: Ticket,
--- a/crates/proxy/src/serve/slot.rs
+++ b/crates/proxy/src/serve/slot.rs
@@ -8,7 +8,7 @@
 };
 
 use model::LogPoint;
-use overload::{Resting, Reuse, Room};
+use overload::{AfterRefusal, Granted, Resting, Reuse, Room};
 use routing::LatencyAverage;
 
 use crate::{
@@ -35,6 +35,9 @@
 /// How long a connection beyond the first may rest. Connections that are not needed leave room for
 /// those of daemons that start anew while their former ones still count.
 const SPARE_RESTS: Duration = Duration::from_millis(1_000);
+/// The same where accounts compete for an owner's connections: long enough for the next statement of an account that asks
+/// every few seconds, which would else open one.
+const COMPETED_RESTS: Duration = Duration::from_millis(4_000);
 /// How long a connection may rest where there are more daemons than connections to a server, so that
 /// the others get their turn.
 const SCARCE_RESTS: Duration = Duration::from_millis(300);
@@ -80,6 +83,8 @@
     pub(crate) no_detour_until: Option<Instant>,
     /// What waits for it, where this daemon's connections are not everybody's.
     pub(crate) queue: Option<Rc<ServerQueue>>,
+    /// How many connections the server grants at present.
+    pub(crate) granted: Granted,
     /// How often accounts use connections to it, where they compete for them.
     pub(crate) reuse: Option<Reuse>,
     /// Whether it is still listed; one that is not gets no new work.
@@ -110,6 +115,7 @@
             next_detour: 0,
             no_detour_until: None,
             queue: None,
+            granted: Granted::default(),
             reuse: None,
             listed: true,
         }
@@ -119,7 +125,11 @@
     pub(crate) fn end_spares(&mut self) {
         let now = Instant::now();
         let others = self.in_use as usize;
-        let rests = if self.keeps > 0 { SPARE_RESTS } else { SCARCE_RESTS };
+        let rests = match (self.keeps, &self.reuse) {
+            (0, _) => SCARCE_RESTS,
+            (_, None) => SPARE_RESTS,
+            (_, Some(_)) => COMPETED_RESTS,
+        };
         while self.idle.len() + others > self.keeps as usize {
             let rested =
                 self.idle.iter().take_while(|(since, _)| now.duration_since(*since) > rests);
@@ -140,6 +150,7 @@
             self.failures = 0;
             self.no_opening_until = None;
             self.away_until = None;
+            self.granted = Granted::default();
         }
         self.entry = entry;
     }
@@ -152,8 +163,8 @@
     /// Ends the connection that is least likely to be used again where another one is to be opened and all places are
     /// taken.
     pub(crate) fn make_room(&mut self) {
-        let most = (self.limit + self.loan).max(1);
         let now = Instant::now();
+        let most = self.most_at(now);
         while self.idle.len() as u32 + self.in_use >= most {
             let Some(least) = self.least_likely(self.idle.len(), now) else { return };
             self.idle.remove(least);
@@ -225,10 +236,29 @@
         self.no_opening_until = Some(Instant::now() + backoff);
         if refused {
             self.no_loan_until = Some(Instant::now() + NO_LOAN_FOR);
+            self.note_crowded();
         }
         backoff
     }
 
+    /// Notes that the server grants no more connections. Behind a queue one may be ended for each that is opened, so that who
+    /// has none gets one.
+    fn note_crowded(&mut self) {
+        if self.queue.is_none() {
+            return;
+        }
+        let held = self.idle.len() as u32 + self.in_use;
+        match self.granted.on_refused(held, Instant::now()) {
+            AfterRefusal::Exchange => self.no_opening_until = None,
+            AfterRefusal::Pause => {}
+        }
+    }
+
+    /// Returns how many connections there may be at a time.
+    fn most_at(&self, now: Instant) -> u32 {
+        self.granted.most(self.limit + self.loan, now)
+    }
+
     /// Takes over the ways around to it. Connections through other daemons end once there is a direct path,
     /// which is shorter and needs nobody else.
     pub(crate) fn set_detours(&mut self, detours: Arc<[SocketAddr]>) {
@@ -298,14 +328,17 @@
 
     /// Whether a connection may be opened now, as far as former failures go.
     pub(crate) fn may_open(&self, now: Instant) -> bool {
-        self.no_opening_until.is_none_or(|until| now >= until) || self.has_detour(now)
+        let is_paused = self.no_opening_until.is_some_and(|until| now < until);
+        self.in_use < self.most_at(now) && (!is_paused || self.has_detour(now))
     }
 
     /// Takes over whether statements wait in a queue of this server's own, and what it has room for.
     pub(crate) fn set_queue(&mut self, room: Option<Room>) {
         match (&self.queue, room) {
             (Some(queue), Some(room)) => queue.set_room(room),
-            (None, Some(room)) => self.queue = Some(ServerQueue::new(room)),
+            (None, Some(room)) => {
+                self.queue = Some(ServerQueue::new(self.entry.server.clone(), room))
+            }
             (_, None) => self.queue = None,
         }
     }
