--- a/crates/overload/src/lib.rs
+++ b/crates/overload/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod come_back;
 mod concurrency;
 mod demand;
+mod granted;
 pub mod hold;
 mod layout;
 mod load_report;
@@ -19,6 +20,7 @@
 mod work_queue;
 
 pub use circuit::{Circuit, CircuitChange, PathOutcome};
+pub use granted::{AfterRefusal, Granted};
 pub use layout::{Layout, Reach};
 pub use load_report::{AgedReport, LoadReport};
 pub use rank::{RANKS, Rank};
