--- a/crates/proxy/src/serve/engine.rs
+++ b/crates/proxy/src/serve/engine.rs
@@ -380,7 +380,7 @@
         (peer, opened.await.map(drop))
     }
 
-    pub(crate) fn on_detour_failed(
+    fn on_detour_failed(
         &self,
         group: &Group<E>,
         server: &Name,
--- a/crates/proxy/src/serve/paths.rs
+++ b/crates/proxy/src/serve/paths.rs
@@ -189,7 +189,14 @@
             for (peer, opened) in futures::future::join_all(opened).await {
                 match opened {
                     Ok(()) => is_open = true,
-                    Err(lost) => self.on_detour_failed(group, server, peer, &lost),
+                    Err(lost) => {
+                        log::debug!(
+                            event = "no_detour", server = &**server,
+                            peer = peer.to_string().as_str(), why = lost.to_string().as_str();
+                            "another daemon has no way to a server either"
+                        );
+                        group.pool.on_detour_failed(server, peer);
+                    }
                 }
             }
             if is_open {
--- a/crates/proxy/tests/relay.rs
+++ b/crates/proxy/tests/relay.rs
@@ -138,6 +138,7 @@
     use proxy::{
         relay::{
             link::RelayLink,
+            links::RelayLinks,
             messages::{RelayAnswer, RelayOutcome},
         },
         serve::{connection::ConnectionLost, verdict::Progress},
@@ -318,4 +319,75 @@
             assert_eq!(second, Ok(RelayOutcome::Lost("second".to_owned())));
         });
     }
+
+    /// The pattern: an owner behind a partition. Every request of a second was sent to find out whether it is back.
+    #[test]
+    fn a_link_that_was_lost_is_opened_again_without_requests() {
+        run(async {
+            let (listener, address) = owner().await;
+            let links = RelayLinks::new(true);
+            let start = Instant::now();
+            let first = links.to_first([address], start).unwrap();
+            drop(accept_only(&listener).await);
+            until_down(&first).await;
+            // It is passed over for a moment, and then tried with nothing on it.
+            assert!(links.to_first([address], start).is_none());
+            let later = start + Duration::from_secs(60);
+            assert!(links.to_first([address], later).is_none());
+            let mut frames = accept(&listener).await;
+            let link = loop {
+                if let Some(link) = links.to_first([address], later) {
+                    break link;
+                }
+                tokio::task::yield_now().await;
+            };
+            assert!(link.is_connected());
+            let asked = link.ask(write(), Instant::now() + DEADLINE);
+            let answers = async {
+                let number = read(&mut frames).await.number;
+                answer(&mut frames, number, RelayOutcome::Lost("answered".to_owned())).await;
+            };
+            let (answered, ()) = tokio::join!(asked, answers);
+            assert_eq!(answered, Ok(RelayOutcome::Lost("answered".to_owned())));
+        });
+    }
+
+    /// The pattern: the owner is gone and the second one is there; nobody waits for the first.
+    #[test]
+    fn the_second_owner_is_used_while_the_link_to_the_first_is_lost() {
+        run(async {
+            let (gone, first) = owner().await;
+            let (_listener, second) = owner().await;
+            drop(gone);
+            let links = RelayLinks::new(true);
+            let start = Instant::now();
+            until_down(&links.to_first([first, second], start).unwrap()).await;
+            for after_ms in [0, 1_000, 60_000] {
+                let now = start + Duration::from_millis(after_ms);
+                assert_eq!(links.to_first([first, second], now).unwrap().owner(), second);
+            }
+        });
+    }
+
+    /// The pattern: a partition ends, and the keeper of the limits needs the votes of members that could not be reached.
+    #[test]
+    fn a_member_that_alone_can_answer_is_never_passed_over() {
+        run(async {
+            let (gone, address) = owner().await;
+            drop(gone);
+            let links = RelayLinks::new(true);
+            let now = Instant::now();
+            for _ in 0..3 {
+                let link = links.to_member(address, now);
+                assert!(!link.is_down());
+                until_down(&link).await;
+            }
+        });
+    }
+
+    async fn until_down(link: &RelayLink) {
+        while !link.is_down() {
+            tokio::task::yield_now().await;
+        }
+    }
 }
