fix(proxy): an owner that says nothing is found out while requests keep coming

Cause: the link looked for signs of life 100 ms after the last request or answer, so that requests which came more often put it off, and each first request after others were given up began the silence anew. A frozen owner behind a busy link was never taken for dead; the test asks 400 times in vain without the mend.

--- a/crates/proxy/src/relay/link.rs
+++ b/crates/proxy/src/relay/link.rs
@@ -175,6 +175,9 @@
         let (mut sink, mut stream) = frames.split();
         let mut heard_at = Instant::now();
         let mut pinged_at: Option<Instant> = None;
+        // Whether something was asked since anything was heard, also if nobody waits for it any more.
+        let mut is_owed = false;
+        let mut look_at = Instant::now() + LOOK_EVERY;
         loop {
             if self.is_down() {
                 return "the link was full".to_owned();
@@ -183,10 +186,11 @@
             tokio::select! {
                 request = requests.recv_async() => {
                     let Ok(request) = request else { return "the daemon ends".to_owned() };
-                    if self.waiting.borrow().len() <= 1 {
+                    if !is_owed && self.is_only_one(request.number) {
                         // Silence counts from when there is something to answer.
                         heard_at = Instant::now();
                     }
+                    is_owed |= self.waiting.borrow().contains_key(&request.number);
                     let written = async {
                         sink.feed(encoded(&self.with_end(request))).await?;
                         while let Ok(more) = requests.try_recv() {
@@ -203,6 +207,7 @@
                 frame = stream.next() => {
                     heard_at = Instant::now();
                     pinged_at = None;
+                    is_owed = false;
                     match frame.map(|frame| frame.map(|it| RelayAnswer::decode(it.freeze()))) {
                         Some(Ok(Ok(answer))) => self.take(answer),
                         Some(Ok(Err(error))) => return error.to_string(),
@@ -210,7 +215,9 @@
                         None => return "closed by the owner".to_owned(),
                     }
                 }
-                () = tokio::time::sleep(LOOK_EVERY), if is_waiting => {
+                // A moment of its own: requests that keep coming don't put it off.
+                () = tokio::time::sleep_until(look_at.into()), if is_waiting || is_owed => {
+                    look_at = Instant::now() + LOOK_EVERY;
                     match look(heard_at, pinged_at, Instant::now()) {
                         Look::Fine => {}
                         Look::Ping => {
@@ -230,6 +237,12 @@
         }
     }
 
+    /// Whether a request is the only one that waits for an answer; one that is told only never does.
+    fn is_only_one(&self, number: u64) -> bool {
+        let waiting = self.waiting.borrow();
+        waiting.len() == 1 && waiting.contains_key(&number)
+    }
+
     /// Tells the owner by its own clock until when it may begin with a request. Its clock was read before it was
     /// heard here, so the moment is never later than the one that this daemon waits for.
     fn with_end(&self, request: RelayRequest) -> RelayRequest {
--- a/crates/proxy/tests/relay.rs
+++ b/crates/proxy/tests/relay.rs
@@ -333,6 +333,33 @@
         });
     }
 
+    /// Statements that keep coming and are given up must not hide that the owner says nothing.
+    #[test]
+    fn an_owner_that_is_frozen_is_found_out_while_requests_keep_coming() {
+        run(async {
+            let (listener, address) = owner().await;
+            let link = RelayLink::start(address);
+            let frozen = async {
+                let mut frames = accept(&listener).await;
+                while frames.next().await.is_some() {}
+            };
+            let asks = async {
+                // Far more than come before it counts as dead, each given up long before that.
+                for _ in 0..400 {
+                    let read = RelayTask::Read(Bytes::from_static(b"a 1"));
+                    let request = RelayRequest { task: Some(read), ..RelayRequest::default() };
+                    let lost = link.ask(request, Instant::now() + Duration::from_millis(20)).await;
+                    assert!(lost.is_err());
+                    if link.is_down() {
+                        return;
+                    }
+                }
+                panic!("it is not found out");
+            };
+            tokio::join!(frozen, asks);
+        });
+    }
+
     #[test]
     fn answers_find_their_requests_in_whatever_order_they_come_and_a_slow_server_is_waited_for() {
         run(async {
