fix(proxy): a connection that is being opened is opened also if nobody waits any more

Only the wait in the queue ends now.

A queue's estimate goes by its connections where they are fewer than the slots. A server without a connection that will not open one in time is said to be out of reach at once.

--- a/crates/overload/src/work_queue.rs
+++ b/crates/overload/src/work_queue.rs
@@ -403,7 +403,8 @@
     /// Returns after how long so much work is done and one more slot is free. A server in which nothing has moved for some
     /// time is taken to need as long again: it may hang.
     fn drained_after(&self, work_us: u64, now: Instant) -> Duration {
-        let slots = u64::from(self.limit.slots().min(self.limit.get()).max(1));
+        let at_a_time = self.limit.slots().min(self.limit.get()).min(self.connections);
+        let slots = u64::from(at_a_time.max(1));
         let mean = Duration::from_micros(self.mean_us());
         let still = self.moved_at.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
         let stalled = still.saturating_sub(mean);
--- a/crates/proxy/src/relay/answering.rs
+++ b/crates/proxy/src/relay/answering.rs
@@ -234,8 +234,7 @@
     await_servers(engine, received_at + request.waits()).await;
     let group = group_of(engine, request);
     let Some(errand) = request.errand() else { return not_sent(NotSent::Unwilling) };
-    let acquired = acquire(engine, &group, request, &errand, received_at);
-    let mut lent = match unless_unwanted(is_unwanted, acquired).await {
+    let mut lent = match acquire(engine, &group, request, &errand, received_at, is_unwanted).await {
         Ok(lent) => lent,
         Err(why) => return not_sent(why),
     };
@@ -287,8 +286,9 @@
             None => not_sent(NotSent::Unwilling),
             Some(errand) => {
                 if lent.is_none() {
-                    let acquired = acquire(&engine, &group, &request, &errand, received_at);
-                    match unless_unwanted(&is_unwanted, acquired).await {
+                    match acquire(&engine, &group, &request, &errand, received_at, &is_unwanted)
+                        .await
+                    {
                         Ok(granted) => lent = Some(granted),
                         Err(why) => {
                             let answer = answer_with_load(&engine, &request, not_sent(why));
@@ -299,9 +299,7 @@
                     }
                 }
                 let Some(held) = lent.as_mut() else { return };
-                if let Err(why) =
-                    unless_unwanted(&is_unwanted, await_turn(&engine, &request, held)).await
-                {
+                if let Err(why) = await_turn(&engine, &request, held).await {
                     let answer = answer_with_load(&engine, &request, not_sent(why));
                     // The link may have ended meanwhile.
                     let _ = answers.send_async(answer).await;
@@ -327,18 +325,6 @@
     }
 }
 
-/// Waits for something unless its asker takes back what it asked, or is gone.
-async fn unless_unwanted<T>(
-    is_unwanted: &CancellationToken,
-    waits: impl Future<Output = Result<T, NotSent>>,
-) -> Result<T, NotSent> {
-    tokio::select! {
-        biased;
-        done = waits => done,
-        () = is_unwanted.cancelled() => Err(NotSent::TooLate),
-    }
-}
-
 /// Waits until the next statement of a transaction may begin, for no longer than its asker lets it.
 async fn await_turn<C: CallerDialect, E: EndpointDialect>(
     engine: &Rc<Engine<C, E>>,
@@ -376,6 +362,7 @@
     request: &RelayRequest,
     errand: &Errand,
     received_at: Instant,
+    is_unwanted: &CancellationToken,
 ) -> Result<Lent<E>, NotSent> {
     if engine.is_stopping() {
         return Err(NotSent::Unwilling);
@@ -390,6 +377,7 @@
         yields: request.yields,
         opens_transaction: matches!(request.task, Some(RelayTask::Begin(_))),
         is_handed_over: true,
+        is_unwanted: Some(is_unwanted.clone()),
         principal: match &request.task {
             Some(RelayTask::Command(_)) => None,
             _ => Some(Principal::from_told(&request.account)),
--- a/crates/proxy/src/serve/ask.rs
+++ b/crates/proxy/src/serve/ask.rs
@@ -61,6 +61,7 @@
         yields: false,
         opens_transaction: false,
         is_handed_over: false,
+        is_unwanted: None,
         principal: None,
     };
     // Whatever values the connection holds do no harm to a status.
--- a/crates/proxy/src/serve/execute.rs
+++ b/crates/proxy/src/serve/execute.rs
@@ -196,6 +196,7 @@
             yields: class == StatementClass::Read && job.route.reads != ReadRule::Primary,
             opens_transaction: rounds.opens_transaction,
             is_handed_over: false,
+            is_unwanted: None,
             principal: Some(job.principal.clone()),
         };
         // The wait for a primary is over only now, and the wait for a connection begins.
--- a/crates/proxy/src/serve/in_turn.rs
+++ b/crates/proxy/src/serve/in_turn.rs
@@ -6,6 +6,7 @@
 };
 
 use overload::{LoadReport, Rank, Request, Room, Stage};
+use tokio_util::sync::CancellationToken;
 
 use crate::{
     accounts::Principal,
@@ -14,7 +15,7 @@
     serve::{
         pool::{GroupPool, NoConnection, Offer},
         replay::SessionValues,
-        server_queue::NotBegun,
+        server_queue::{NotBegun, Turn},
         share::{Owned, Share},
         slot::ServerSlot,
         wish::Wish,
@@ -65,7 +66,8 @@
         let turn = match (queue, &wish.principal) {
             (Some(queue), Some(principal)) => {
                 let request = request_for(wish, principal, deadline);
-                Some(queue.await_turn(request).await?)
+                let waits = queue.await_turn(request);
+                Some(unless_unwanted(wish.is_unwanted.as_ref(), waits).await?)
             }
             // Commands of a daemon wait for nothing but a connection.
             _ => None,
@@ -87,10 +89,19 @@
             return Ok(Some(Offer::Open(self.place(index, wish, turn))));
         }
         drop(turn);
-        self.await_opening(deadline).await
+        self.await_opening(&server, deadline).await
     }
 
-    async fn await_opening(&self, deadline: Instant) -> Result<Option<Offer<E>>, NoConnection> {
+    /// Waits for a connection where none may be opened now. One that has none and will not open any in time is no server to
+    /// wait for.
+    async fn await_opening(
+        &self,
+        server: &str,
+        deadline: Instant,
+    ) -> Result<Option<Offer<E>>, NoConnection> {
+        if self.with_slot(server, |slot| slot.is_out_of_reach_until(deadline)) == Some(true) {
+            return Err(NoConnection::Nowhere);
+        }
         let look_at = Instant::now() + LOOK_AGAIN_AFTER;
         if look_at >= deadline {
             return Err(NoConnection::TooLate);
@@ -100,6 +111,19 @@
     }
 }
 
+/// Waits for a turn unless its asker takes back what it asked, or is gone.
+async fn unless_unwanted(
+    is_unwanted: Option<&CancellationToken>,
+    waits: impl Future<Output = Result<Turn, NotBegun>>,
+) -> Result<Turn, NotBegun> {
+    let Some(is_unwanted) = is_unwanted else { return waits.await };
+    tokio::select! {
+        biased;
+        turn = waits => turn,
+        () = is_unwanted.cancelled() => Err(NotBegun::TooLate),
+    }
+}
+
 fn request_for(wish: &Wish, principal: &Principal, until: Instant) -> Request {
     let stage = if wish.opens_transaction { Stage::Opens } else { Stage::Alone };
     let account = principal.told().into();
--- a/crates/proxy/src/serve/slot.rs
+++ b/crates/proxy/src/serve/slot.rs
@@ -332,6 +332,12 @@
         self.in_use < self.most_at(now) && (!is_paused || self.has_detour(now))
     }
 
+    /// Whether there is no connection, and none will be opened before `deadline`.
+    pub(crate) fn is_out_of_reach_until(&self, deadline: Instant) -> bool {
+        let is_paused = self.no_opening_until.is_some_and(|until| until >= deadline);
+        is_paused && self.in_use == 0 && self.idle.is_empty()
+    }
+
     /// Takes over whether statements wait in a queue of this server's own, and what it has room for.
     pub(crate) fn set_queue(&mut self, room: Option<Room>) {
         match (&self.queue, room) {
--- a/crates/proxy/src/serve/wish.rs
+++ b/crates/proxy/src/serve/wish.rs
@@ -1,6 +1,7 @@
 //! What a statement that wants a connection asks for.
 
 use model::{LogPoint, Name};
+use tokio_util::sync::CancellationToken;
 
 use crate::accounts::Principal;
 
@@ -23,6 +24,9 @@
     pub opens_transaction: bool,
     /// Whether another daemon handed it over; then it runs on a connection of this one, whoever owns them.
     pub is_handed_over: bool,
+    /// Cancelled when nobody wants it any more; then it is taken out of the server's queue. A connection that is being opened is
+    /// still opened: that it can't be tells others.
+    pub is_unwanted: Option<CancellationToken>,
     /// For whom the connection must work; `None` for a command of the daemon's own, which any will do for.
     pub principal: Option<Principal>,
 }
