feat(proxy): behind a queue statements wait for up to 0.6 of their target latency

Cause: 0.35 left room for a second wait inside the server, which there is none of any more; what would wait in vain is refused on arrival. Where no daemon owns connections for others the wait stays as it was.

--- a/crates/proxy/src/serve/in_turn.rs
+++ b/crates/proxy/src/serve/in_turn.rs
@@ -39,6 +39,11 @@
         Some(Room { slots, connections, owners })
     }
 
+    /// Whether statements wait in the queues of servers.
+    pub(crate) fn is_queued(&self) -> bool {
+        self.overload.queue && self.state.borrow().is_owned
+    }
+
     /// Whether accounts compete for the connections to a server: none can do another's work.
     pub(super) fn do_accounts_compete(&self, share: &Share) -> bool {
         self.overload.reuse && matches!(share.owned, Some(Owned::Once { .. }))
--- a/crates/proxy/src/serve/job.rs
+++ b/crates/proxy/src/serve/job.rs
@@ -30,6 +30,9 @@
 /// The part of its target latency that a statement waits for a connection. Under a lasting overload
 /// every statement waits for as long as it may; with more, all of them would be late.
 const WAIT_SHARE: f64 = 0.35;
+/// The same where an owner's queue refuses on arrival what would wait in vain: then nothing waits inside the server, and a
+/// statement that has begun needs little more than its own work.
+const QUEUED_WAIT_SHARE: f64 = 0.6;
 
 /// A statement that only a server can run.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -101,15 +104,16 @@
         self.arrived + self.route.timeout
     }
 
-    /// How long the statement may wait for a connection.
-    pub(crate) fn waits(&self) -> Duration {
-        self.route.target_latency.mul_f64(WAIT_SHARE)
+    /// How long the statement may wait for a connection; `is_queued` says that servers have queues of their own.
+    pub(crate) fn waits(&self, is_queued: bool) -> Duration {
+        let share = if is_queued { QUEUED_WAIT_SHARE } else { WAIT_SHARE };
+        self.route.target_latency.mul_f64(share)
     }
 
     /// Until when the statement may wait for a connection while all of them are in use.
     /// One that waited for a primary before has as long again, since all of them come at once then.
-    pub(crate) fn wait_until(&self, now: Instant) -> Instant {
-        let waits = self.waits();
+    pub(crate) fn wait_until(&self, now: Instant, is_queued: bool) -> Instant {
+        let waits = self.waits(is_queued);
         if now < self.arrived + waits { self.arrived + waits } else { now + waits }
     }
 
--- a/crates/proxy/src/serve/pool.rs
+++ b/crates/proxy/src/serve/pool.rs
@@ -52,6 +52,8 @@
     keep: Keep,
     pub(super) servers: Vec<ServerSlot<E>>,
     waiters: [VecDeque<Waiter<E>>; PRIORITIES],
+    /// Whether daemons own connections for others.
+    pub(super) is_owned: bool,
 }
 
 /// Priorities that are told apart; less urgent ones count as the last.
@@ -97,7 +99,12 @@
         relays: Rc<RelayLinks>,
         overload: OverloadSettings,
     ) -> GroupPool<E> {
-        let state = PoolState { keep: Keep::One, servers: Vec::new(), waiters: Default::default() };
+        let state = PoolState {
+            keep: Keep::One,
+            servers: Vec::new(),
+            waiters: Default::default(),
+            is_owned: false,
+        };
         GroupPool { availability_zone, relays, overload, state: RefCell::new(state) }
     }
 
@@ -111,6 +118,7 @@
     ) {
         let mut state = self.state.borrow_mut();
         state.keep = share.keep;
+        state.is_owned = share.owned.is_some();
         for slot in &mut state.servers {
             slot.listed = entries.iter().any(|entry| entry.server == slot.entry.server);
             if !slot.listed {
--- a/crates/proxy/src/serve/transaction.rs
+++ b/crates/proxy/src/serve/transaction.rs
@@ -169,7 +169,8 @@
             let sent_at = Instant::now();
             let reached = granted.lent.reached();
             // Where an owner is asked the wait for its connection comes first.
-            let waits = if reached.is_own { Duration::ZERO } else { job.waits() };
+            let is_queued = group.pool.is_queued();
+            let waits = if reached.is_own { Duration::ZERO } else { job.waits(is_queued) };
             let deadline = job.deadline().min(sent_at + waits + BEGIN_WITHIN);
             let begun = granted.lent.run(&begin, deadline).await;
             let server = reached.server.clone();
