--- a/crates/overload/src/lib.rs
+++ b/crates/overload/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod concurrency;
 mod demand;
+mod fading;
 mod granted;
 mod load_report;
 mod rank;
--- a/crates/overload/src/reuse.rs
+++ b/crates/overload/src/reuse.rs
@@ -8,16 +8,11 @@
     time::{Duration, Instant},
 };
 
-use model::Name;
+use crate::fading::FadingSums;
 
 /// What an account asked counts for half after so long: some times longer than the rest between two statements of a small
 /// account, and short enough to follow a change of who is busy.
 const HALVED_AFTER: Duration = Duration::from_secs(20);
-/// Accounts that are remembered before those that asked long ago are forgotten.
-const MOST_REMEMBERED: usize = 1_024;
-/// Accounts whose use has faded to this count as unknown.
-const FADED: f64 = 0.01;
-
 /// A connection at rest.
 #[derive(Clone, Copy, Debug)]
 pub struct Resting<'a> {
@@ -27,33 +22,22 @@
     pub since: Instant,
 }
 
-#[derive(Clone, Copy, Debug)]
-struct Use {
-    count: f64,
-    at: Instant,
+/// How often each account has used connections to one server lately.
+#[derive(Debug)]
+pub struct Reuse {
+    uses: FadingSums,
 }
 
-impl Use {
-    fn faded(&self, now: Instant) -> f64 {
-        let age = now.saturating_duration_since(self.at);
-        self.count * 0.5_f64.powf(age.as_secs_f64() / HALVED_AFTER.as_secs_f64())
+impl Default for Reuse {
+    fn default() -> Reuse {
+        Reuse { uses: FadingSums::new(HALVED_AFTER) }
     }
 }
 
-/// How often each account has used connections to one server lately.
-#[derive(Debug, Default)]
-pub struct Reuse {
-    uses: HashMap<Name, Use>,
-}
-
 impl Reuse {
     /// Notes that a statement of an account began.
     pub fn on_used(&mut self, account: &str, now: Instant) {
-        let count = self.expected(account, now) + 1.0;
-        self.uses.insert(Name::from(account), Use { count, at: now });
-        if self.uses.len() > MOST_REMEMBERED {
-            self.uses.retain(|_, it| it.faded(now) > FADED);
-        }
+        self.uses.add(account, 1.0, now);
     }
 
     /// Chooses which connection to end: the least likely to be used again.
@@ -68,7 +52,7 @@
         }
         let worth = |connection: &Resting<'_>| {
             let held = held[connection.account];
-            (held == 1, self.expected(connection.account, now) / f64::from(held))
+            (held == 1, self.uses.get(connection.account, now) / f64::from(held))
         };
         let order = |one: &Resting<'_>, other: &Resting<'_>| {
             let ((one_is_last, one_worth), (other_is_last, other_worth)) =
@@ -79,8 +63,4 @@
         let numbered = resting.iter().enumerate();
         numbered.min_by(|(_, one), (_, other)| order(one, other)).map(|(index, _)| index)
     }
-
-    fn expected(&self, account: &str, now: Instant) -> f64 {
-        self.uses.get(account).map_or(0.0, |it| it.faded(now))
-    }
 }
--- a/crates/proxy/src/serve/mod.rs
+++ b/crates/proxy/src/serve/mod.rs
@@ -24,4 +24,5 @@
 mod telling;
 pub mod transaction;
 pub mod verdict;
+mod waiting;
 pub mod wish;
--- a/crates/proxy/src/serve/pool.rs
+++ b/crates/proxy/src/serve/pool.rs
@@ -39,9 +39,6 @@
     },
 };
 
-/// Statements that may wait for the connections of one service; more are refused at once.
-const MOST_WAITING: usize = 256;
-
 /// A statement that waits for a connection.
 pub(super) struct Waiter<E: EndpointDialect> {
     pub(super) wish: Wish,
@@ -51,13 +48,13 @@
 pub(super) struct PoolState<E: EndpointDialect> {
     keep: Keep,
     pub(super) servers: Vec<ServerSlot<E>>,
-    waiters: [VecDeque<Waiter<E>>; PRIORITIES],
+    pub(super) waiters: [VecDeque<Waiter<E>>; PRIORITIES],
     /// Whether daemons own connections for others.
     pub(super) is_owned: bool,
 }
 
 /// Priorities that are told apart; less urgent ones count as the last.
-const PRIORITIES: usize = 4;
+pub(super) const PRIORITIES: usize = 4;
 
 /// The pool of one service.
 pub struct GroupPool<E: EndpointDialect> {
@@ -234,30 +231,6 @@
         self.with_slot(server, |slot| slot.at_owners = slot.at_owners.saturating_sub(1));
     }
 
-    async fn wait(
-        self: &Rc<Self>,
-        wish: Wish,
-        deadline: Instant,
-    ) -> Result<Offer<E>, NoConnection> {
-        let (grant, granted) = oneshot::channel();
-        {
-            let mut state = self.state.borrow_mut();
-            for queue in &mut state.waiters {
-                queue.retain(|waiter| !waiter.grant.is_closed());
-            }
-            if state.waiters.iter().map(VecDeque::len).sum::<usize>() >= MOST_WAITING {
-                return Err(NoConnection::QueueFull);
-            }
-            let lane = usize::from(wish.priority).min(PRIORITIES - 1);
-            state.waiters[lane].push_back(Waiter { wish, grant });
-        }
-        match tokio::time::timeout_at(deadline.into(), granted).await {
-            Ok(Ok(offer)) => Ok(offer),
-            Ok(Err(_)) => Err(NoConnection::Nowhere),
-            Err(_) => Err(NoConnection::TooLate),
-        }
-    }
-
     fn choose_now(&self, wish: &Wish) -> Choice {
         let now = Instant::now();
         let mut state = self.state.borrow_mut();
@@ -495,48 +468,4 @@
         self.with_slot(server, |slot| slot.leave(yields));
         self.serve_waiters();
     }
-
-    /// Hands free places to those that wait.
-    fn serve_waiters(self: &Rc<Self>) {
-        loop {
-            let free = {
-                let now = Instant::now();
-                let state = self.state.borrow();
-                let mut free = state.servers.iter().filter(|slot| slot.has_room(now));
-                let waits = |slot: &&ServerSlot<E>| self.has_waiter(&state, slot);
-                free.find(waits).map(|slot| slot.entry.clone())
-            };
-            let Some(entry) = free else { return };
-            let Some(waiter) = self.next_waiter(&entry.server) else { return };
-            self.offer_place(&entry.server, waiter);
-        }
-    }
-
-    fn has_waiter(&self, state: &PoolState<E>, slot: &ServerSlot<E>) -> bool {
-        let now = Instant::now();
-        state
-            .waiters
-            .iter()
-            .flatten()
-            .filter(|waiter| !waiter.grant.is_closed())
-            .any(|waiter| slot.is_fit(&waiter.wish, now) && !slot.is_full_for(&waiter.wish))
-    }
-
-    pub(super) fn next_waiter(&self, server: &str) -> Option<Waiter<E>> {
-        let now = Instant::now();
-        let mut state = self.state.borrow_mut();
-        let PoolState { servers, waiters, .. } = &mut *state;
-        let slot = servers.iter().find(|slot| &*slot.entry.server == server)?;
-        if !slot.listed {
-            return None;
-        }
-        for queue in waiters {
-            queue.retain(|waiter| !waiter.grant.is_closed());
-            let fits = |wish: &Wish| slot.is_fit(wish, now) && !slot.is_full_for(wish);
-            if let Some(index) = queue.iter().position(|waiter| fits(&waiter.wish)) {
-                return queue.remove(index);
-            }
-        }
-        None
-    }
 }
--- /dev/null
+++ b/crates/proxy/src/serve/waiting.rs
@@ -0,0 +1,87 @@
+//! Statements that wait for a connection of a pool whose servers have no queues of their own.
+
+use std::{collections::VecDeque, rc::Rc, time::Instant};
+
+use tokio::sync::oneshot;
+
+use crate::{
+    dialect::EndpointDialect,
+    serve::{
+        pool::{GroupPool, NoConnection, Offer, PRIORITIES, PoolState, Waiter},
+        slot::ServerSlot,
+        wish::Wish,
+    },
+};
+
+/// Statements that may wait for the connections of one service; more are refused at once.
+const MOST_WAITING: usize = 256;
+
+impl<E: EndpointDialect> GroupPool<E> {
+    pub(super) async fn wait(
+        self: &Rc<Self>,
+        wish: Wish,
+        deadline: Instant,
+    ) -> Result<Offer<E>, NoConnection> {
+        let (grant, granted) = oneshot::channel();
+        {
+            let mut state = self.state.borrow_mut();
+            for queue in &mut state.waiters {
+                queue.retain(|waiter| !waiter.grant.is_closed());
+            }
+            if state.waiters.iter().map(VecDeque::len).sum::<usize>() >= MOST_WAITING {
+                return Err(NoConnection::QueueFull);
+            }
+            let lane = usize::from(wish.priority).min(PRIORITIES - 1);
+            state.waiters[lane].push_back(Waiter { wish, grant });
+        }
+        match tokio::time::timeout_at(deadline.into(), granted).await {
+            Ok(Ok(offer)) => Ok(offer),
+            Ok(Err(_)) => Err(NoConnection::Nowhere),
+            Err(_) => Err(NoConnection::TooLate),
+        }
+    }
+
+    /// Hands free places to those that wait.
+    pub(super) fn serve_waiters(self: &Rc<Self>) {
+        loop {
+            let free = {
+                let now = Instant::now();
+                let state = self.state.borrow();
+                let mut free = state.servers.iter().filter(|slot| slot.has_room(now));
+                let waits = |slot: &&ServerSlot<E>| self.has_waiter(&state, slot);
+                free.find(waits).map(|slot| slot.entry.clone())
+            };
+            let Some(entry) = free else { return };
+            let Some(waiter) = self.next_waiter(&entry.server) else { return };
+            self.offer_place(&entry.server, waiter);
+        }
+    }
+
+    fn has_waiter(&self, state: &PoolState<E>, slot: &ServerSlot<E>) -> bool {
+        let now = Instant::now();
+        state
+            .waiters
+            .iter()
+            .flatten()
+            .filter(|waiter| !waiter.grant.is_closed())
+            .any(|waiter| slot.is_fit(&waiter.wish, now) && !slot.is_full_for(&waiter.wish))
+    }
+
+    pub(super) fn next_waiter(&self, server: &str) -> Option<Waiter<E>> {
+        let now = Instant::now();
+        let mut state = self.state.borrow_mut();
+        let PoolState { servers, waiters, .. } = &mut *state;
+        let slot = servers.iter().find(|slot| &*slot.entry.server == server)?;
+        if !slot.listed {
+            return None;
+        }
+        for queue in waiters {
+            queue.retain(|waiter| !waiter.grant.is_closed());
+            let fits = |wish: &Wish| slot.is_fit(wish, now) && !slot.is_full_for(wish);
+            if let Some(index) = queue.iter().position(|waiter| fits(&waiter.wish)) {
+                return queue.remove(index);
+            }
+        }
+        None
+    }
+}
