--- a/crates/proxy/src/serve/mod.rs
+++ b/crates/proxy/src/serve/mod.rs
@@ -17,7 +17,7 @@
 pub mod pool;
 pub(crate) mod reachability;
 pub mod replay;
-pub(crate) mod server_queue;
+pub mod server_queue;
 pub mod session;
 pub mod share;
 mod slot;
--- a/crates/proxy/src/serve/server_queue.rs
+++ b/crates/proxy/src/serve/server_queue.rs
@@ -29,7 +29,7 @@
 type Answer = Result<Turn, NotBegun>;
 
 /// The queue of one server at this daemon.
-pub(crate) struct ServerQueue {
+pub struct ServerQueue {
     work: RefCell<WorkQueue>,
     waiting: RefCell<HashMap<Ticket, oneshot::Sender<Answer>>>,
     server: Name,
@@ -40,7 +40,7 @@
 
 impl ServerQueue {
     /// Makes an empty one.
-    pub(crate) fn new(server: Name, room: Room) -> Rc<ServerQueue> {
+    pub fn new(server: Name, room: Room) -> Rc<ServerQueue> {
         Rc::new(ServerQueue {
             work: RefCell::new(WorkQueue::new(room)),
             waiting: RefCell::default(),
@@ -51,13 +51,13 @@
     }
 
     /// Takes over what may be used of the server.
-    pub(crate) fn set_room(self: &Rc<Self>, room: Room) {
+    pub fn set_room(self: &Rc<Self>, room: Room) {
         self.work.borrow_mut().set_room(room);
         self.serve();
     }
 
     /// Waits until a statement may begin. Whoever stops waiting is taken out.
-    pub(crate) async fn await_turn(self: &Rc<Self>, request: Request) -> Answer {
+    pub async fn await_turn(self: &Rc<Self>, request: Request) -> Answer {
         let answer = self.offer(&request).await;
         if answer.is_err() {
             self.tell_not_begun(&request);
@@ -83,12 +83,12 @@
     }
 
     /// Returns the load of the server, as this daemon sees it.
-    pub(crate) fn report(&self) -> LoadReport {
+    pub fn report(&self) -> LoadReport {
         self.work.borrow().report(Instant::now())
     }
 
     /// Returns how many statements wait or run.
-    pub(crate) fn outstanding(&self) -> u32 {
+    pub fn outstanding(&self) -> u32 {
         let work = self.work.borrow();
         work.running() + work.waiting() as u32
     }
@@ -158,7 +158,7 @@
 }
 
 /// The right of one statement to be inside the server, and that of its transaction to a connection.
-pub(crate) struct Turn {
+pub struct Turn {
     queue: Rc<ServerQueue>,
     request: Request,
     began_at: Instant,
@@ -171,12 +171,12 @@
     }
 
     /// Whether its statement is inside the server.
-    pub(crate) fn has_slot(&self) -> bool {
+    pub fn has_slot(&self) -> bool {
         self.has_slot
     }
 
     /// Gives the slot to others; the connection stays. `has_run` says that the statement ran to its end.
-    pub(crate) fn leave_slot(&mut self, has_run: bool) {
+    pub fn leave_slot(&mut self, has_run: bool) {
         if !std::mem::take(&mut self.has_slot) {
             return;
         }
@@ -186,7 +186,7 @@
     }
 
     /// Waits until the next statement of the transaction may begin.
-    pub(crate) async fn await_next(&self, until: Instant) -> Answer {
+    pub async fn await_next(&self, until: Instant) -> Answer {
         let request = Request { stage: Stage::Continues, until, ..self.request.clone() };
         self.queue.await_turn(request).await
     }
