--- a/crates/overload/src/lib.rs
+++ b/crates/overload/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod come_back;
 mod concurrency;
 mod demand;
+mod fading;
 mod granted;
 pub mod hold;
 mod layout;
--- a/crates/proxy/src/serve/ask.rs
+++ b/crates/proxy/src/serve/ask.rs
@@ -62,6 +62,7 @@
         opens_transaction: false,
         is_handed_over: false,
         tried: 0,
+        is_unwanted: None,
         principal: None,
     };
     // Whatever values the connection holds do no harm to a status.
--- a/crates/proxy/src/serve/wish.rs
+++ b/crates/proxy/src/serve/wish.rs
@@ -1,6 +1,7 @@
 //! What a statement that wants a connection asks for.
 
 use model::{LogPoint, Name};
+use tokio_util::sync::CancellationToken;
 
 use crate::accounts::Principal;
 
@@ -25,6 +26,9 @@
     pub is_handed_over: bool,
     /// How often the operation was sent before, over all daemons.
     pub tried: u32,
+    /// Cancelled when nobody wants it any more; then it is taken out of the server's queue. A connection that is being opened is
+    /// still opened: that it can't be tells others.
+    pub is_unwanted: Option<CancellationToken>,
     /// For whom the connection must work; `None` for a command of the daemon's own, which any will do for.
     pub principal: Option<Principal>,
 }
