--- a/crates/proxy/src/relay/answering.rs
+++ b/crates/proxy/src/relay/answering.rs
@@ -10,6 +10,7 @@
 use bytes::Bytes;
 use futures::{SinkExt, StreamExt};
 use model::{Name, StatementClass};
+use overload::PathOutcome;
 use prost::Message;
 
 use crate::{
@@ -24,6 +25,7 @@
         engine::{AcquireError, Engine, Group},
         errand::{Errand, Task},
         execute::{Sample, Watch},
+        health::outcome_of,
         lent::Lent,
         verdict::Progress,
         wish::Wish,
@@ -299,6 +301,9 @@
         return Err(NotSent::Unwilling);
     }
     let server = Name::from(request.server.as_str());
+    if request.may_go_elsewhere() && !engine.is_healthy(group, &server) {
+        return Err(NotSent::SetAside);
+    }
     let wish = Wish {
         only: Some(server.clone()),
         floor: None,
@@ -342,7 +347,8 @@
     let watch = Watch { service: &service, slow_after: request.lasts(), may_run_again: is_read };
     match engine.run_watched(group, errand, lent, deadline, watch).await {
         Ok(answer) => {
-            let took = sent_at.elapsed();
+            let took = answer.error_code().is_none().then(|| sent_at.elapsed());
+            engine.note_health(group, &reached.server, outcome_of(answer.error_code()));
             engine.note_answer(group, &service, &reached, answer.point, took);
             if request.leads && answer.error_code().is_none() {
                 let sample = Sample { sent_at, known, point: answer.point };
@@ -353,6 +359,9 @@
         }
         Err((progress, lost)) => {
             engine.note_loss(group, &service, &reached, &lost);
+            if progress == Progress::Sent {
+                engine.note_health(group, &reached.server, PathOutcome::Missed);
+            }
             let outcome = match progress {
                 Progress::NotSent => not_sent(NotSent::Unreachable),
                 Progress::Sent => RelayOutcome::Lost(lost.to_string()),
--- a/crates/proxy/src/relay/lease.rs
+++ b/crates/proxy/src/relay/lease.rs
@@ -39,6 +39,8 @@
     pub leads: bool,
     /// Whether it leaves room at the primary for others.
     pub yields: bool,
+    /// Whether no other server that could run it is known.
+    pub last_resort: bool,
     /// For whom it runs.
     pub principal: Principal,
 }
@@ -136,6 +138,7 @@
             priority: u32::from(self.terms.priority),
             leads: self.terms.leads,
             yields: self.terms.yields,
+            last_resort: self.terms.last_resort,
             account: self.terms.principal.told().to_owned(),
             ..RelayRequest::default()
         }
--- a/crates/proxy/src/relay/messages.rs
+++ b/crates/proxy/src/relay/messages.rs
@@ -69,6 +69,9 @@
     /// How often the operation was sent to a server or an owner before, over all daemons.
     #[prost(uint32, tag = "27")]
     pub tried: u32,
+    /// Whether the asker knows no other server that could run it, so that one which is set aside does.
+    #[prost(bool, tag = "31")]
+    pub last_resort: bool,
     /// What is to be done; none if it is of a later version than this daemon knows.
     #[prost(oneof = "RelayTask", tags = "13, 14, 15, 16, 17, 18, 19, 20, 21, 23, 25, 26")]
     pub task: Option<RelayTask>,
@@ -254,11 +257,18 @@
     Unwilling,
     /// More urgent work and that of other accounts leave no room in time; told at once.
     Overloaded,
+    /// The server fails much of what it is given and is set aside for now.
+    SetAside,
 }
 
 impl NotSent {
-    const ALL: [NotSent; 4] =
-        [NotSent::TooLate, NotSent::Unreachable, NotSent::Unwilling, NotSent::Overloaded];
+    const ALL: [NotSent; 5] = [
+        NotSent::TooLate,
+        NotSent::Unreachable,
+        NotSent::Unwilling,
+        NotSent::Overloaded,
+        NotSent::SetAside,
+    ];
 
     /// Returns the number by which it is told.
     pub fn number(self) -> u32 {
@@ -377,6 +387,16 @@
         }
     }
 
+    /// Whether another server may do as well: it only reads, and not at the primary for want of a replica.
+    pub fn may_go_elsewhere(&self) -> bool {
+        let only_reads = match &self.task {
+            Some(RelayTask::Read(_) | RelayTask::Begin(true)) => true,
+            Some(RelayTask::Execute(execute)) => !execute.writes,
+            _ => false,
+        };
+        only_reads && !self.leads && !self.last_resort
+    }
+
     /// Whether the owner may not begin with it any more at this time of its clock.
     pub fn is_over_at(&self, clock_ms: u64) -> bool {
         clock_ms >= self.begin_until_ms
--- a/crates/proxy/src/serve/execute.rs
+++ b/crates/proxy/src/serve/execute.rs
@@ -400,7 +400,7 @@
         let reached = granted.lent.reached();
         granted.lent.give_back();
         let service = &job.route.service;
-        self.note_answer(group, service, &reached, answer.point, sent_at.elapsed());
+        self.note_answer(group, service, &reached, answer.point, Some(sent_at.elapsed()));
         let Some(lead) = granted.lead else { return answer };
         let sample = Sample { sent_at, known: granted.known, point: answer.point };
         self.add_sample(group, service, &lead, sample);
--- a/crates/proxy/src/serve/mod.rs
+++ b/crates/proxy/src/serve/mod.rs
@@ -10,6 +10,7 @@
 pub mod errand;
 pub mod execute;
 pub mod floor;
+pub(crate) mod health;
 pub mod job;
 pub mod lent;
 pub(crate) mod limits;
--- a/crates/proxy/src/serve/paths.rs
+++ b/crates/proxy/src/serve/paths.rs
@@ -222,8 +222,14 @@
         reached: &Reached,
         lost: &ConnectionLost,
     ) {
-        if *lost == ConnectionLost::NotGranted(NotSent::Unreachable) {
-            self.note_path_outcome(pool, reached, PathOutcome::Refused);
+        match lost {
+            ConnectionLost::NotGranted(NotSent::Unreachable) => {
+                self.note_path_outcome(pool, reached, PathOutcome::Refused);
+            }
+            ConnectionLost::NotGranted(NotSent::SetAside) => {
+                pool.with_slot(&reached.server, |slot| slot.note_set_aside());
+            }
+            _ => {}
         }
     }
 
--- a/crates/proxy/src/serve/pool.rs
+++ b/crates/proxy/src/serve/pool.rs
@@ -172,9 +172,10 @@
 
     /// Returns the right to use a connection of the server's owner, if another daemon owns them and is there.
     fn lease(self: &Rc<Self>, index: usize, wish: &Wish, wait_until: Instant) -> Option<Lent<E>> {
+        let now = Instant::now();
         let mut state = self.state.borrow_mut();
+        let last_resort = state.servers.iter().filter(|slot| slot.is_fit(wish, now)).count() <= 1;
         let slot = &mut state.servers[index];
-        let now = Instant::now();
         let link = self.owner_of(slot, wish, now)?;
         slot.paths.on_pass(&link.owner(), now);
         slot.at_owners += 1;
@@ -185,6 +186,7 @@
             priority: wish.priority,
             leads: wish.primary.as_ref() == Some(&slot.entry.server),
             yields: wish.yields,
+            last_resort,
             principal: wish.principal.clone().unwrap_or(Principal::Daemon),
         };
         let lease = Lease::new(self.relays.clone(), link, terms);
@@ -377,8 +379,8 @@
         state.servers.iter_mut().find(|slot| &*slot.entry.server == server).map(act)
     }
 
-    /// Notes that a server answered, with its point.
-    pub fn on_answer(&self, server: &str, point: Option<LogPoint>, took: Duration) {
+    /// Notes that a server answered, with its point and, if it did what it was asked, how long it took.
+    pub fn on_answer(&self, server: &str, point: Option<LogPoint>, took: Option<Duration>) {
         self.with_slot(server, |slot| slot.note_answer(point, took));
     }
 
--- a/crates/proxy/src/serve/reachability.rs
+++ b/crates/proxy/src/serve/reachability.rs
@@ -47,7 +47,7 @@
         service: &Name,
         from: &Reached,
         point: Option<LogPoint>,
-        took: Duration,
+        took: Option<Duration>,
     ) {
         group.pool.on_answer(&from.server, point, took);
         self.note_path_answered(&group.pool, from);
--- a/crates/proxy/src/serve/slot.rs
+++ b/crates/proxy/src/serve/slot.rs
@@ -7,6 +7,7 @@
 };
 
 use model::LogPoint;
+use overload::Circuit;
 use routing::LatencyAverage;
 
 use crate::{
@@ -75,6 +76,8 @@
     pub(crate) detours: Arc<[SocketAddr]>,
     pub(crate) next_detour: usize,
     pub(crate) no_detour_until: Option<Instant>,
+    /// Whether it does what it is given, by what this daemon ran there for others.
+    pub(crate) health: Circuit,
     /// Which ways to it work.
     pub(crate) paths: ServerPaths,
     /// Whether it is still listed; one that is not gets no new work.
@@ -104,6 +107,7 @@
             detours: Arc::default(),
             next_detour: 0,
             no_detour_until: None,
+            health: Circuit::default(),
             paths: ServerPaths::default(),
             listed: true,
         }
@@ -133,6 +137,7 @@
             self.failures = 0;
             self.no_opening_until = None;
             self.away_until = None;
+            self.health = Circuit::default();
             self.paths = ServerPaths::default();
         }
         self.entry = entry;
@@ -161,10 +166,13 @@
         self.yielding = self.yielding.saturating_sub(u32::from(yields));
     }
 
-    /// Notes that it answered, with its point.
-    pub(crate) fn note_answer(&mut self, point: Option<LogPoint>, took: Duration) {
-        self.latency.add(took.as_micros() as u64);
-        self.latency_at = Some(Instant::now());
+    /// Notes that it answered, with its point. An error comes faster than an answer and says nothing of how long one takes:
+    /// counted, it would draw more statements to a server that fails.
+    pub(crate) fn note_answer(&mut self, point: Option<LogPoint>, took: Option<Duration>) {
+        if let Some(took) = took {
+            self.latency.add(took.as_micros() as u64);
+            self.latency_at = Some(Instant::now());
+        }
         self.failures = 0;
         self.away_until = None;
         self.no_opening_until = None;
@@ -194,6 +202,11 @@
         backoff
     }
 
+    /// Notes that its owner sets it aside.
+    pub(crate) fn note_set_aside(&mut self) {
+        self.away_until = Some(Instant::now() + FIRST_BACKOFF);
+    }
+
     /// Takes over the ways around to it. Connections through other daemons end once there is a direct path,
     /// which is shorter and needs nobody else.
     pub(crate) fn set_detours(&mut self, detours: Arc<[SocketAddr]>) {
--- a/crates/proxy/src/serve/transaction.rs
+++ b/crates/proxy/src/serve/transaction.rs
@@ -102,7 +102,7 @@
             let sent_at = Instant::now();
             match self.send(&group, job, lent, None, false).await {
                 Ok(answer) => {
-                    let took = sent_at.elapsed();
+                    let took = answer.error_code().is_none().then(|| sent_at.elapsed());
                     self.note_answer(&group, &job.route.service, &reached, answer.point, took);
                     match self.judge_in_transaction(&answer, is_first, job) {
                         InTransaction::Deliver => {
