--- a/crates/proxy/src/serve/execute.rs
+++ b/crates/proxy/src/serve/execute.rs
@@ -92,6 +92,7 @@
                 self.send(&group, job, &mut granted.lent, granted.floor, may_run_again).await;
             let reached = granted.lent.reached();
             let server = reached.server.clone();
+            self.note_own_health(&group, &reached, &sent);
             let next = match sent {
                 Ok(answer) => match answer.error_code() {
                     None if self.is_still_right(job, &granted) => {
--- a/crates/proxy/src/serve/health.rs
+++ b/crates/proxy/src/serve/health.rs
@@ -12,8 +12,12 @@
 
 use crate::{
     dialect::{CallerDialect, EndpointDialect},
-    serve::engine::{Engine, Group},
-    statement::ErrorCode,
+    serve::{
+        connection::{ConnectionLost, Reached},
+        engine::{Engine, Group},
+        verdict::Progress,
+    },
+    statement::{Answer, ErrorCode},
 };
 
 /// Returns what an answer says of its server. What was not run, such as a refusal of a busy server, says nothing against it.
@@ -38,9 +42,25 @@
         may_pass.unwrap_or(true)
     }
 
-    /// Takes note of what became of a statement that was run for another daemon.
+    /// Takes note of what became of a statement of this daemon's own callers on a connection of its own.
+    pub(crate) fn note_own_health(
+        &self,
+        group: &Group<E>,
+        reached: &Reached,
+        sent: &Result<Answer, (Progress, ConnectionLost)>,
+    ) {
+        let outcome = match sent {
+            _ if !reached.is_own => return,
+            Ok(answer) => outcome_of(answer.error_code()),
+            Err((Progress::Sent, _)) => PathOutcome::Missed,
+            Err((Progress::NotSent, _)) => return,
+        };
+        self.note_health(group, &reached.server, outcome);
+    }
+
+    /// Takes note of what became of a statement that ran on a connection of this daemon.
     pub(crate) fn note_health(&self, group: &Group<E>, server: &Name, outcome: PathOutcome) {
-        if !self.settings.overload.circuits {
+        if !group.pool.has_circuits() {
             return;
         }
         let now = Instant::now();
--- a/crates/proxy/src/serve/pool.rs
+++ b/crates/proxy/src/serve/pool.rs
@@ -158,18 +158,29 @@
                 if let Some(lent) = self.lease(index, &wish, deadline) {
                     return Ok(Offer::Lent(lent));
                 }
+                self.note_try(index, &wish);
                 if let Some(connection) = self.take_idle(index, values, &wish) {
                     return Ok(Offer::Lent(self.lent(connection, wish.yields)));
                 }
                 // Every idle connection had ended; there is room for a new one now.
                 Ok(Offer::Open(self.place(index, &wish)))
             }
-            Choice::Open(index) => Ok(Offer::Open(self.place(index, &wish))),
+            Choice::Open(index) => {
+                self.note_try(index, &wish);
+                Ok(Offer::Open(self.place(index, &wish)))
+            }
             Choice::Wait => self.wait(wish, deadline).await,
             Choice::Nowhere => Err(NoConnection::Nowhere),
         }
     }
 
+    /// Notes that a wish of this daemon's own callers is a try, where the server's circuit is not closed.
+    fn note_try(&self, index: usize, wish: &Wish) {
+        if !wish.is_handed_over {
+            self.state.borrow_mut().servers[index].health.on_pass(Instant::now());
+        }
+    }
+
     /// Returns the right to use a connection of the server's owner, if another daemon owns them and is there.
     fn lease(self: &Rc<Self>, index: usize, wish: &Wish, wait_until: Instant) -> Option<Lent<E>> {
         let now = Instant::now();
@@ -265,6 +276,7 @@
         let now = Instant::now();
         let mut state = self.state.borrow_mut();
         let mut candidates = self.candidates(&mut state, wish, now);
+        candidates.retain(|it| state.servers[it.index].is_healthy_for(wish, now));
         if let Some(Principal::Account(account)) = &wish.principal {
             mark_strange(&mut candidates, account, |index| &state.servers[index].entry.server);
         }
--- a/crates/proxy/src/serve/slot.rs
+++ b/crates/proxy/src/serve/slot.rs
@@ -242,6 +242,12 @@
         }
     }
 
+    /// Whether it does what it is given, where a wish of this daemon's own callers may be met elsewhere. The wishes of others
+    /// were looked at as they came ([`super::health`]).
+    pub(crate) fn is_healthy_for(&self, wish: &Wish, now: Instant) -> bool {
+        wish.only.is_some() || wish.is_handed_over || self.health.may_pass(now)
+    }
+
     /// Whether nothing can reach it from here, by what this daemon's probe says.
     pub(crate) fn is_dark(&self, now: Instant) -> bool {
         let has_detour = self.paths.has_detour() && self.has_detour(now);
