--- a/crates/proxy/src/serve/paths.rs
+++ b/crates/proxy/src/serve/paths.rs
@@ -19,7 +19,9 @@
     serve::{
         connection::{ConnectionLost, Reached},
         engine::{Engine, Group},
-        pool::GroupPool,
+        pool::{GroupPool, PoolState},
+        share::Keep,
+        wish::Wish,
     },
 };
 
@@ -35,7 +37,7 @@
 pub(crate) struct ServerPaths {
     through_owners: HashMap<SocketAddr, Circuit>,
     /// Whether this daemon's own connects go unanswered.
-    is_dark: bool,
+    is_unreachable: bool,
     /// Whether a connection was opened through another daemon since then.
     has_detour: bool,
     /// Whether such a one is being looked for.
@@ -58,8 +60,8 @@
     }
 
     /// Whether this daemon itself has no way to the server.
-    pub(crate) fn is_dark(&self) -> bool {
-        self.is_dark
+    pub(crate) fn is_unreachable(&self) -> bool {
+        self.is_unreachable
     }
 
     /// Whether another daemon is known to have a way to the server.
@@ -92,31 +94,50 @@
     /// Notes an answer on a connection of this daemon.
     fn on_direct_answer(&mut self, now: Instant) {
         self.answered_at = Some(now);
-        self.is_dark = false;
+        self.is_unreachable = false;
         self.has_detour = false;
     }
 
     /// Notes that a connect went unanswered that was begun at `asked_at`; an answer since then says more: a server that is
     /// busy takes long for a new connection.
-    fn on_dark(&mut self, asked_at: Instant) {
-        self.is_dark = self.answered_at.is_none_or(|at| at < asked_at);
+    fn on_unreachable(&mut self, asked_at: Instant) {
+        self.is_unreachable = self.answered_at.is_none_or(|at| at < asked_at);
     }
 }
 
 impl<E: EndpointDialect> GroupPool<E> {
+    /// Whether ways that do not work are set aside here.
+    pub(super) fn has_circuits(&self) -> bool {
+        self.circuits && self.state.borrow().keep != Keep::One
+    }
+
+    /// Sends those away that wait for a connection to a server which this daemon has no way to.
+    fn send_away_from(&self, server: &str) {
+        let now = Instant::now();
+        let mut state = self.state.borrow_mut();
+        let PoolState { servers, waiters, .. } = &mut *state;
+        let Some(slot) = servers.iter().find(|slot| &*slot.entry.server == server) else { return };
+        if !slot.is_unreachable(now) {
+            return;
+        }
+        for queue in waiters {
+            queue.retain(|waiter| waiter.wish.only.as_ref() != Some(&slot.entry.server));
+        }
+    }
+
     /// Notes that a server answered this daemon itself, be it only a connect.
     pub(crate) fn on_direct_answer(&self, server: &str) {
         self.with_slot(server, |slot| slot.paths.on_direct_answer(Instant::now()));
     }
 
-    fn is_dark(&self, server: &str) -> bool {
-        self.with_slot(server, |slot| slot.paths.is_dark).unwrap_or(false)
+    fn is_unreachable(&self, server: &str) -> bool {
+        self.with_slot(server, |slot| slot.paths.is_unreachable).unwrap_or(false)
     }
 
     /// Whether a search for a detour is to begin: there is need of one, and none goes on.
     fn begins_looking(&self, server: &str) -> Option<bool> {
         self.with_slot(server, |slot| {
-            slot.paths.is_dark && !std::mem::replace(&mut slot.paths.is_looking, true)
+            slot.paths.is_unreachable && !std::mem::replace(&mut slot.paths.is_looking, true)
         })
     }
 
@@ -124,6 +145,13 @@
         self.with_slot(server, |slot| slot.paths.is_looking = false);
     }
 
+    /// Notes that a wish of this daemon's own callers is a try, where the server's circuit is not closed.
+    pub(super) fn note_try(&self, index: usize, wish: &Wish) {
+        if !wish.is_handed_over {
+            self.state.borrow_mut().servers[index].health.on_pass(Instant::now());
+        }
+    }
+
     /// Notes whether a connection to a server came about through another daemon.
     pub(crate) fn on_detour(&self, server: &str, is_open: bool) {
         self.with_slot(server, |slot| slot.paths.has_detour = is_open);
@@ -134,7 +162,7 @@
     pub(crate) fn detours_to_try(&self, server: &str) -> Vec<SocketAddr> {
         let now = Instant::now();
         let to_try = self.with_slot(server, |slot| {
-            let is_wanted = slot.paths.is_dark && !slot.paths.has_detour;
+            let is_wanted = slot.paths.is_unreachable && !slot.paths.has_detour;
             let has_owner = self.owner_in_use(slot, now).is_some();
             if !is_wanted || has_owner || !slot.has_detour(now) {
                 return Vec::new();
@@ -145,11 +173,11 @@
     }
 
     /// Notes that a server does not answer this daemon's connects; who waits for a connection to it hears so at once.
-    pub(crate) fn on_dark(&self, server: &str, asked_at: Instant) {
+    pub(crate) fn on_unreachable(&self, server: &str, asked_at: Instant) {
         if !self.has_circuits() {
             return;
         }
-        self.with_slot(server, |slot| slot.paths.on_dark(asked_at));
+        self.with_slot(server, |slot| slot.paths.on_unreachable(asked_at));
         self.send_away_from(server);
     }
 }
@@ -169,7 +197,7 @@
         let (engine, group) = (self.clone(), group.clone());
         let (service, server) = (service.clone(), server.clone());
         tokio::task::spawn_local(async move {
-            while group.pool.is_dark(&server) {
+            while group.pool.is_unreachable(&server) {
                 engine.find_detour(&group, &service, &server).await;
                 tokio::time::sleep(LOOK_FOR_DETOUR_EVERY).await;
             }
--- a/crates/proxy/src/serve/pool.rs
+++ b/crates/proxy/src/serve/pool.rs
@@ -46,10 +46,10 @@
     pub(super) grant: oneshot::Sender<Offer<E>>,
 }
 
-struct PoolState<E: EndpointDialect> {
-    keep: Keep,
-    servers: Vec<ServerSlot<E>>,
-    waiters: [VecDeque<Waiter<E>>; PRIORITIES],
+pub(super) struct PoolState<E: EndpointDialect> {
+    pub(super) keep: Keep,
+    pub(super) servers: Vec<ServerSlot<E>>,
+    pub(super) waiters: [VecDeque<Waiter<E>>; PRIORITIES],
 }
 
 /// Priorities that are told apart; less urgent ones count as the last.
@@ -59,8 +59,8 @@
 pub struct GroupPool<E: EndpointDialect> {
     availability_zone: Name,
     relays: Rc<RelayLinks>,
-    circuits: bool,
-    state: RefCell<PoolState<E>>,
+    pub(super) circuits: bool,
+    pub(super) state: RefCell<PoolState<E>>,
 }
 
 /// Why no connection was given.
@@ -174,13 +174,6 @@
         }
     }
 
-    /// Notes that a wish of this daemon's own callers is a try, where the server's circuit is not closed.
-    fn note_try(&self, index: usize, wish: &Wish) {
-        if !wish.is_handed_over {
-            self.state.borrow_mut().servers[index].health.on_pass(Instant::now());
-        }
-    }
-
     /// Returns the right to use a connection of the server's owner, if another daemon owns them and is there.
     fn lease(self: &Rc<Self>, index: usize, wish: &Wish, wait_until: Instant) -> Option<Lent<E>> {
         let now = Instant::now();
@@ -218,25 +211,6 @@
         self.relays.to_first(owners.copied(), now)
     }
 
-    /// Whether ways that do not work are set aside here.
-    pub(super) fn has_circuits(&self) -> bool {
-        self.circuits && self.state.borrow().keep != Keep::One
-    }
-
-    /// Sends those away that wait for a connection to a server which this daemon has no way to.
-    pub(super) fn send_away_from(&self, server: &str) {
-        let now = Instant::now();
-        let mut state = self.state.borrow_mut();
-        let PoolState { servers, waiters, .. } = &mut *state;
-        let Some(slot) = servers.iter().find(|slot| &*slot.entry.server == server) else { return };
-        if !slot.is_dark(now) {
-            return;
-        }
-        for queue in waiters {
-            queue.retain(|waiter| waiter.wish.only.as_ref() != Some(&slot.entry.server));
-        }
-    }
-
     /// Returns the link to the daemon that owns the connections to a server, if that is another one and there.
     pub(crate) fn owner_link(&self, server: &str) -> Option<Rc<RelayLink>> {
         let now = Instant::now();
@@ -309,7 +283,7 @@
                     latency_us: slot.latency.get_us(),
                 });
             }
-            (!slot.is_dark(now)).then(|| Candidate {
+            (!slot.is_unreachable(now)).then(|| Candidate {
                 index,
                 // Through another daemon nothing is near.
                 near: slot.entry.availability_zone == self.availability_zone
--- a/crates/proxy/src/serve/reachability.rs
+++ b/crates/proxy/src/serve/reachability.rs
@@ -150,7 +150,7 @@
 
     fn note_unreachable(&self, group: &Group<E>, service: &Name, server: &Name, asked_at: Instant) {
         let before = group.probes.borrow_mut().insert(server.clone(), ProbeState::Unreachable);
-        group.pool.on_dark(server, asked_at);
+        group.pool.on_unreachable(server, asked_at);
         group.lost_server.notify_waiters();
         if before != Some(ProbeState::Unreachable) {
             log_reachability(service, server, false);
--- a/crates/proxy/src/serve/slot.rs
+++ b/crates/proxy/src/serve/slot.rs
@@ -249,9 +249,9 @@
     }
 
     /// Whether nothing can reach it from here, by what this daemon's probe says.
-    pub(crate) fn is_dark(&self, now: Instant) -> bool {
+    pub(crate) fn is_unreachable(&self, now: Instant) -> bool {
         let has_detour = self.paths.has_detour() && self.has_detour(now);
-        self.paths.is_dark() && !has_detour
+        self.paths.is_unreachable() && !has_detour
     }
 
     /// Whether it lagged behind a moment ago.
