--- a/crates/limits/src/election.rs
+++ b/crates/limits/src/election.rs
@@ -15,6 +15,8 @@
 /// members while some come and go. Any two such sets that differ by less than two fifths of the members have a voter in
 /// common.
 const QUORUM_PART: f64 = 0.55;
+/// A candidate with one vote in so many, or more, does not leave the campaign to another one.
+const MANY_PART: usize = 3;
 /// How often a daemon's part of what is lent without a keeper may be used in a window: by a candidate that it supported
 /// at the end of one window and still lends, by the next one, and once more where the daemon started anew and does not
 /// know. The part is divided by it.
@@ -235,6 +237,13 @@
         }
     }
 
+    /// Whether a good part of so many members has voted for it a moment ago: one round more may be enough, and votes that it
+    /// gave up now would bind their voters to nobody.
+    pub fn has_many_votes(&self, members: usize, now: Instant) -> bool {
+        let is_bound = |it: &&Ballot| it.vote.is_bound && now < it.asked_at + self.times.counts;
+        self.ballots.values().filter(is_bound).count() * MANY_PART > members
+    }
+
     /// Returns the term that the next candidacy of this life begins with.
     pub fn next_term(&self) -> u64 {
         self.term + 1
--- a/crates/limits/tests/election.rs
+++ b/crates/limits/tests/election.rs
@@ -165,3 +165,19 @@
     assert!(gives_way(None, Some(70)));
     assert!(!gives_way(Some(70), None));
 }
+
+/// The pattern: a candidate has nearly enough votes as one that comes before it in the order returns to the campaign.
+#[test]
+fn a_candidate_with_many_votes_is_known_until_they_end() {
+    let now = Instant::now();
+    let times = ElectionTimes { binds: ms(600), counts: ms(570), window: ms(5_000) };
+    let mut candidacy = Candidacy::new(times, 1);
+    let vote = Vote { is_granted: true, is_bound: true, is_provisional: false };
+    for voter in 0..10 {
+        let host = Name::from(format!("host-{voter}"));
+        candidacy.count(Ballot { host, asked_at: now, vote: vote.clone() });
+    }
+    assert!(candidacy.has_many_votes(29, now));
+    assert!(!candidacy.has_many_votes(30, now));
+    assert!(!candidacy.has_many_votes(29, now + ms(570)));
+}
--- a/crates/proxy/src/serve/limits.rs
+++ b/crates/proxy/src/serve/limits.rs
@@ -168,7 +168,9 @@
     /// Leaves the campaign to another candidate that comes first in the order that all daemons share. After a partition
     /// many ask for votes at once, and as long as each has some of them nobody has enough.
     fn give_way_to(&self, other: &Name, own: &Name, now: Instant) {
-        let is_candidate = self.candidacy.borrow().is_some() && !self.is_keeper(now);
+        let members = self.electorate.borrow().hosts.len();
+        let has_chance = |it: &Candidacy| it.is_keeper(now) || it.has_many_votes(members, now);
+        let is_candidate = self.candidacy.borrow().as_ref().is_some_and(|it| !has_chance(it));
         let place_of =
             |host: &Name| self.electorate.borrow().hosts.iter().position(|it| it == host);
         if is_candidate && gives_way(place_of(own), place_of(other)) {
