--- a/crates/proxy/src/relay/lease.rs
+++ b/crates/proxy/src/relay/lease.rs
@@ -41,6 +41,8 @@
     pub yields: bool,
     /// How often the operation was sent before.
     pub tried: u32,
+    /// Whether no other server that could run it is known.
+    pub last_resort: bool,
     /// For whom it runs.
     pub principal: Principal,
 }
@@ -138,6 +140,7 @@
             priority: u32::from(self.terms.priority),
             leads: self.terms.leads,
             yields: self.terms.yields,
+            last_resort: self.terms.last_resort,
             account: self.terms.principal.told().to_owned(),
             tried: self.terms.tried,
             ..RelayRequest::default()
--- a/crates/proxy/src/serve/execute.rs
+++ b/crates/proxy/src/serve/execute.rs
@@ -94,6 +94,7 @@
                 self.send(&group, job, &mut granted.lent, granted.floor, may_run_again).await;
             let reached = granted.lent.reached();
             let server = reached.server.clone();
+            self.note_own_health(&group, &reached, &sent);
             let next = match sent {
                 Ok(answer) => match answer.error_code() {
                     None if self.is_still_right(job, &granted) => {
@@ -372,7 +373,7 @@
         let reached = granted.lent.reached();
         granted.lent.give_back();
         let service = &job.route.service;
-        self.note_answer(group, service, &reached, answer.point, sent_at.elapsed());
+        self.note_answer(group, service, &reached, answer.point, Some(sent_at.elapsed()));
         self.note_served(group, job, granted.lead.is_some());
         let Some(lead) = granted.lead else { return answer };
         let sample = Sample { sent_at, known: granted.known, point: answer.point };
--- a/crates/proxy/src/serve/pool.rs
+++ b/crates/proxy/src/serve/pool.rs
@@ -47,7 +47,7 @@
 }
 
 pub(super) struct PoolState<E: EndpointDialect> {
-    keep: Keep,
+    pub(super) keep: Keep,
     pub(super) servers: Vec<ServerSlot<E>>,
     pub(super) waiters: [VecDeque<Waiter<E>>; PRIORITIES],
     /// Whether daemons own connections for others.
@@ -182,6 +182,7 @@
             if has_idle && let Some(lent) = self.lease(index, &wish, deadline) {
                 return Ok(Offer::Lent(lent));
             }
+            self.note_try(index, &wish);
             if let Some(offer) = self.lend_in_turn(index, &wish, values, deadline).await? {
                 return Ok(offer);
             }
@@ -190,9 +191,10 @@
 
     /// Returns the right to use a connection of the server's owner, if another daemon owns them and is there.
     fn lease(self: &Rc<Self>, index: usize, wish: &Wish, wait_until: Instant) -> Option<Lent<E>> {
+        let now = Instant::now();
         let mut state = self.state.borrow_mut();
+        let last_resort = state.servers.iter().filter(|slot| slot.is_fit(wish, now)).count() <= 1;
         let slot = &mut state.servers[index];
-        let now = Instant::now();
         let link = self.owner_of(slot, wish, now)?;
         slot.paths.on_pass(&link.owner(), now);
         slot.at_owners += 1;
@@ -204,6 +206,7 @@
             leads: wish.primary.as_ref() == Some(&slot.entry.server),
             yields: wish.yields,
             tried: wish.tried,
+            last_resort,
             principal: wish.principal.clone().unwrap_or(Principal::Daemon),
         };
         let lease = Lease::new(self.relays.clone(), link, terms);
@@ -231,25 +234,6 @@
         self.relays.to_first(owners.copied(), now)
     }
 
-    /// Whether ways that do not work are set aside here.
-    pub(super) fn has_circuits(&self) -> bool {
-        self.overload.circuits && self.state.borrow().keep != Keep::One
-    }
-
-    /// Sends those away that wait for a connection to a server which this daemon has no way to.
-    pub(super) fn send_away_from(&self, server: &str) {
-        let now = Instant::now();
-        let mut state = self.state.borrow_mut();
-        let PoolState { servers, waiters, .. } = &mut *state;
-        let Some(slot) = servers.iter().find(|slot| &*slot.entry.server == server) else { return };
-        if !slot.is_dark(now) {
-            return;
-        }
-        for queue in waiters {
-            queue.retain(|waiter| waiter.wish.only.as_ref() != Some(&slot.entry.server));
-        }
-    }
-
     /// Returns the link to the daemon that owns the connections to a server, if that is another one and there.
     pub(crate) fn owner_link(&self, server: &str) -> Option<Rc<RelayLink>> {
         let now = Instant::now();
@@ -265,6 +249,7 @@
         let now = Instant::now();
         let mut state = self.state.borrow_mut();
         let mut candidates = self.candidates(&mut state, wish, now);
+        candidates.retain(|it| state.servers[it.index].is_healthy_for(wish, now));
         if let Some(Principal::Account(account)) = &wish.principal {
             mark_strange(&mut candidates, account, |index| &state.servers[index].entry.server);
         }
@@ -297,7 +282,7 @@
                     latency_us: slot.latency.get_us(),
                 });
             }
-            if slot.is_dark(now) {
+            if slot.is_unreachable(now) {
                 return None;
             }
             let waits_elsewhere = wish.principal.is_some();
@@ -397,8 +382,8 @@
         state.servers.iter_mut().find(|slot| &*slot.entry.server == server).map(act)
     }
 
-    /// Notes that a server answered, with its point.
-    pub fn on_answer(&self, server: &str, point: Option<LogPoint>, took: Duration) {
+    /// Notes that a server answered, with its point and, if it did what it was asked, how long it took.
+    pub fn on_answer(&self, server: &str, point: Option<LogPoint>, took: Option<Duration>) {
         self.with_slot(server, |slot| slot.note_answer(point, took));
     }
 
--- a/crates/proxy/src/serve/slot.rs
+++ b/crates/proxy/src/serve/slot.rs
@@ -8,7 +8,7 @@
 };
 
 use model::LogPoint;
-use overload::{AfterRefusal, Granted, Resting, Reuse, Room};
+use overload::{AfterRefusal, Circuit, Granted, Resting, Reuse, Room};
 use routing::LatencyAverage;
 
 use crate::{
@@ -83,6 +83,8 @@
     pub(crate) detours: Arc<[SocketAddr]>,
     pub(crate) next_detour: usize,
     pub(crate) no_detour_until: Option<Instant>,
+    /// Whether it does what it is given, by what this daemon ran there for others.
+    pub(crate) health: Circuit,
     /// Which ways to it work.
     pub(crate) paths: ServerPaths,
     /// What waits for it, where this daemon's connections are not everybody's.
@@ -118,6 +120,7 @@
             detours: Arc::default(),
             next_detour: 0,
             no_detour_until: None,
+            health: Circuit::default(),
             paths: ServerPaths::default(),
             queue: None,
             granted: Granted::default(),
@@ -155,6 +158,7 @@
             self.failures = 0;
             self.no_opening_until = None;
             self.away_until = None;
+            self.health = Circuit::default();
             self.paths = ServerPaths::default();
             self.granted = Granted::default();
         }
@@ -213,10 +217,13 @@
         self.yielding = self.yielding.saturating_sub(u32::from(yields));
     }
 
-    /// Notes that it answered, with its point.
-    pub(crate) fn note_answer(&mut self, point: Option<LogPoint>, took: Duration) {
-        self.latency.add(took.as_micros() as u64);
-        self.latency_at = Some(Instant::now());
+    /// Notes that it answered, with its point. An error comes faster than an answer and says nothing of how long one takes:
+    /// counted, it would draw more statements to a server that fails.
+    pub(crate) fn note_answer(&mut self, point: Option<LogPoint>, took: Option<Duration>) {
+        if let Some(took) = took {
+            self.latency.add(took.as_micros() as u64);
+            self.latency_at = Some(Instant::now());
+        }
         self.failures = 0;
         self.away_until = None;
         self.no_opening_until = None;
@@ -265,6 +272,11 @@
         self.granted.most(self.limit + self.loan, now)
     }
 
+    /// Notes that its owner sets it aside.
+    pub(crate) fn note_set_aside(&mut self) {
+        self.away_until = Some(Instant::now() + FIRST_BACKOFF);
+    }
+
     /// Takes over the ways around to it. Connections through other daemons end once there is a direct path,
     /// which is shorter and needs nobody else.
     pub(crate) fn set_detours(&mut self, detours: Arc<[SocketAddr]>) {
@@ -300,10 +312,16 @@
         }
     }
 
+    /// Whether it does what it is given, where a wish of this daemon's own callers may be met elsewhere. The wishes of others
+    /// were looked at as they came ([`super::health`]).
+    pub(crate) fn is_healthy_for(&self, wish: &Wish, now: Instant) -> bool {
+        wish.only.is_some() || wish.is_handed_over || self.health.may_pass(now)
+    }
+
     /// Whether nothing can reach it from here, by what this daemon's probe says.
-    pub(crate) fn is_dark(&self, now: Instant) -> bool {
+    pub(crate) fn is_unreachable(&self, now: Instant) -> bool {
         let has_detour = self.paths.has_detour() && self.has_detour(now);
-        self.paths.is_dark() && !has_detour
+        self.paths.is_unreachable() && !has_detour
     }
 
     /// Whether it lagged behind a moment ago.
