--- a/crates/overload/src/lib.rs
+++ b/crates/overload/src/lib.rs
@@ -5,11 +5,24 @@
 //! much an account may ask keep their own proofs, and a wrong estimate here costs time, never a promise.
 //! `docs/design/hard-load.md` says who decides what and where the state lives.
 
+mod circuit;
 pub mod come_back;
+mod concurrency;
+mod demand;
+mod granted;
 pub mod hold;
+mod layout;
 mod load_report;
 mod rank;
+mod reuse;
 pub mod try_budget;
+mod turns;
+mod work_queue;
 
+pub use circuit::{Circuit, CircuitChange, PathOutcome};
+pub use granted::{AfterRefusal, Granted};
+pub use layout::{Layout, Reach};
 pub use load_report::{AgedReport, LoadReport};
 pub use rank::{RANKS, Rank};
+pub use reuse::{Resting, Reuse};
+pub use work_queue::{Next, Offered, Request, Room, Stage, Ticket, WorkQueue};
--- a/crates/proxy/src/control/state.rs
+++ b/crates/proxy/src/control/state.rs
@@ -17,10 +17,15 @@
         change::VersionedRecord,
         following::HeardOf,
         knowledge::{Knowledge, Sighting},
+        looks::Looks,
         mirror::Mirror,
         peers::{Evidence, PrimarySample, StoreReading},
+        put_back::ConfigurationsHeard,
         record::LeadershipRecord,
+        restored::Restore,
         servers::{ServerList, ServersByService},
+        telling::Told,
+        witnesses::Witnessing,
     },
     metadata::{LeaseId, Revision},
 };
@@ -110,6 +115,11 @@
     pub(crate) acknowledged: HashMap<Name, String>,
     /// Servers that this daemon can't reach, and when it last tried.
     pub(crate) suspected: HashMap<(Name, Name), Instant>,
+    /// What the store was told of that.
+    pub(crate) suspicions_told: Told,
+    /// When servers were looked at that others suspect, and of which this daemon is a witness.
+    pub(crate) looks: Looks,
+    pub(crate) witnessing: Witnessing,
     /// When the store was last found again after a time without it.
     pub(crate) store_back_at: Option<Instant>,
     pub(crate) published_servers: Arc<ServersByService>,
@@ -121,6 +131,11 @@
     pub(crate) owners_of_members: Option<u64>,
     /// Availability zones that have members.
     pub(crate) zones: u32,
+    /// What the store's last restore asks for.
+    pub(crate) restore: Restore,
+    /// The latest edition of each record that was seen or written here.
+    pub(crate) editions: HashMap<Name, u64>,
+    pub(crate) configurations: ConfigurationsHeard,
 }
 
 impl State {
--- a/crates/proxy/src/events.rs
+++ b/crates/proxy/src/events.rs
@@ -16,6 +16,8 @@
     pub sent: IntCounterVec,
     /// Connections opened to servers, by how that ended.
     pub connections_opened: IntCounterVec,
+    /// Statements that went through an owner's queue, by rank and how that ended.
+    pub queued: IntCounterVec,
     /// Calls to the metadata store by kind and how they ended.
     pub store_calls: IntCounterVec,
     /// Steps of changes of primary.
@@ -24,10 +26,14 @@
     pub contradictions: IntCounterVec,
     /// Operations refused for their client account, by why: its limit, or a key that nobody holds.
     pub refused: IntCounterVec,
+    /// Changes of circuits, by the hop that they watch and what they became.
+    pub circuits: IntCounterVec,
     /// Statements that found no primary to use, by why and by what became of them.
     pub held: IntCounterVec,
     /// Attempts that were not made because they would have taken room from others, by why they were wanted.
     pub tries_denied: IntCounterVec,
+    /// What was done because the store was restored, by what it was.
+    pub restores: IntCounterVec,
     /// Numbers as they are now: callers, version of the configuration, members.
     pub now: IntGaugeVec,
 }
@@ -61,6 +67,11 @@
             "Connections opened to servers, by outcome.",
             &["outcome"],
         );
+        let queued = counter(
+            "wardtiller_proxy_queued_total",
+            "Statements offered to the queue of a server, by rank and outcome.",
+            &["rank", "outcome"],
+        );
         let store_calls = counter(
             "wardtiller_proxy_store_calls_total",
             "Calls to the metadata store, by kind and outcome.",
@@ -81,6 +92,11 @@
             "Operations refused for their client account, by reason.",
             &["why"],
         );
+        let circuits = counter(
+            "wardtiller_proxy_circuits_total",
+            "Changes of the circuits of paths to servers, by hop and new state.",
+            &["hop", "state"],
+        );
         let held = counter(
             "wardtiller_proxy_held_total",
             "Statements that found no primary to use, by reason and end.",
@@ -91,6 +107,11 @@
             "Attempts that were not made so that they take no room from others, by cause.",
             &["cause"],
         );
+        let restores = counter(
+            "wardtiller_proxy_restores_total",
+            "Restores of the metadata store that were seen, and what was put back, confirmed or given up after them.",
+            &["what"],
+        );
         let statement_seconds = HistogramVec::new(
             HistogramOpts::new(
                 "wardtiller_proxy_statement_seconds",
@@ -115,12 +136,15 @@
             statement_seconds,
             sent,
             connections_opened,
+            queued,
             store_calls,
             promotion_steps,
             contradictions,
             refused,
+            circuits,
             held,
             tries_denied,
+            restores,
             now,
         }
     }
--- a/crates/proxy/src/serve/engine.rs
+++ b/crates/proxy/src/serve/engine.rs
@@ -12,6 +12,7 @@
 use config::OverloadSettings;
 use limits::WindowRule;
 use model::Name;
+use overload::{Layout, Rank};
 use routing::RetryBudget;
 use session::StalenessSamples;
 use tokio::sync::{Notify, watch};
@@ -36,6 +37,7 @@
         verdict::speaks_against_server,
         wish::Wish,
     },
+    statement::ErrorCode,
 };
 
 /// Samples of a primary's position that are kept for each group; they span the longest bound.
@@ -102,9 +104,9 @@
 }
 
 impl<E: EndpointDialect> Group<E> {
-    fn new(availability_zone: Name, relays: Rc<RelayLinks>) -> Group<E> {
+    fn new(layout: Rc<Layout>, relays: Rc<RelayLinks>, overload: OverloadSettings) -> Group<E> {
         Group {
-            pool: Rc::new(GroupPool::new(availability_zone, relays)),
+            pool: Rc::new(GroupPool::new(layout, relays, overload)),
             samples: RefCell::new(StalenessSamples::new(SAMPLES_KEPT)),
             retries: RefCell::new(RetryBudget::new(RETRY_PERCENT)),
             starved: Cell::new(None),
@@ -174,6 +176,8 @@
     pub(crate) holding: Holding,
     /// Where this daemon's clock begins, by which others tell it until when it may begin with their statements.
     epoch: Instant,
+    /// How far the servers' zones are.
+    layout: Rc<Layout>,
     groups: RefCell<HashMap<Name, Rc<Group<E>>>>,
 }
 
@@ -204,14 +208,23 @@
     QueueFull,
     /// None was free in time.
     TooLate,
+    /// More urgent work and that of others leave no room in time.
+    Overloaded {
+        /// When asking again may help.
+        come_back: Duration,
+    },
 }
 
 impl<C: CallerDialect, E: EndpointDialect> Engine<C, E> {
     /// Joins the pieces.
     pub fn new(parts: EngineParts<C, E>) -> Engine<C, E> {
         let limits = Limits::new(parts.settings.window_rule);
+        let zone = parts.settings.availability_zone.clone();
+        let layout = Rc::new(Layout::new(zone, parts.settings.regions.clone()));
+        let relays = Rc::new(RelayLinks::new(parts.settings.overload.circuits));
         Engine {
             limits,
+            layout,
             holding: Holding::default(),
             caller_dialect: parts.caller_dialect,
             endpoint_dialect: parts.endpoint_dialect,
@@ -221,7 +234,7 @@
             metrics: parts.metrics,
             callers: Cell::new(0),
             observations: parts.observations,
-            relays: Rc::default(),
+            relays,
             epoch: Instant::now(),
             groups: RefCell::default(),
         }
@@ -249,13 +262,15 @@
             .borrow_mut()
             .entry(service.clone())
             .or_insert_with(|| {
-                let zone = self.settings.availability_zone.clone();
-                Rc::new(Group::new(zone, self.relays.clone()))
+                let overload = self.settings.overload.clone();
+                Rc::new(Group::new(self.layout.clone(), self.relays.clone(), overload))
             })
             .clone();
         let granted = beliefs.catalog.services.get(service).map_or(0, |rule| rule.connections);
         let by_account = beliefs.catalog.accounts.is_some();
-        let share = share_of(granted, beliefs.sharers, by_account);
+        let entries = beliefs.servers.get(service).map_or(&[][..], Vec::as_slice);
+        let slots = entries.iter().map(|entry| entry.slots).min().unwrap_or(0);
+        let share = share_of(granted, slots, beliefs.sharers, by_account);
         let seen = Seen {
             servers: beliefs.servers.clone(),
             detours: beliefs.detours.clone(),
@@ -263,7 +278,6 @@
             share,
         };
         if !group.seen.borrow().is_same(&seen) {
-            let entries = beliefs.servers.get(service).map_or(&[][..], Vec::as_slice);
             group.pool.update(entries, share, &seen.detours, &seen.owners);
             *group.seen.borrow_mut() = seen;
         }
@@ -308,11 +322,16 @@
         deadline: Instant,
     ) -> Result<Lent<E>, AcquireError> {
         loop {
-            let offer = match group.pool.lend(wish.clone(), values, deadline).await {
+            let lent = group.pool.lend(wish.clone(), values, deadline).await;
+            self.count_queued(&wish, &lent);
+            let offer = match lent {
                 Ok(offer) => offer,
                 Err(NoConnection::Nowhere) => return Err(AcquireError::Nowhere),
                 Err(NoConnection::QueueFull) => return Err(AcquireError::QueueFull),
                 Err(NoConnection::TooLate) => return Err(AcquireError::TooLate),
+                Err(NoConnection::Overloaded { come_back }) => {
+                    return Err(AcquireError::Overloaded { come_back });
+                }
             };
             let place = match offer {
                 Offer::Lent(lent) => return Ok(lent),
@@ -323,8 +342,9 @@
             match self.open(&place, detour).await {
                 Ok(connection) => {
                     self.metrics.connections_opened.with_label_values(&["opened"]).inc();
-                    if connection.is_direct {
-                        self.note_reachable(group, &place.entry.service, &server);
+                    match connection.is_direct {
+                        true => self.note_reachable(group, &place.entry.service, &server),
+                        false => group.pool.on_detour(&server, true),
                     }
                     return Ok(place.opened(connection));
                 }
@@ -335,8 +355,13 @@
                         None => self.on_open_failed(group, &service, &server, &lost),
                         Some(peer) => self.on_detour_failed(group, &server, peer, &lost),
                     }
-                    if wish.only.is_some() || Instant::now() >= deadline {
-                        return Err(AcquireError::Nowhere);
+                    match after_open_failed(&wish, &lost) {
+                        _ if Instant::now() >= deadline => return Err(AcquireError::Nowhere),
+                        AfterOpenFailed::GiveUp => return Err(AcquireError::Nowhere),
+                        // There is one to wait for, or leave to open one a little later.
+                        AfterOpenFailed::Wait if self.settings.overload.circuits => continue,
+                        AfterOpenFailed::Wait => return Err(AcquireError::Nowhere),
+                        AfterOpenFailed::TryElsewhere => {}
                     }
                     wish.avoid.push(server);
                 }
@@ -344,6 +369,21 @@
         }
     }
 
+    /// Counts what became of a statement that this daemon runs on connections of its own for others.
+    fn count_queued(&self, wish: &Wish, lent: &Result<Offer<E>, NoConnection>) {
+        if !wish.is_handed_over || wish.principal.is_none() {
+            return;
+        }
+        let outcome = match lent {
+            Ok(_) => "begun",
+            Err(NoConnection::Overloaded { .. } | NoConnection::QueueFull) => "refused",
+            Err(NoConnection::TooLate) => "too_late",
+            Err(NoConnection::Nowhere) => "nowhere",
+        };
+        let rank = Rank::of_priority(wish.priority).index().to_string();
+        self.metrics.queued.with_label_values(&[rank.as_str(), outcome]).inc();
+    }
+
     /// Returns what a server is told of who connects.
     pub(crate) fn introduce<'a>(&'a self, principal: &'a Principal) -> Introduction<'a> {
         Introduction { host: &self.settings.host, principal }
@@ -372,15 +412,29 @@
         Ok(opened)
     }
 
+    /// Whether a server takes a connection through another daemon.
+    pub(crate) async fn try_detour(
+        &self,
+        peer: SocketAddr,
+        entry: &ServerEntry,
+    ) -> (SocketAddr, Result<(), ConnectionLost>) {
+        let introduction = self.introduce(&Principal::Daemon);
+        let dialect = &self.endpoint_dialect;
+        let opened =
+            EndpointConnection::open_through(peer, dialect, entry, introduction, CONNECT_WITHIN);
+        (peer, opened.await.map(drop))
+    }
+
     fn on_detour_failed(
         &self,
-        group: &Rc<Group<E>>,
+        group: &Group<E>,
         server: &Name,
         peer: SocketAddr,
         lost: &ConnectionLost,
     ) {
         self.metrics.connections_opened.with_label_values(&["failed"]).inc();
         group.pool.on_detour_failed(server, peer);
+        group.pool.on_detour(server, false);
         log::info!(
             event = "detour_failed", server = &**server, peer = peer.to_string().as_str(),
             why = lost.to_string().as_str();
@@ -412,3 +466,22 @@
         }
     }
 }
+
+/// What follows when a connection could not be opened for a wish.
+enum AfterOpenFailed {
+    TryElsewhere,
+    Wait,
+    GiveUp,
+}
+
+/// A server that grants no more is there nevertheless: an owner that said it can't be reached would send its askers to open
+/// connections of their own.
+fn after_open_failed(wish: &Wish, lost: &ConnectionLost) -> AfterOpenFailed {
+    match lost {
+        _ if wish.only.is_none() => AfterOpenFailed::TryElsewhere,
+        ConnectionLost::Refused(ErrorCode::TooManyConnections) if wish.is_handed_over => {
+            AfterOpenFailed::Wait
+        }
+        _ => AfterOpenFailed::GiveUp,
+    }
+}
--- a/crates/proxy/src/serve/execute.rs
+++ b/crates/proxy/src/serve/execute.rs
@@ -37,6 +37,9 @@
 /// name, and of the time between two questions to the zone's reader.
 const SAMPLE_TOLD_EVERY: Duration = Duration::from_millis(200);
 
+/// Why a statement is refused for which a server's queue has no room in time.
+const OTHERS_FIRST: &str = "more urgent statements and those of others go first";
+
 /// A connection on which a statement may run now, with what it has to show.
 pub(crate) struct Granted<E: EndpointDialect> {
     pub(crate) lent: Lent<E>,
@@ -101,6 +104,7 @@
                         Next::AwaitPrimary
                     }
                     Some(code) => {
+                        self.note_path_answered(&group.pool, &reached);
                         self.note_refused(&group, job, &server, code, granted.floor, &answer);
                         granted.lent.give_back();
                         let next = after_error(code, class);
@@ -115,6 +119,9 @@
                     drop(granted);
                     rounds.last_error = refused_as(&lost);
                     self.note_loss(&group, &job.route.service, &reached, &lost);
+                    if let Some(error) = self.turned_away(&group, job, &rounds, &lost) {
+                        return refusal(error, TransactionState::Idle);
+                    }
                     match after_loss(progress, class) {
                         Next::Tell(code) => {
                             return self.unknown_outcome(job, &server, code, &lost);
@@ -162,6 +169,7 @@
                 }
             }
         }
+        rounds.needs_primary = floor.is_none();
         let lead = match floor {
             Some(_) => beliefs.lead_in_force(service, Instant::now()).cloned(),
             None => {
@@ -180,6 +188,7 @@
             primary: known.map(|lead| lead.server.clone()),
             priority: job.route.priority,
             yields: class == StatementClass::Read && job.route.reads != ReadRule::Primary,
+            opens_transaction: rounds.opens_transaction,
             is_handed_over: false,
             tried: rounds.sent,
             principal: Some(job.principal.clone()),
@@ -250,14 +259,18 @@
         {
             self.note_starved(group, &job.route.service, &lead.server);
         }
+        let expected = group.pool.expected_wait();
         match error {
             AcquireError::QueueFull => {
                 let why = "too many statements wait";
-                Denied::Refuse(self.no_room(group, job, why, rounds.sent))
+                Denied::Refuse(self.no_room(group, job, why, expected, rounds.sent))
             }
             AcquireError::TooLate => {
                 let why = "no connection was free in time";
-                Denied::Refuse(self.no_room(group, job, why, rounds.sent))
+                Denied::Refuse(self.no_room(group, job, why, expected, rounds.sent))
+            }
+            AcquireError::Overloaded { come_back } => {
+                Denied::Refuse(self.no_room(group, job, OTHERS_FIRST, come_back, rounds.sent))
             }
             AcquireError::Nowhere => {
                 let next = Next::TryElsewhere;
@@ -278,6 +291,9 @@
         floor: Option<LogPoint>,
         may_run_again: bool,
     ) -> Result<Answer, (Progress, ConnectionLost)> {
+        if let Err(why) = lent.await_turn(job.deadline()).await {
+            return Err((Progress::NotSent, ConnectionLost::NotGranted(why.into())));
+        }
         let average = group.pool.latency_of(lent.server());
         let watch = Watch {
             service: &job.route.service,
@@ -418,6 +434,21 @@
             }
         }
     }
+
+    /// Returns what a caller is told whose work only the primary can do, where others go first there: it is known that asking
+    /// again at once is in vain.
+    pub(crate) fn turned_away(
+        &self,
+        group: &Rc<Group<E>>,
+        job: &Job<'_>,
+        rounds: &Rounds,
+        lost: &ConnectionLost,
+    ) -> Option<StatementError> {
+        let is_turned_away = *lost == ConnectionLost::NotGranted(NotSent::Overloaded);
+        let expected = group.pool.expected_wait();
+        (is_turned_away && rounds.needs_primary)
+            .then(|| self.no_room(group, job, OTHERS_FIRST, expected, rounds.sent))
+    }
 }
 
 /// How old a sample may be that an owner is asked for. Where the primary may be used, half of the bound is left for the read
--- a/crates/proxy/src/serve/holding.rs
+++ b/crates/proxy/src/serve/holding.rs
@@ -49,6 +49,10 @@
 pub(crate) struct Rounds {
     pub(crate) avoid: Vec<Name>,
     pub(crate) last_error: Option<ErrorCode>,
+    /// Whether only the primary will do.
+    pub(crate) needs_primary: bool,
+    /// Whether a transaction is to be opened.
+    pub(crate) opens_transaction: bool,
     /// Whether an owner was asked where the primary's log stood.
     pub(crate) asked_for_sample: bool,
     /// How often it was sent to a server or an owner.
@@ -303,9 +307,8 @@
         if Instant::now() + ROUND_PAUSE >= until || self.is_in_vain(&group, job, rounds, &server) {
             return Some(self.no_answer(&group, job, rounds));
         }
-        let reads_anywhere = job.route.reads != ReadRule::Primary;
         match next {
-            Next::TryElsewhere if !rounds.avoid.contains(&server) && reads_anywhere => {
+            Next::TryElsewhere if !rounds.avoid.contains(&server) && !rounds.needs_primary => {
                 rounds.avoid.push(server);
             }
             _ => {
@@ -367,9 +370,10 @@
         group: &Group<E>,
         job: &Job<'_>,
         why: &'static str,
+        expected: Duration,
         sent: u32,
     ) -> StatementError {
-        let expected = group.pool.expected_wait() + Duration::from_millis(1);
+        let expected = expected + Duration::from_millis(1);
         let come_back = match self.holds(group) {
             true => job.come_back().after(expected, rand::random()),
             false => expected,
--- a/crates/proxy/src/serve/pool.rs
+++ b/crates/proxy/src/serve/pool.rs
@@ -13,7 +13,9 @@
     time::{Duration, Instant},
 };
 
-use model::{LogPoint, Name};
+use config::OverloadSettings;
+use model::LogPoint;
+use overload::{Layout, Reach};
 use tokio::sync::oneshot;
 
 use crate::{
@@ -31,6 +33,7 @@
         connection::EndpointConnection,
         lent::{Held, Lent, OpeningPlace},
         replay::{Environment, SessionValues},
+        server_queue::Turn,
         share::{Keep, Owned, Share},
         slot::ServerSlot,
         wish::Wish,
@@ -46,9 +49,9 @@
     pub(super) grant: oneshot::Sender<Offer<E>>,
 }
 
-struct PoolState<E: EndpointDialect> {
+pub(super) struct PoolState<E: EndpointDialect> {
     keep: Keep,
-    servers: Vec<ServerSlot<E>>,
+    pub(super) servers: Vec<ServerSlot<E>>,
     waiters: [VecDeque<Waiter<E>>; PRIORITIES],
 }
 
@@ -57,9 +60,11 @@
 
 /// The pool of one service.
 pub struct GroupPool<E: EndpointDialect> {
-    availability_zone: Name,
+    layout: Rc<Layout>,
     relays: Rc<RelayLinks>,
-    state: RefCell<PoolState<E>>,
+    /// Which decisions under load are made.
+    pub(super) overload: OverloadSettings,
+    pub(super) state: RefCell<PoolState<E>>,
 }
 
 /// Why no connection was given.
@@ -71,6 +76,11 @@
     QueueFull,
     /// None was free in time.
     TooLate,
+    /// More urgent work and that of others leave no room in time.
+    Overloaded {
+        /// When asking again may help.
+        come_back: Duration,
+    },
 }
 
 /// What a wish was answered with.
@@ -82,10 +92,14 @@
 }
 
 impl<E: EndpointDialect> GroupPool<E> {
-    /// Makes a pool without servers for a daemon in an availability zone.
-    pub fn new(availability_zone: Name, relays: Rc<RelayLinks>) -> GroupPool<E> {
+    /// Makes a pool without servers for a daemon that stands somewhere in a layout.
+    pub fn new(
+        layout: Rc<Layout>,
+        relays: Rc<RelayLinks>,
+        overload: OverloadSettings,
+    ) -> GroupPool<E> {
         let state = PoolState { keep: Keep::One, servers: Vec::new(), waiters: Default::default() };
-        GroupPool { availability_zone, relays, state: RefCell::new(state) }
+        GroupPool { layout, relays, overload, state: RefCell::new(state) }
     }
 
     /// Takes over which servers there are, how many connections each may have and who owns them.
@@ -113,11 +127,11 @@
         }
         for slot in &mut state.servers {
             slot.set_detours(detours.get(&slot.entry.server).cloned().unwrap_or_default());
-            let is_near = slot.entry.availability_zone == self.availability_zone;
+            let is_near = slot.entry.availability_zone == *self.layout.zone();
             let server = &slot.entry.server;
             let ownership = match share.owned {
                 None => None,
-                Some(Owned::InEachZone(_)) => owners.of(server, &self.availability_zone),
+                Some(Owned::InEachZone(_)) => owners.of(server, self.layout.zone()),
                 Some(Owned::Once { .. }) => owners
                     .of(server, &slot.entry.availability_zone)
                     .or_else(|| owners.elsewhere(server)),
@@ -125,7 +139,7 @@
             (slot.limit, slot.keeps) = match (&ownership, share.owned, share.keep) {
                 (Some(ownership), Some(owned), _) if ownership.is_owner => {
                     let place = ownership.asked.len();
-                    (owned.count(), owned.kept_at(place))
+                    (owned.most_at(place, self.overload.queue), owned.kept_at(place))
                 }
                 (Some(_), _, _) => (share.limit, 0),
                 (None, _, Keep::One) => (share.limit, 1),
@@ -133,8 +147,11 @@
                 (None, _, Keep::Nothing) => (share.limit, 0),
             };
             slot.owners = ownership.map(|it| it.asked).unwrap_or_default();
+            slot.paths.keep_only(&slot.owners);
             slot.loan = share.loan;
             let most = slot.limit + share.loan;
+            slot.set_queue(self.room(slot, &share));
+            slot.set_competing(self.do_accounts_compete(&share));
             let surplus = (slot.idle.len() as u32 + slot.in_use).saturating_sub(most) as usize;
             let kept = slot.idle.len().saturating_sub(surplus);
             slot.idle.truncate(kept);
@@ -150,20 +167,19 @@
         values: &SessionValues,
         deadline: Instant,
     ) -> Result<Offer<E>, NoConnection> {
-        match self.choose_now(&wish) {
-            Choice::UseIdle(index) => {
-                if let Some(lent) = self.lease(index, &wish, deadline) {
-                    return Ok(Offer::Lent(lent));
-                }
-                if let Some(connection) = self.take_idle(index, values, &wish) {
-                    return Ok(Offer::Lent(self.lent(connection, wish.yields)));
-                }
-                // Every idle connection had ended; there is room for a new one now.
-                Ok(Offer::Open(self.place(index, &wish)))
+        loop {
+            let (index, has_idle) = match self.choose_now(&wish) {
+                Choice::UseIdle(index) => (index, true),
+                Choice::Open(index) => (index, false),
+                Choice::Wait => return self.wait(wish, deadline).await,
+                Choice::Nowhere => return Err(NoConnection::Nowhere),
+            };
+            if has_idle && let Some(lent) = self.lease(index, &wish, deadline) {
+                return Ok(Offer::Lent(lent));
+            }
+            if let Some(offer) = self.lend_in_turn(index, &wish, values, deadline).await? {
+                return Ok(offer);
             }
-            Choice::Open(index) => Ok(Offer::Open(self.place(index, &wish))),
-            Choice::Wait => self.wait(wish, deadline).await,
-            Choice::Nowhere => Err(NoConnection::Nowhere),
         }
     }
 
@@ -171,7 +187,9 @@
     fn lease(self: &Rc<Self>, index: usize, wish: &Wish, wait_until: Instant) -> Option<Lent<E>> {
         let mut state = self.state.borrow_mut();
         let slot = &mut state.servers[index];
-        let link = self.owner_of(slot, wish, Instant::now())?;
+        let now = Instant::now();
+        let link = self.owner_of(slot, wish, now)?;
+        slot.paths.on_pass(&link.owner(), now);
         slot.at_owners += 1;
         let terms = Terms {
             service: slot.entry.service.clone(),
@@ -185,20 +203,52 @@
         };
         let lease = Lease::new(self.relays.clone(), link, terms);
         let held = Held::Owners(lease);
-        Some(Lent { pool: self.clone(), held, lent_at: Instant::now(), yields: false })
+        Some(Lent {
+            pool: self.clone(),
+            held,
+            lent_at: Instant::now(),
+            yields: false,
+            turn: None,
+            step: None,
+        })
     }
 
     fn owner_of(&self, slot: &ServerSlot<E>, wish: &Wish, now: Instant) -> Option<Rc<RelayLink>> {
         if wish.is_handed_over {
             return None;
         }
-        self.relays.to_first(&slot.owners, now)
+        self.owner_in_use(slot, now)
+    }
+
+    /// Returns the link to the first owner that is there and has a way to the server.
+    pub(super) fn owner_in_use(&self, slot: &ServerSlot<E>, now: Instant) -> Option<Rc<RelayLink>> {
+        let owners = slot.owners.iter().filter(|owner| slot.paths.may_pass(owner, now));
+        self.relays.to_first(owners.copied(), now)
+    }
+
+    /// Whether ways that do not work are set aside here.
+    pub(super) fn has_circuits(&self) -> bool {
+        self.overload.circuits && self.state.borrow().keep != Keep::One
+    }
+
+    /// Sends those away that wait for a connection to a server which this daemon has no way to.
+    pub(super) fn send_away_from(&self, server: &str) {
+        let now = Instant::now();
+        let mut state = self.state.borrow_mut();
+        let PoolState { servers, waiters, .. } = &mut *state;
+        let Some(slot) = servers.iter().find(|slot| &*slot.entry.server == server) else { return };
+        if !slot.is_dark(now) {
+            return;
+        }
+        for queue in waiters {
+            queue.retain(|waiter| waiter.wish.only.as_ref() != Some(&slot.entry.server));
+        }
     }
 
     /// Returns the link to the daemon that owns the connections to a server, if that is another one and there.
     pub(crate) fn owner_link(&self, server: &str) -> Option<Rc<RelayLink>> {
         let now = Instant::now();
-        self.with_slot(server, |slot| self.relays.to_first(&slot.owners, now))?
+        self.with_slot(server, |slot| self.owner_in_use(slot, now))?
     }
 
     /// Notes that nothing runs any more at an owner that ran there.
@@ -250,12 +300,12 @@
 
     fn candidates(&self, state: &mut PoolState<E>, wish: &Wish, now: Instant) -> Vec<Candidate> {
         let fit = state.servers.iter_mut().enumerate().filter(|(_, slot)| slot.is_fit(wish, now));
-        fit.map(|(index, slot)| {
+        fit.filter_map(|(index, slot)| {
             slot.forget_old_latency(now);
             if self.owner_of(slot, wish, now).is_some() {
-                return Candidate {
+                return Some(Candidate {
                     index,
-                    near: slot.entry.availability_zone == self.availability_zone,
+                    reach: self.layout.reach(&slot.entry.availability_zone),
                     leads: wish.primary.as_ref() == Some(&slot.entry.server),
                     // Its queue is at the owner, where the whole zone's demand is seen.
                     idle: 1,
@@ -264,27 +314,37 @@
                     full: false,
                     is_strange: false,
                     latency_us: slot.latency.get_us(),
-                };
+                });
+            }
+            if slot.is_dark(now) {
+                return None;
             }
-            Candidate {
+            let waits_elsewhere = wish.principal.is_some();
+            let queue = slot.queue.as_ref().filter(|_| waits_elsewhere);
+            Some(Candidate {
                 index,
-                // Through another daemon nothing is near.
-                near: slot.entry.availability_zone == self.availability_zone
-                    && slot.detours.is_empty(),
+                reach: match slot.detours.is_empty() {
+                    true => self.layout.reach(&slot.entry.availability_zone),
+                    // Through another daemon nothing is near.
+                    false => {
+                        Reach::SameRegion.max(self.layout.reach(&slot.entry.availability_zone))
+                    }
+                },
                 leads: wish.primary.as_ref() == Some(&slot.entry.server),
                 idle: slot.idle_for(wish),
-                in_use: slot.in_use,
-                limit: slot.limit_at(now),
+                in_use: queue.map_or(slot.in_use, |queue| queue.outstanding()),
+                // Where it has a queue, statements wait in that one.
+                limit: queue.map_or_else(|| slot.limit_at(now), |_| u32::MAX),
                 full: slot.is_full_for(wish),
                 is_strange: false,
                 latency_us: slot.latency.get_us(),
-            }
+            })
         })
         .collect()
     }
 
     /// Takes the idle connection that needs the least to be sent before the statement.
-    fn take_idle(
+    pub(super) fn take_idle(
         &self,
         index: usize,
         values: &SessionValues,
@@ -305,7 +365,12 @@
         Some(slot.idle.remove(best).1)
     }
 
-    fn place(self: &Rc<Self>, index: usize, wish: &Wish) -> OpeningPlace<E> {
+    pub(super) fn place(
+        self: &Rc<Self>,
+        index: usize,
+        wish: &Wish,
+        turn: Option<Turn>,
+    ) -> OpeningPlace<E> {
         let mut state = self.state.borrow_mut();
         let slot = &mut state.servers[index];
         slot.make_room();
@@ -315,6 +380,7 @@
             entry: slot.entry.clone(),
             yields: wish.yields,
             settled: false,
+            turn,
             principal: wish.principal.clone().unwrap_or(Principal::Daemon),
         }
     }
@@ -326,7 +392,7 @@
             state.servers.iter().position(|slot| &*slot.entry.server == server)
         };
         let Some(index) = place else { return };
-        let place = self.place(index, &waiter.wish);
+        let place = self.place(index, &waiter.wish, None);
         // A place that nobody takes any more gives itself up when it is dropped.
         let _ = waiter.grant.send(Offer::Open(place));
     }
@@ -335,8 +401,10 @@
         self: &Rc<Self>,
         connection: Box<EndpointConnection<E>>,
         yields: bool,
+        turn: Option<Turn>,
     ) -> Lent<E> {
-        Lent { pool: self.clone(), held: Held::Own(connection), lent_at: Instant::now(), yields }
+        let held = Held::Own(connection);
+        Lent { pool: self.clone(), held, lent_at: Instant::now(), yields, turn, step: None }
     }
 
     pub(super) fn with_slot<R>(
--- a/crates/proxy/src/serve/slot.rs
+++ b/crates/proxy/src/serve/slot.rs
@@ -2,16 +2,21 @@
 
 use std::{
     net::SocketAddr,
+    rc::Rc,
     sync::Arc,
     time::{Duration, Instant},
 };
 
 use model::LogPoint;
+use overload::{AfterRefusal, Granted, Resting, Reuse, Room};
 use routing::LatencyAverage;
 
 use crate::{
+    accounts::Principal,
     catalog::ServerEntry,
-    serve::{connection::EndpointConnection, wish::Wish},
+    serve::{
+        connection::EndpointConnection, paths::ServerPaths, server_queue::ServerQueue, wish::Wish,
+    },
 };
 
 /// How long a server that lagged behind a bounded floor is passed over.
@@ -32,6 +37,9 @@
 /// How long a connection beyond the first may rest. Connections that are not needed leave room for
 /// those of daemons that start anew while their former ones still count.
 const SPARE_RESTS: Duration = Duration::from_millis(1_000);
+/// The same where accounts compete for an owner's connections: long enough for the next statement of an account that asks
+/// every few seconds, which would else open one.
+const COMPETED_RESTS: Duration = Duration::from_millis(4_000);
 /// How long a connection may rest where there are more daemons than connections to a server, so that
 /// the others get their turn.
 const SCARCE_RESTS: Duration = Duration::from_millis(300);
@@ -75,6 +83,14 @@
     pub(crate) detours: Arc<[SocketAddr]>,
     pub(crate) next_detour: usize,
     pub(crate) no_detour_until: Option<Instant>,
+    /// Which ways to it work.
+    pub(crate) paths: ServerPaths,
+    /// What waits for it, where this daemon's connections are not everybody's.
+    pub(crate) queue: Option<Rc<ServerQueue>>,
+    /// How many connections the server grants at present.
+    pub(crate) granted: Granted,
+    /// How often accounts use connections to it, where they compete for them.
+    pub(crate) reuse: Option<Reuse>,
     /// Whether it is still listed; one that is not gets no new work.
     pub(crate) listed: bool,
 }
@@ -102,6 +118,10 @@
             detours: Arc::default(),
             next_detour: 0,
             no_detour_until: None,
+            paths: ServerPaths::default(),
+            queue: None,
+            granted: Granted::default(),
+            reuse: None,
             listed: true,
         }
     }
@@ -110,11 +130,16 @@
     pub(crate) fn end_spares(&mut self) {
         let now = Instant::now();
         let others = self.in_use as usize;
-        let rests = if self.keeps > 0 { SPARE_RESTS } else { SCARCE_RESTS };
-        while self.idle.len() + others > self.keeps as usize
-            && self.idle.first().is_some_and(|(since, _)| now.duration_since(*since) > rests)
-        {
-            self.idle.remove(0);
+        let rests = match (self.keeps, &self.reuse) {
+            (0, _) => SCARCE_RESTS,
+            (_, None) => SPARE_RESTS,
+            (_, Some(_)) => COMPETED_RESTS,
+        };
+        while self.idle.len() + others > self.keeps as usize {
+            let rested =
+                self.idle.iter().take_while(|(since, _)| now.duration_since(*since) > rests);
+            let Some(least) = self.least_likely(rested.count(), now) else { return };
+            self.idle.remove(least);
         }
     }
 
@@ -130,6 +155,8 @@
             self.failures = 0;
             self.no_opening_until = None;
             self.away_until = None;
+            self.paths = ServerPaths::default();
+            self.granted = Granted::default();
         }
         self.entry = entry;
     }
@@ -139,11 +166,40 @@
         self.idle.iter().filter(|(_, idle)| wish.may_use(&idle.principal)).count() as u32
     }
 
-    /// Ends the connection that rested longest where another one is to be opened and all places are taken.
+    /// Ends the connection that is least likely to be used again where another one is to be opened and all places are
+    /// taken.
     pub(crate) fn make_room(&mut self) {
-        let most = (self.limit + self.loan).max(1);
-        while !self.idle.is_empty() && self.idle.len() as u32 + self.in_use >= most {
-            self.idle.remove(0);
+        let now = Instant::now();
+        let most = self.most_at(now);
+        while self.idle.len() as u32 + self.in_use >= most {
+            let Some(least) = self.least_likely(self.idle.len(), now) else { return };
+            self.idle.remove(least);
+        }
+    }
+
+    /// Returns which of the first so many connections at rest is least likely to be used again: the one that rested
+    /// longest where accounts don't compete.
+    fn least_likely(&self, of_first: usize, now: Instant) -> Option<usize> {
+        let Some(reuse) = &self.reuse else { return (of_first > 0).then_some(0) };
+        let resting = self.idle.iter().take(of_first);
+        let resting: Vec<Resting<'_>> = resting
+            .map(|(since, idle)| Resting { account: idle.principal.told(), since: *since })
+            .collect();
+        reuse.least_likely(&resting, now)
+    }
+
+    /// Notes for whom a connection is used.
+    pub(crate) fn note_use(&mut self, principal: &Principal) {
+        if let Some(reuse) = &mut self.reuse {
+            reuse.on_used(principal.told(), Instant::now());
+        }
+    }
+
+    /// Takes over whether accounts compete for its connections.
+    pub(crate) fn set_competing(&mut self, do_compete: bool) {
+        match do_compete {
+            true => drop(self.reuse.get_or_insert_default()),
+            false => self.reuse = None,
         }
     }
 
@@ -186,10 +242,29 @@
         self.no_opening_until = Some(Instant::now() + backoff);
         if refused {
             self.no_loan_until = Some(Instant::now() + NO_LOAN_FOR);
+            self.note_crowded();
         }
         backoff
     }
 
+    /// Notes that the server grants no more connections. Behind a queue one may be ended for each that is opened, so that who
+    /// has none gets one.
+    fn note_crowded(&mut self) {
+        if self.queue.is_none() {
+            return;
+        }
+        let held = self.idle.len() as u32 + self.in_use;
+        match self.granted.on_refused(held, Instant::now()) {
+            AfterRefusal::Exchange => self.no_opening_until = None,
+            AfterRefusal::Pause => {}
+        }
+    }
+
+    /// Returns how many connections there may be at a time.
+    fn most_at(&self, now: Instant) -> u32 {
+        self.granted.most(self.limit + self.loan, now)
+    }
+
     /// Takes over the ways around to it. Connections through other daemons end once there is a direct path,
     /// which is shorter and needs nobody else.
     pub(crate) fn set_detours(&mut self, detours: Arc<[SocketAddr]>) {
@@ -225,6 +300,12 @@
         }
     }
 
+    /// Whether nothing can reach it from here, by what this daemon's probe says.
+    pub(crate) fn is_dark(&self, now: Instant) -> bool {
+        let has_detour = self.paths.has_detour() && self.has_detour(now);
+        self.paths.is_dark() && !has_detour
+    }
+
     /// Whether it lagged behind a moment ago.
     pub(crate) fn has_lagged(&self, now: Instant) -> bool {
         self.lagging_until.is_some_and(|until| now < until + LAGGING_RECENTLY)
@@ -257,6 +338,23 @@
         }
     }
 
+    /// Whether a connection may be opened now, as far as former failures go.
+    pub(crate) fn may_open(&self, now: Instant) -> bool {
+        let is_paused = self.no_opening_until.is_some_and(|until| now < until);
+        self.in_use < self.most_at(now) && (!is_paused || self.has_detour(now))
+    }
+
+    /// Takes over whether statements wait in a queue of this server's own, and what it has room for.
+    pub(crate) fn set_queue(&mut self, room: Option<Room>) {
+        match (&self.queue, room) {
+            (Some(queue), Some(room)) => queue.set_room(room),
+            (None, Some(room)) => {
+                self.queue = Some(ServerQueue::new(self.entry.server.clone(), room))
+            }
+            (_, None) => self.queue = None,
+        }
+    }
+
     /// How many connections beyond the limit may be borrowed now.
     fn loan_at(&self, now: Instant) -> u32 {
         match self.no_loan_until {
