--- a/crates/overload/src/hold.rs
+++ b/crates/overload/src/hold.rs
@@ -23,6 +23,9 @@
 const UNCERTAIN_TIME_SHARE: f64 = 0.1;
 /// How long an outage may go unobserved before its end: one that ended later by that much tells nothing of its length.
 const UNOBSERVED_AT_MOST: Duration = Duration::from_millis(250);
+/// How long an outage may go unobserved until the next one that is found counts as another one: callers of a daemon ask for most
+/// groups more often than that.
+const FORGOTTEN_AFTER: Duration = Duration::from_secs(2);
 /// The shortest time after which an estimate is looked at again.
 const LOOK_AGAIN: Duration = Duration::from_millis(20);
 /// Over how much of their latency target those are released that waited; the rest is for the servers to answer in.
@@ -122,6 +125,12 @@
         self.observed_at = now;
     }
 
+    /// Whether what is found now is still the same one.
+    pub fn is_same(&self, outage: Outage, now: Instant) -> bool {
+        let unobserved = now.saturating_duration_since(self.observed_at);
+        self.outage == outage && unobserved < FORGOTTEN_AFTER
+    }
+
     /// Returns how long it has lasted.
     pub fn elapsed(&self, now: Instant) -> Duration {
         now.saturating_duration_since(self.began_at)
--- a/crates/overload/tests/hold.rs
+++ b/crates/overload/tests/hold.rs
@@ -188,6 +188,17 @@
     assert_eq!(ongoing.length(t0 + ms(900)), None);
 }
 
+/// A group that is rarely asked for: what failed there long ago and was never seen to end is not what fails now.
+#[test]
+fn an_outage_that_nobody_looked_at_for_long_is_forgotten() {
+    let t0 = Instant::now();
+    let mut ongoing = OngoingOutage::new(Outage::Unreachable, t0, t0);
+    ongoing.observe(t0 + ms(1_000));
+    assert!(ongoing.is_same(Outage::Unreachable, t0 + ms(2_900)));
+    assert!(!ongoing.is_same(Outage::Unreachable, t0 + ms(3_100)));
+    assert!(!ongoing.is_same(Outage::Failover, t0 + ms(1_100)));
+}
+
 /// A change that is called off: what waited for its end has no turn any more, and gets a new one with the next end.
 #[test]
 fn turns_end_with_what_they_were_given_for() {
--- a/crates/proxy/src/serve/holding.rs
+++ b/crates/proxy/src/serve/holding.rs
@@ -361,7 +361,11 @@
             remaining: Duration::ZERO,
             sent: rounds.sent,
         };
-        self.refuse(group, job, self.with_outlook(group, job, refusal))
+        let refusal = match needs_primary(job) {
+            true => self.with_outlook(group, job, refusal),
+            false => refusal,
+        };
+        self.refuse(group, job, refusal)
     }
 
     /// Returns what a statement is told that found no free connection.
@@ -384,3 +388,8 @@
         self.refuse(group, job, refusal)
     }
 }
+
+/// Whether only the primary can run a statement, whatever is known of where its log stood.
+fn needs_primary(job: &Job<'_>) -> bool {
+    job.work.class() == StatementClass::Write || job.route.reads == ReadRule::Primary
+}
--- a/crates/proxy/src/serve/outage.rs
+++ b/crates/proxy/src/serve/outage.rs
@@ -42,7 +42,7 @@
         history: &OutageHistory,
         now: Instant,
     ) -> OngoingOutage {
-        let known = self.ongoing.get().filter(|known| known.outage == outage);
+        let known = self.ongoing.get().filter(|known| known.is_same(outage, now));
         let mut ongoing = known.unwrap_or_else(|| {
             let new = OngoingOutage::new(outage, began_at, now);
             let elapsed = new.elapsed(now);
