fix(proxy): a change whose order took effect before it was recorded is settled without stopping the servers again

Whoever went on with the change asked the servers to pause for a term that they were in already; they refused, too few answered, and so for ever. The same holds without a restore where a driver dies between the order and the record. The chosen server is asked first now: if it leads, that is recorded, by the same rule as after an order; it is chosen only once the others were stopped.

--- a/crates/proxy/src/control/change.rs
+++ b/crates/proxy/src/control/change.rs
@@ -250,6 +250,11 @@
         mut run: ChangeRun,
         commands: &mut Commands<'_, P>,
     ) -> Result<(), ChangeEnd> {
+        if let Some(chosen) = run.chosen()
+            && let Some(term) = self.leads_already(service, &run, &chosen, commands).await
+        {
+            return self.settle(service, &run, &chosen, term, commands).await;
+        }
         let stopped = self.await_stop(service, &mut run, commands).await?;
         if let Some(mut chosen) = run.chosen() {
             // An order may have been given before; it is repeated, and no other server is named. If it
@@ -355,13 +360,7 @@
             running = self.order(service, &mut run, &chosen).await?;
             self.step("ordered", service, &run);
             if let Some(term) = self.await_lead(service, &run, &chosen, commands).await {
-                let life = self.life_of(service, &chosen.server);
-                let record = run.record.settled(&chosen, life, term);
-                self.write_record(service, &record, run.revision).await?;
-                self.step("settled", service, &run);
-                let old = run.record.primary.as_str();
-                self.resume_others(service, &chosen, old, Term(term), commands).await;
-                return Ok(());
+                return self.settle(service, &run, &chosen, term, commands).await;
             }
         }
         // It will not lead any more: the next look may choose another.
@@ -483,7 +482,7 @@
 
 /// Whether the chosen server leads, and not just still. One that leads in the term that was in force
 /// is the former primary, started anew under another identity: nobody else has led since.
-fn has_taken_over(
+pub(crate) fn has_taken_over(
     record: &LeadershipRecord,
     chosen: &ChosenServer,
     status: &EndpointStatus,
--- a/crates/proxy/src/control/confirming.rs
+++ b/crates/proxy/src/control/confirming.rs
@@ -13,11 +13,11 @@
 use crate::{
     catalog::ServerLife,
     control::{
-        change::{ChangeEnd, Reason, VersionedRecord},
+        change::{ChangeEnd, ChangeRun, Reason, VersionedRecord, has_taken_over},
         commands::Commands,
         evidence::{self, HeldRight, LeadByEvidence},
         outside::Outside,
-        record::LeadershipRecord,
+        record::{ChosenServer, LeadershipRecord},
         runner::Control,
         state::State,
     },
@@ -84,6 +84,39 @@
         self.change_primary(service, Reason::Restored).await
     }
 
+    /// Returns the term in which the server that was chosen before leads already, if it does: its order took effect, and only
+    /// the record of that was lost. The servers are in that term too, and take no pause for it any more.
+    pub(crate) async fn leads_already(
+        &self,
+        service: &Name,
+        run: &ChangeRun,
+        chosen: &ChosenServer,
+        commands: &mut Commands<'_, P>,
+    ) -> Option<u64> {
+        let entries = self.entries(service);
+        let entry = entries.into_iter().find(|entry| *entry.server == *chosen.server)?;
+        let status = commands.ask(&entry, EndpointText::Status).await.ok()?;
+        has_taken_over(&run.record, chosen, &status).then_some(status.term.0)
+    }
+
+    /// Records that the chosen server leads, and lets the others go on.
+    pub(crate) async fn settle(
+        &self,
+        service: &Name,
+        run: &ChangeRun,
+        chosen: &ChosenServer,
+        term: u64,
+        commands: &mut Commands<'_, P>,
+    ) -> Result<(), ChangeEnd> {
+        let life = self.life_of(service, &chosen.server);
+        let record = run.record.settled(chosen, life, term);
+        self.write_record(service, &record, run.revision).await?;
+        self.step("settled", service, run);
+        let old = run.record.primary.as_str();
+        self.resume_others(service, chosen, old, Term(term), commands).await;
+        Ok(())
+    }
+
     /// Returns where the duty's key stands if it is of an era that has ended: nobody holds the duty by it.
     pub(crate) fn ended_duty(&self, state: &State) -> Option<Revision> {
         let item = state.mirror.get(&self.duty_key())?;
