--- a/crates/proxy/src/control/asking.rs
+++ b/crates/proxy/src/control/asking.rs
@@ -14,6 +14,7 @@
 use crate::{
     control::{
         beliefs::{Basis, Lead},
+        change::VersionedRecord,
         evidence::{self, HeldRight, KnownLead, LeadByEvidence, may_give_right},
         outside::Outside,
         peers::Evidence,
@@ -78,9 +79,13 @@
     /// Whether the store says nothing of who leads, because it is silent or was restored and what it holds is not confirmed.
     fn needs_evidence(&self) -> bool {
         let state = self.state.borrow();
+        // Nobody confirms who leads a service that the configuration does not have any more.
+        let is_left_open = |(service, known): (&Name, &Arc<VersionedRecord>)| {
+            !state.is_confirmed(&known.record) && state.catalog.services.contains_key(service)
+        };
         state.is_store_silent(self.patience())
             || self.store.era() > state.mirror.era()
-            || state.records.values().any(|known| !state.is_confirmed(&known.record))
+            || state.records.iter().any(is_left_open)
     }
 
     fn take_found(&self, found: impl Iterator<Item = Evidence>) {
