--- a/crates/proxy/src/control/rights.rs
+++ b/crates/proxy/src/control/rights.rs
@@ -101,13 +101,25 @@
     ///
     /// A reading of this daemon's own key is enough where every change up to its revision is known, as it
     /// is nearly always: then it is known what a reading of everything would show. That is a few hundred
-    /// bytes instead of some hundred for each daemon of the fleet; the whole is read only by who is behind.
+    /// bytes instead of some hundred for each daemon of the fleet; the whole is read only by who is behind, in a large
+    /// fleet only where the changes that are missing can't be had by themselves. There hundreds are behind together as
+    /// soon as a link is full, and all that they would read would keep it so.
     async fn renew_rights(&self, asked_at: Instant) -> Result<(), MetadataError> {
         let own = self.read_below(&self.member_key()).await?;
         if self.state.borrow().own_followed_to >= own.revision {
             self.on_own_reading(own.revision, asked_at);
             return Ok(());
         }
+        if self.is_fleet_large() {
+            match self.watch_once(Duration::ZERO).await {
+                Ok(()) | Err(MetadataError::HistoryGone) => {}
+                Err(error) => return Err(error),
+            }
+            if self.state.borrow().own_followed_to >= own.revision {
+                self.on_own_reading(own.revision, asked_at);
+                return Ok(());
+            }
+        }
         let asked_at = Instant::now();
         let everything = self.read_below(&self.key("")).await?;
         self.on_own_snapshot(everything, asked_at);
--- a/crates/proxy/src/control/starting.rs
+++ b/crates/proxy/src/control/starting.rs
@@ -23,6 +23,13 @@
 /// How long the list of members may take. It only helps to find somebody to ask, so it is not waited for long.
 const MEMBERS_WITHIN: Duration = Duration::from_millis(300);
 
+/// How often the list is read by a daemon that starts together with others, and the pause between: as long as joining takes
+/// where all do so at once.
+const MOST_LOOKS: usize = 4;
+const LOOK_AGAIN_AFTER: Duration = Duration::from_millis(200);
+/// A list that has grown by more than this factor since the last look shows a fleet that is just being started.
+const GROWS_FROM: usize = 2;
+
 /// A member as the store shows it before this daemon knows anything.
 struct Listed {
     host: String,
@@ -32,7 +39,7 @@
 impl<P: Outside> Control<P> {
     /// Hears everything from another daemon of the zone, in a large fleet; `false` if it is to be read from the store.
     pub(crate) async fn hear_everything(&self) -> bool {
-        let Ok(members) = self.list_members().await else { return false };
+        let Ok(members) = self.list_settled_members().await else { return false };
         if members.len() <= MOST_WHO_READ {
             return false;
         }
@@ -53,6 +60,11 @@
         false
     }
 
+    /// Whether there are so many members that what each of them reads of the store may fill a link.
+    pub(crate) fn is_fleet_large(&self) -> bool {
+        self.state.borrow().members.len() > MOST_WHO_READ
+    }
+
     /// Notes that the configuration, the servers and the daemons' own keys are all known.
     pub(crate) fn note_everything_known(&self) {
         let mut state = self.state.borrow_mut();
@@ -64,11 +76,29 @@
         self.publish();
     }
 
-    /// Reads who is a member; a list that is some seconds old will do, and costs little.
-    async fn list_members(&self) -> Result<Vec<Listed>, MetadataError> {
+    /// Reads who is a member. For a daemon that was one before, a list that is some seconds old will do, and costs little.
+    /// One that is new may have been started together with all others, of whom that list shows none; it waits until no
+    /// more come.
+    async fn list_settled_members(&self) -> Result<Vec<Listed>, MetadataError> {
+        let mut members = self.list_members(Consistency::Stale).await?;
+        if members.iter().any(|member| *member.host == *self.settings.host) {
+            return Ok(members);
+        }
+        for _ in 0..MOST_LOOKS {
+            let before = members.len();
+            members = self.list_members(Consistency::Linearizable).await?;
+            if members.len() > MOST_WHO_READ || members.len() <= GROWS_FROM * before.max(1) {
+                break;
+            }
+            tokio::time::sleep(LOOK_AGAIN_AFTER).await;
+        }
+        Ok(members)
+    }
+
+    async fn list_members(&self, consistency: Consistency) -> Result<Vec<Listed>, MetadataError> {
         let prefix = self.key("members/");
         let patience = MEMBERS_WITHIN.into();
-        let read = self.store.range(&prefix, Consistency::Stale, patience).await;
+        let read = self.store.range(&prefix, consistency, patience).await;
         self.count_call("range", &read);
         let listed = read?.items.into_iter().filter_map(|item| {
             let host = item.key.strip_prefix(&prefix)?.to_owned();
--- a/crates/proxy/src/control/suspicion.rs
+++ b/crates/proxy/src/control/suspicion.rs
@@ -32,50 +32,53 @@
 /// Daemons of each kind, of the same availability zone and of others, that are tried as a way around.
 const DETOURS_EACH: usize = 3;
 
+/// Daemons that can be asked for a way around, with where.
+type Ways<'a> = Vec<(&'a Name, SocketAddr)>;
+
 impl<P: Outside> Control<P> {
-    /// Tells the other daemons which primaries this one can't reach.
+    /// Takes over what the serving thread observes, and has the other daemons told which primaries this one can't reach.
     pub(crate) async fn observation_loop(self: Rc<Self>) {
         while let Ok(observation) = self.observations.recv_async().await {
-            let (service, server, reachable, asked_at) = match observation {
-                Observation::Reachability { service, server, reachable, asked_at } => {
-                    (service, server, reachable, asked_at)
-                }
-                Observation::PrimarySampled { service, sample } => {
-                    self.take_samples([(service, sample)]);
-                    continue;
-                }
-                Observation::Used { service } => {
-                    self.state.borrow_mut().used_at.insert(service, Instant::now());
-                    continue;
-                }
-                Observation::SampleWanted => {
-                    self.ask_for_samples();
-                    continue;
-                }
-                Observation::Contradicted { service, term } => {
-                    self.drop_right(&service, term);
-                    continue;
-                }
-                Observation::ReplicasBehind { service } => {
-                    self.tell_behind(service);
-                    continue;
-                }
-            };
-            let pair = (service.clone(), server.clone());
-            let changed = {
-                let mut state = self.state.borrow_mut();
-                match reachable {
-                    true => state.suspected.remove(&pair).is_some(),
-                    false => state.suspected.insert(pair, asked_at).is_none(),
-                }
-            };
-            if changed {
+            let mut has_changed = self.take_observation(observation);
+            // Hundreds come at once where a region is cut off, and each publication looks at all of them.
+            while let Ok(more) = self.observations.try_recv() {
+                has_changed |= self.take_observation(more);
+            }
+            if has_changed {
                 self.publish();
             }
-            if changed || !reachable {
-                self.suspicions_due.notify_one();
+        }
+    }
+
+    /// Takes over one; returns whether a server has come within reach or got out of it.
+    fn take_observation(self: &Rc<Self>, observation: Observation) -> bool {
+        match observation {
+            Observation::Reachability { service, server, reachable, asked_at } => {
+                return self.take_reachability((service, server), reachable, asked_at);
+            }
+            Observation::PrimarySampled { service, sample } => {
+                self.take_samples([(service, sample)]);
+            }
+            Observation::Used { service } => {
+                self.state.borrow_mut().used_at.insert(service, Instant::now());
             }
+            Observation::SampleWanted => self.ask_for_samples(),
+            Observation::Contradicted { service, term } => self.drop_right(&service, term),
+            Observation::ReplicasBehind { service } => self.tell_behind(service),
         }
+        false
+    }
+
+    fn take_reachability(&self, pair: (Name, Name), reachable: bool, asked_at: Instant) -> bool {
+        let mut state = self.state.borrow_mut();
+        let has_changed = match reachable {
+            true => state.suspected.remove(&pair).is_some(),
+            false => state.suspected.insert(pair, asked_at).is_none(),
+        };
+        if has_changed || !reachable {
+            self.suspicions_due.notify_one();
+        }
+        has_changed
     }
 
     /// Writes what the store does not show of this daemon's suspicions, whenever that may have changed: many at a time, and
@@ -223,11 +226,13 @@
         }
     }
 
-    /// Returns, for each server that this daemon can't reach, some daemons that have not said so too. Each daemon begins
-    /// its search behind itself in the list, so that one that many need is not the same for all of them.
+    /// Returns, for each server that this daemon can't reach, some daemons that have not said so too.
     pub(crate) fn detours(&self, state: &State, now: Instant) -> Detours {
         let mut detours = Detours::new();
-        let own = &self.settings.host;
+        if state.suspected.is_empty() {
+            return detours;
+        }
+        let (near, far) = self.ways_around(state, now);
         for (service, server) in state.suspected.keys() {
             let prefix = self.key(&format!("suspicions/{service}/{server}/"));
             let cut_off: HashSet<&str> = state
@@ -235,22 +240,35 @@
                 .below(&prefix)
                 .filter_map(|item| item.key.strip_prefix(&prefix))
                 .collect();
-            let behind = state.members.range::<Name, _>((Excluded(own), Unbounded));
-            let around = behind.chain(state.members.range::<Name, _>(..own));
-            let reachable = around.filter_map(|(host, member)| {
-                let address = member.peer_address?;
-                let may_reach = !cut_off.contains(&**host) && !self.asker.is_silent(address, now);
-                let is_near = member.availability_zone == *self.settings.availability_zone;
-                may_reach.then_some((is_near, address))
-            });
-            let some = choose_detours(reachable);
-            if !some.is_empty() {
-                detours.insert(server.clone(), Arc::from(some));
+            let some = |ways: &[(&Name, SocketAddr)]| {
+                let reaching = ways.iter().filter(|(host, _)| !cut_off.contains(&***host));
+                reaching.map(|(_, address)| *address).take(DETOURS_EACH).collect::<Vec<_>>()
+            };
+            let tried: Vec<SocketAddr> = some(&near).into_iter().chain(some(&far)).collect();
+            if !tried.is_empty() {
+                detours.insert(server.clone(), Arc::from(tried));
             }
         }
         detours
     }
 
+    /// Returns the daemons that can be asked, those of this availability zone and the others. Each daemon begins behind
+    /// itself in the list, so that one that many need is not the same for all of them.
+    fn ways_around<'a>(&self, state: &'a State, now: Instant) -> (Ways<'a>, Ways<'a>) {
+        let own = &self.settings.host;
+        let behind = state.members.range::<Name, _>((Excluded(own), Unbounded));
+        let around = behind.chain(state.members.range::<Name, _>(..own));
+        let askable = around.filter_map(|(host, member)| {
+            let address = member.peer_address.filter(|it| !self.asker.is_silent(*it, now))?;
+            Some((&*member.availability_zone, (host, address)))
+        });
+        let (near, far): (Vec<_>, Vec<_>) =
+            askable.partition(|(zone, _)| *zone == &*self.settings.availability_zone);
+        let ways =
+            |of: Vec<(&str, (&'a Name, SocketAddr))>| of.into_iter().map(|it| it.1).collect();
+        (ways(near), ways(far))
+    }
+
     fn suspicion_key(&self, service: &Name, server: &Name) -> String {
         self.key(&format!("suspicions/{service}/{server}/{}", self.settings.host))
     }
@@ -277,19 +295,3 @@
         }
     }
 }
-
-/// Takes the first few that are near and the first few that are not, near ones first.
-fn choose_detours(reachable: impl Iterator<Item = (bool, SocketAddr)>) -> Vec<SocketAddr> {
-    let (mut near, mut far) = (Vec::new(), Vec::new());
-    for (is_near, address) in reachable {
-        let kind = if is_near { &mut near } else { &mut far };
-        if kind.len() < DETOURS_EACH {
-            kind.push(address);
-        }
-        if near.len() == DETOURS_EACH && far.len() == DETOURS_EACH {
-            break;
-        }
-    }
-    near.append(&mut far);
-    near
-}
--- a/crates/proxy/src/control/telling.rs
+++ b/crates/proxy/src/control/telling.rs
@@ -10,8 +10,8 @@
 
 /// How long a write that the store did may take to come back by the watch, before the key is written again.
 const SHOWN_WITHIN: Duration = Duration::from_secs(1);
-/// Keys that one transaction writes at the most; some kilobytes.
-const MOST_AT_ONCE: usize = 64;
+/// Keys that one transaction writes at the most; the store takes no more entries than this in one.
+const MOST_AT_ONCE: usize = 32;
 
 /// What is to be written, by one transaction.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
--- a/crates/proxy/src/control/watching.rs
+++ b/crates/proxy/src/control/watching.rs
@@ -107,7 +107,7 @@
     }
 
     /// Asks the store once what has changed since the last change that is known, and takes that over.
-    async fn watch_once(&self, wait: Duration) -> Result<(), MetadataError> {
+    pub(crate) async fn watch_once(&self, wait: Duration) -> Result<(), MetadataError> {
         let after = self.state.borrow().mirror.followed_to();
         // One watch over all keys costs one call where three prefixes would cost three.
         let changes = self.store.watch("", after, wait).await;
@@ -172,6 +172,8 @@
                 Ok(())
             }
             Err(error @ (MetadataError::NotDone(_) | MetadataError::Unfinished)) => Err(error),
+            // A full link more likely than a deaf watch, and everything would fill it for longer.
+            Err(error @ MetadataError::NoAnswer(_)) if self.is_fleet_large() => Err(error),
             Ok(()) | Err(_) => self.read_everything().await,
         }
     }
--- a/crates/proxy/tests/peers.rs
+++ b/crates/proxy/tests/peers.rs
@@ -106,12 +106,12 @@
         ..FollowAnswer::default()
     };
     // The changes travel behind the answer, so that it is small whatever they are.
-    let (head, changes) = message.split();
+    let (head, changes) = message.split(bytes::Bytes::new());
     assert!(head.changes_follow && head.changes.is_empty());
     let mut received = FollowAnswer::decode(&*head.encode_to_vec()).unwrap();
     received.changes = ChangesMessage::decode(&*changes.unwrap().encode_to_vec()).unwrap().changes;
     assert_eq!(received.take_told(Instant::now()).news.changes, sent);
-    let (head, changes) = FollowAnswer::default().split();
+    let (head, changes) = FollowAnswer::default().split(bytes::Bytes::new());
     assert!(!head.changes_follow && changes.is_none());
 }
 
