--- a/crates/proxy/src/control/starting.rs
+++ b/crates/proxy/src/control/starting.rs
@@ -14,13 +14,13 @@
         state::MemberValue,
         tree::{TreeMember, daemon_to_follow},
     },
-    metadata::{Consistency, MetadataError, MetadataStore},
+    metadata::{Consistency, MetadataError, MetadataStore, Patience},
 };
 
 /// Members up to which each daemon reads everything itself when it starts: that takes one step instead of the three of the
 /// tree, and as many readings of some hundred kilobytes are a second of a link between regions.
 const MOST_WHO_READ: usize = 90;
-/// How long the list of members may take. It only helps to find somebody to ask, so it is not waited for long.
+/// How long the store may take to begin with the list of members.
 const MEMBERS_WITHIN: Duration = Duration::from_millis(300);
 
 /// How often the list is read by a daemon that starts together with others, and the pause between: as long as joining takes
@@ -37,15 +37,27 @@
 }
 
 impl<P: Outside> Control<P> {
+    /// Learns everything that the store holds, the first time from another daemon where the fleet is large.
+    pub(crate) async fn learn_everything(&self) -> Result<(), MetadataError> {
+        let is_first = !self.state.borrow().servers_known;
+        if is_first && self.hear_everything().await? {
+            return Ok(());
+        }
+        self.read_everything().await
+    }
+
     /// Hears everything from another daemon of the zone, in a large fleet; `false` if it is to be read from the store.
-    pub(crate) async fn hear_everything(&self) -> bool {
-        let Ok(members) = self.list_settled_members().await else { return false };
+    ///
+    /// Where the members can't be listed the whole is not read either: a link that is too full for the one is by far too
+    /// full for the other.
+    async fn hear_everything(&self) -> Result<bool, MetadataError> {
+        let members = self.list_settled_members().await?;
         if members.len() <= MOST_WHO_READ {
-            return false;
+            return Ok(false);
         }
         let began = Instant::now();
         while began.elapsed() < self.whole_read_timeout() {
-            let Some(reader) = self.first_reader(&members) else { return false };
+            let Some(reader) = self.first_reader(&members) else { return Ok(false) };
             self.follow_reader(reader).await;
             if self.has_heard_everything() {
                 self.note_everything_known();
@@ -54,10 +66,10 @@
                     took_ms = began.elapsed().as_millis() as u64;
                     "what the store holds was heard from another daemon"
                 );
-                return true;
+                return Ok(true);
             }
         }
-        false
+        Ok(false)
     }
 
     /// Whether there are so many members that what each of them reads of the store may fill a link.
@@ -97,7 +109,7 @@
 
     async fn list_members(&self, consistency: Consistency) -> Result<Vec<Listed>, MetadataError> {
         let prefix = self.key("members/");
-        let patience = MEMBERS_WITHIN.into();
+        let patience = Patience { answer: MEMBERS_WITHIN, whole: self.whole_read_timeout() };
         let read = self.store.range(&prefix, consistency, patience).await;
         self.count_call("range", &read);
         let listed = read?.items.into_iter().filter_map(|item| {
--- a/crates/proxy/src/control/watching.rs
+++ b/crates/proxy/src/control/watching.rs
@@ -35,13 +35,8 @@
         let mut pause = Pause::default();
         // A store that does not let this daemon join may still let it read.
         let _ = tokio::time::timeout(JOINED_WITHIN, self.has_joined.notified()).await;
-        let mut is_heard = self.hear_everything().await;
         loop {
-            let known = match std::mem::take(&mut is_heard) {
-                true => Ok(()),
-                false => self.read_everything().await,
-            };
-            match known {
+            match self.learn_everything().await {
                 Ok(()) => {
                     pause.reset();
                     let error = self.follow().await;
