--- a/crates/proxy/src/control/starting.rs
+++ b/crates/proxy/src/control/starting.rs
@@ -20,8 +20,6 @@
 /// Members up to which each daemon reads everything itself when it starts: that takes one step instead of the three of the
 /// tree, and as many readings of some hundred kilobytes are a second of a link between regions.
 const MOST_WHO_READ: usize = 90;
-/// How long the store may take to begin with the list of members.
-const MEMBERS_WITHIN: Duration = Duration::from_millis(300);
 
 /// How often the list is read by a daemon that starts together with others, and the pause between: as long as joining takes
 /// where all do so at once.
@@ -109,7 +107,7 @@
 
     async fn list_members(&self, consistency: Consistency) -> Result<Vec<Listed>, MetadataError> {
         let prefix = self.key("members/");
-        let patience = Patience { answer: MEMBERS_WITHIN, whole: self.whole_read_timeout() };
+        let patience = Patience { answer: self.read_timeout(), whole: self.whole_read_timeout() };
         let read = self.store.range(&prefix, consistency, patience).await;
         self.count_call("range", &read);
         let listed = read?.items.into_iter().filter_map(|item| {
