--- a/crates/proxy/src/relay/lease.rs
+++ b/crates/proxy/src/relay/lease.rs
@@ -41,6 +41,8 @@
     pub yields: bool,
     /// Whether no other server that could run it is known.
     pub last_resort: bool,
+    /// How often the operation was sent before.
+    pub tried: u32,
     /// For whom it runs.
     pub principal: Principal,
 }
@@ -140,6 +142,7 @@
             yields: self.terms.yields,
             last_resort: self.terms.last_resort,
             account: self.terms.principal.told().to_owned(),
+            tried: self.terms.tried,
             ..RelayRequest::default()
         }
     }
--- a/crates/proxy/src/relay/messages.rs
+++ b/crates/proxy/src/relay/messages.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use model::{LogPoint, Name, Position, StatementClass, Term};
+use overload::Rank;
 use prost::{Message, Oneof};
 
 use crate::{
@@ -102,7 +103,8 @@
     #[prost(message, tag = "19")]
     Command(CommandMessage),
     /// The transaction is over: its connection goes to others. Nothing is answered. `false` if the connection
-    /// must be rolled back first, since the asker does not know how the transaction stands.
+    /// must be rolled back first, since the asker does not know how the transaction stands. Without a transaction the
+    /// statement of the same number is wanted no more: if it waits, it does not begin.
     #[prost(bool, tag = "20")]
     Release(bool),
     /// Only says that the owner lives.
@@ -397,6 +399,11 @@
         only_reads && !self.leads && !self.last_resort
     }
 
+    /// Returns how urgent it is.
+    pub fn rank(&self) -> Rank {
+        Rank::of_priority(u8::try_from(self.priority).unwrap_or(u8::MAX))
+    }
+
     /// Whether the owner may not begin with it any more at this time of its clock.
     pub fn is_over_at(&self, clock_ms: u64) -> bool {
         clock_ms >= self.begin_until_ms
--- a/crates/proxy/src/serve/engine.rs
+++ b/crates/proxy/src/serve/engine.rs
@@ -12,6 +12,7 @@
 use config::OverloadSettings;
 use limits::WindowRule;
 use model::Name;
+use overload::{Layout, Rank};
 use routing::RetryBudget;
 use session::StalenessSamples;
 use tokio::sync::{Notify, watch};
@@ -25,8 +26,10 @@
     relay::links::RelayLinks,
     serve::{
         connection::{ConnectionLost, EndpointConnection, Introduction},
+        holding::Holding,
         lent::{Lent, OpeningPlace},
         limits::Limits,
+        outage::GroupOutage,
         pool::{GroupPool, NoConnection, Offer},
         reachability::ProbeState,
         replay::SessionValues,
@@ -77,6 +80,8 @@
     pub(crate) sample_wanted_at: Cell<Option<Instant>>,
     /// When the control thread was last told that callers ask for this service.
     used_told_at: Cell<Option<Instant>>,
+    /// Why its primary can't be used, and who waits for that to end.
+    pub(crate) outage: GroupOutage,
     seen: RefCell<Seen>,
 }
 
@@ -99,9 +104,9 @@
 }
 
 impl<E: EndpointDialect> Group<E> {
-    fn new(availability_zone: Name, relays: Rc<RelayLinks>, circuits: bool) -> Group<E> {
+    fn new(layout: Rc<Layout>, relays: Rc<RelayLinks>, overload: OverloadSettings) -> Group<E> {
         Group {
-            pool: Rc::new(GroupPool::new(availability_zone, relays, circuits)),
+            pool: Rc::new(GroupPool::new(layout, relays, overload)),
             samples: RefCell::new(StalenessSamples::new(SAMPLES_KEPT)),
             retries: RefCell::new(RetryBudget::new(RETRY_PERCENT)),
             starved: Cell::new(None),
@@ -113,9 +118,15 @@
             sampling_until: Cell::new(None),
             sample_wanted_at: Cell::new(None),
             used_told_at: Cell::new(None),
+            outage: GroupOutage::default(),
             seen: RefCell::default(),
         }
     }
+
+    /// Whether the daemons have fewer connections to its servers than they could use, so that one may have them for others.
+    pub(crate) fn is_contended(&self) -> bool {
+        self.seen.borrow().share.owned.is_some()
+    }
 }
 
 /// The settings that sessions go by.
@@ -127,6 +138,8 @@
     pub availability_zone: Name,
     /// How long a server must be silent before it is asked whether it is alive.
     pub suspect_after: Duration,
+    /// How long a reading gives the right to use a primary, at every daemon.
+    pub right: Duration,
     /// How long an open transaction may go on after the signal to stop.
     pub stop_transactions_after: Duration,
     /// How long a session at rest stays open after the signal to stop.
@@ -160,8 +173,11 @@
     pub(crate) observations: flume::Sender<Observation>,
     pub(crate) relays: Rc<RelayLinks>,
     pub(crate) limits: Limits,
+    pub(crate) holding: Holding,
     /// Where this daemon's clock begins, by which others tell it until when it may begin with their statements.
     epoch: Instant,
+    /// How far the servers' zones are.
+    layout: Rc<Layout>,
     groups: RefCell<HashMap<Name, Rc<Group<E>>>>,
 }
 
@@ -192,15 +208,24 @@
     QueueFull,
     /// None was free in time.
     TooLate,
+    /// More urgent work and that of others leave no room in time.
+    Overloaded {
+        /// When asking again may help.
+        come_back: Duration,
+    },
 }
 
 impl<C: CallerDialect, E: EndpointDialect> Engine<C, E> {
     /// Joins the pieces.
     pub fn new(parts: EngineParts<C, E>) -> Engine<C, E> {
         let limits = Limits::new(parts.settings.window_rule);
+        let zone = parts.settings.availability_zone.clone();
+        let layout = Rc::new(Layout::new(zone, parts.settings.regions.clone()));
         let relays = Rc::new(RelayLinks::new(parts.settings.overload.circuits));
         Engine {
             limits,
+            layout,
+            holding: Holding::default(),
             caller_dialect: parts.caller_dialect,
             endpoint_dialect: parts.endpoint_dialect,
             settings: parts.settings,
@@ -237,14 +262,15 @@
             .borrow_mut()
             .entry(service.clone())
             .or_insert_with(|| {
-                let zone = self.settings.availability_zone.clone();
-                let circuits = self.settings.overload.circuits;
-                Rc::new(Group::new(zone, self.relays.clone(), circuits))
+                let overload = self.settings.overload.clone();
+                Rc::new(Group::new(self.layout.clone(), self.relays.clone(), overload))
             })
             .clone();
         let granted = beliefs.catalog.services.get(service).map_or(0, |rule| rule.connections);
         let by_account = beliefs.catalog.accounts.is_some();
-        let share = share_of(granted, beliefs.sharers, by_account);
+        let entries = beliefs.servers.get(service).map_or(&[][..], Vec::as_slice);
+        let slots = entries.iter().map(|entry| entry.slots).min().unwrap_or(0);
+        let share = share_of(granted, slots, beliefs.sharers, by_account);
         let seen = Seen {
             servers: beliefs.servers.clone(),
             detours: beliefs.detours.clone(),
@@ -252,7 +278,6 @@
             share,
         };
         if !group.seen.borrow().is_same(&seen) {
-            let entries = beliefs.servers.get(service).map_or(&[][..], Vec::as_slice);
             group.pool.update(entries, share, &seen.detours, &seen.owners);
             *group.seen.borrow_mut() = seen;
         }
@@ -297,11 +322,16 @@
         deadline: Instant,
     ) -> Result<Lent<E>, AcquireError> {
         loop {
-            let offer = match group.pool.lend(wish.clone(), values, deadline).await {
+            let lent = group.pool.lend(wish.clone(), values, deadline).await;
+            self.count_queued(&wish, &lent);
+            let offer = match lent {
                 Ok(offer) => offer,
                 Err(NoConnection::Nowhere) => return Err(AcquireError::Nowhere),
                 Err(NoConnection::QueueFull) => return Err(AcquireError::QueueFull),
                 Err(NoConnection::TooLate) => return Err(AcquireError::TooLate),
+                Err(NoConnection::Overloaded { come_back }) => {
+                    return Err(AcquireError::Overloaded { come_back });
+                }
             };
             let place = match offer {
                 Offer::Lent(lent) => return Ok(lent),
@@ -339,6 +369,21 @@
         }
     }
 
+    /// Counts what became of a statement that this daemon runs on connections of its own for others.
+    fn count_queued(&self, wish: &Wish, lent: &Result<Offer<E>, NoConnection>) {
+        if !wish.is_handed_over || wish.principal.is_none() {
+            return;
+        }
+        let outcome = match lent {
+            Ok(_) => "begun",
+            Err(NoConnection::Overloaded { .. } | NoConnection::QueueFull) => "refused",
+            Err(NoConnection::TooLate) => "too_late",
+            Err(NoConnection::Nowhere) => "nowhere",
+        };
+        let rank = Rank::of_priority(wish.priority).index().to_string();
+        self.metrics.queued.with_label_values(&[rank.as_str(), outcome]).inc();
+    }
+
     /// Returns what a server is told of who connects.
     pub(crate) fn introduce<'a>(&'a self, principal: &'a Principal) -> Introduction<'a> {
         Introduction { host: &self.settings.host, principal }
--- a/crates/proxy/src/serve/paths.rs
+++ b/crates/proxy/src/serve/paths.rs
@@ -108,7 +108,7 @@
 impl<E: EndpointDialect> GroupPool<E> {
     /// Whether ways that do not work are set aside here.
     pub(super) fn has_circuits(&self) -> bool {
-        self.circuits && self.state.borrow().keep != Keep::One
+        self.overload.circuits && self.state.borrow().keep != Keep::One
     }
 
     /// Sends those away that wait for a connection to a server which this daemon has no way to.
