--- a/crates/proxy/src/serve/execute.rs
+++ b/crates/proxy/src/serve/execute.rs
@@ -118,6 +118,9 @@
                 },
                 Err((progress, lost)) => {
                     drop(granted);
+                    if is_no_try(&lost) {
+                        rounds.sent -= 1;
+                    }
                     rounds.last_error = refused_as(&lost);
                     self.note_loss(&group, &job.route.service, &reached, &lost);
                     if let Some(error) = self.turned_away(&group, job, &rounds, &lost) {
@@ -471,3 +474,9 @@
         _ => None,
     }
 }
+
+/// Whether an owner said at once that the server is no use now. It cost a round trip and no server's time, so it is not counted
+/// among the tries of an operation: else the word of a circuit would use up the try that a server which works is there for.
+fn is_no_try(lost: &ConnectionLost) -> bool {
+    matches!(lost, ConnectionLost::NotGranted(NotSent::Unreachable | NotSent::SetAside))
+}
