--- a/crates/proxy/src/control/change.rs
+++ b/crates/proxy/src/control/change.rs
@@ -250,8 +250,11 @@
         mut run: ChangeRun,
         commands: &mut Commands<'_, P>,
     ) -> Result<(), ChangeEnd> {
+        // The order of an earlier attempt may have taken effect, and only the record of that be missing. The servers are in the
+        // new term then and take no pause for it any more.
         if let Some(chosen) = run.chosen()
-            && let Some(term) = self.leads_already(service, &run, &chosen, commands).await
+            && let Some(entry) = self.entry_of(service, &chosen.server)
+            && let Some(term) = self.term_led(&entry, &run, &chosen, commands).await
         {
             return self.settle(service, &run, &chosen, term, commands).await;
         }
@@ -416,13 +419,9 @@
     ) -> Option<u64> {
         let again_at = Instant::now() + Duration::from_millis(1_200);
         while Instant::now() < again_at {
-            let entries = self.entries(service);
-            let entry = entries.into_iter().find(|entry| *entry.server == *chosen.server)?;
-            let status = commands.ask(&entry, EndpointText::Status).await;
-            if let Ok(status) = status
-                && has_taken_over(&run.record, chosen, &status)
-            {
-                return Some(status.term.0);
+            let entry = self.entry_of(service, &chosen.server)?;
+            if let Some(term) = self.term_led(&entry, run, chosen, commands).await {
+                return Some(term);
             }
             tokio::time::sleep(ASK_EVERY).await;
         }
--- a/crates/proxy/src/control/confirming.rs
+++ b/crates/proxy/src/control/confirming.rs
@@ -11,7 +11,7 @@
 use model::{Name, Term};
 
 use crate::{
-    catalog::ServerLife,
+    catalog::{ServerEntry, ServerLife},
     control::{
         change::{ChangeEnd, ChangeRun, Reason, VersionedRecord, has_taken_over},
         commands::Commands,
@@ -84,18 +84,15 @@
         self.change_primary(service, Reason::Restored).await
     }
 
-    /// Returns the term in which the server that was chosen before leads already, if it does: its order took effect, and only
-    /// the record of that was lost. The servers are in that term too, and take no pause for it any more.
-    pub(crate) async fn leads_already(
+    /// Returns the term in which the chosen server leads, if its order took effect.
+    pub(crate) async fn term_led(
         &self,
-        service: &Name,
+        entry: &Arc<ServerEntry>,
         run: &ChangeRun,
         chosen: &ChosenServer,
         commands: &mut Commands<'_, P>,
     ) -> Option<u64> {
-        let entries = self.entries(service);
-        let entry = entries.into_iter().find(|entry| *entry.server == *chosen.server)?;
-        let status = commands.ask(&entry, EndpointText::Status).await.ok()?;
+        let status = commands.ask(entry, EndpointText::Status).await.ok()?;
         has_taken_over(&run.record, chosen, &status).then_some(status.term.0)
     }
 
--- a/crates/proxy/src/control/duty.rs
+++ b/crates/proxy/src/control/duty.rs
@@ -344,6 +344,11 @@
         self.state.borrow().records.get(service).cloned()
     }
 
+    /// Returns a server of a group, if it is listed.
+    pub(crate) fn entry_of(&self, service: &Name, server: &str) -> Option<Arc<ServerEntry>> {
+        self.entries(service).into_iter().find(|entry| *entry.server == *server)
+    }
+
     /// Returns a group's servers.
     pub(crate) fn entries(&self, service: &Name) -> Vec<Arc<ServerEntry>> {
         self.state.borrow_mut().servers.by_service().get(service).cloned().unwrap_or_default()
