feat(proxy): entries choose by the load that owners told, and tell the refused when the queue there drains

Owners tell with each answer how long a statement of each rank would wait; nothing read it. Switched off by [overload] balance. Not yet measured by itself.

--- a/crates/proxy/src/relay/link.rs
+++ b/crates/proxy/src/relay/link.rs
@@ -10,6 +10,7 @@
 
 use bytes::Bytes;
 use futures::{SinkExt, StreamExt};
+use overload::AgedReport;
 use prost::Message;
 use tokio::{net::TcpStream, sync::oneshot, time::timeout};
 
@@ -45,9 +46,10 @@
 /// How a request on a link ended, if not with an outcome: how far it had come, and why.
 pub type LinkLost = (Progress, ConnectionLost);
 
-/// Who waits for an answer, and until when the owner may begin with what was asked.
+/// Who waits for an answer, which server it is to come from, and until when the owner may begin with what was asked.
 struct Asked {
     answer: oneshot::Sender<Option<RelayOutcome>>,
+    server: String,
     begins_until: Instant,
 }
 
@@ -65,6 +67,8 @@
     pinged_at: Cell<Option<Instant>>,
     /// The owner's clock as it was last heard, and when.
     clock: Cell<Option<(u64, Instant)>>,
+    /// The load of the servers whose connections it owns, as its last answers told it.
+    loads: RefCell<HashMap<String, AgedReport>>,
 }
 
 impl RelayLink {
@@ -80,6 +84,7 @@
             is_down: Cell::new(false),
             pinged_at: Cell::new(None),
             clock: Cell::new(None),
+            loads: RefCell::default(),
         });
         tokio::task::spawn_local(link.clone().run(requests));
         link
@@ -105,6 +110,11 @@
         self.pinged_at.get().is_some_and(|at| now.duration_since(at) >= SILENT_AFTER)
     }
 
+    /// Returns the load of a server as the owner told it last.
+    pub fn load_of(&self, server: &str) -> Option<AgedReport> {
+        self.loads.borrow().get(server).copied()
+    }
+
     /// Returns a number that no other transaction on this link has.
     pub fn new_lease(&self) -> u64 {
         self.next()
@@ -140,7 +150,8 @@
         if self.is_down() {
             return Err((Progress::NotSent, ConnectionLost::OwnerLost));
         }
-        self.waiting.borrow_mut().insert(number, Asked { answer, begins_until });
+        let asked = Asked { answer, server: request.server.clone(), begins_until };
+        self.waiting.borrow_mut().insert(number, asked);
         let _forgets = Forgets { link: self, number };
         if self.outgoing.try_send(RelayRequest { number, ..request }).is_err() {
             return Err((Progress::NotSent, ConnectionLost::OwnerLost));
@@ -280,8 +291,12 @@
 
     fn take(&self, answer: RelayAnswer) {
         self.clock.set(Some((answer.clock_ms, Instant::now())));
-        let waiting = self.waiting.borrow_mut().remove(&answer.number);
-        if let (Some(waiting), Some(outcome)) = (waiting, answer.outcome) {
+        let Some(waiting) = self.waiting.borrow_mut().remove(&answer.number) else { return };
+        if let Some(load) = &answer.load {
+            let report = load.heard(Instant::now());
+            self.loads.borrow_mut().insert(waiting.server, report);
+        }
+        if let Some(outcome) = answer.outcome {
             // Whoever asked may have given up.
             let _ = waiting.answer.send(Some(outcome));
         }
--- a/crates/proxy/src/serve/choose.rs
+++ b/crates/proxy/src/serve/choose.rs
@@ -25,6 +25,8 @@
     pub is_strange: bool,
     /// Its average answering time, in microseconds; 0 if it is not known.
     pub latency_us: u32,
+    /// How long the statement would wait there before it begins, as the owner of the connections told it, in microseconds.
+    pub wait_us: u64,
 }
 
 /// What to do next.
@@ -79,7 +81,7 @@
 /// detours cost.
 fn cost_us(candidate: &Candidate, primary_penalty: Duration) -> u64 {
     let rounds = 1 + u64::from(candidate.in_use);
-    let mut cost = u64::from(candidate.latency_us) * rounds;
+    let mut cost = u64::from(candidate.latency_us) * rounds + candidate.wait_us;
     cost += micros(match candidate.reach {
         Reach::SameZone => Duration::ZERO,
         Reach::SameRegion => FAR_PENALTY,
--- a/crates/proxy/src/serve/engine.rs
+++ b/crates/proxy/src/serve/engine.rs
@@ -380,7 +380,7 @@
             Err(NoConnection::TooLate) => "too_late",
             Err(NoConnection::Nowhere) => "nowhere",
         };
-        let rank = Rank::of_priority(wish.priority).index().to_string();
+        let rank = wish.rank().index().to_string();
         self.metrics.queued.with_label_values(&[rank.as_str(), outcome]).inc();
     }
 
--- a/crates/proxy/src/serve/execute.rs
+++ b/crates/proxy/src/serve/execute.rs
@@ -123,7 +123,7 @@
                     }
                     rounds.last_error = refused_as(&lost);
                     self.note_loss(&group, &job.route.service, &reached, &lost);
-                    if let Some(error) = self.turned_away(&group, job, &rounds, &lost) {
+                    if let Some(error) = self.turned_away(&group, job, &rounds, &server, &lost) {
                         return refusal(error, TransactionState::Idle);
                     }
                     match after_loss(progress, class) {
@@ -447,10 +447,11 @@
         group: &Rc<Group<E>>,
         job: &Job<'_>,
         rounds: &Rounds,
+        server: &Name,
         lost: &ConnectionLost,
     ) -> Option<StatementError> {
         let is_turned_away = *lost == ConnectionLost::NotGranted(NotSent::Overloaded);
-        let expected = group.pool.expected_wait();
+        let expected = group.pool.expected_wait_at(server, job.rank());
         (is_turned_away && rounds.needs_primary)
             .then(|| self.no_room(group, job, OTHERS_FIRST, expected, rounds.sent))
     }
--- a/crates/proxy/src/serve/in_turn.rs
+++ b/crates/proxy/src/serve/in_turn.rs
@@ -132,7 +132,7 @@
 fn request_for(wish: &Wish, principal: &Principal, until: Instant) -> Request {
     let stage = if wish.opens_transaction { Stage::Opens } else { Stage::Alone };
     let account = principal.told().into();
-    Request { rank: Rank::of_priority(wish.priority), account, stage, until }
+    Request { rank: wish.rank(), account, stage, until }
 }
 
 impl From<NotBegun> for NoConnection {
--- a/crates/proxy/src/serve/pool.rs
+++ b/crates/proxy/src/serve/pool.rs
@@ -15,7 +15,7 @@
 
 use config::OverloadSettings;
 use model::LogPoint;
-use overload::{Layout, Reach};
+use overload::{Layout, Rank, Reach};
 use tokio::sync::oneshot;
 
 use crate::{
@@ -268,7 +268,8 @@
         let fit = state.servers.iter_mut().enumerate().filter(|(_, slot)| slot.is_fit(wish, now));
         fit.filter_map(|(index, slot)| {
             slot.forget_old_latency(now);
-            if self.owner_of(slot, wish, now).is_some() {
+            if let Some(owner) = self.owner_of(slot, wish, now) {
+                let wait = self.told_wait(&owner, &slot.entry.server, wish.rank(), now);
                 return Some(Candidate {
                     index,
                     reach: self.layout.reach(&slot.entry.availability_zone),
@@ -280,6 +281,7 @@
                     full: false,
                     is_strange: false,
                     latency_us: slot.latency.get_us(),
+                    wait_us: wait.as_micros() as u64,
                 });
             }
             if slot.is_unreachable(now) {
@@ -304,6 +306,7 @@
                 full: slot.is_full_for(wish),
                 is_strange: false,
                 latency_us: slot.latency.get_us(),
+                wait_us: 0,
             })
         })
         .collect()
@@ -416,6 +419,19 @@
         });
     }
 
+    /// Returns how long a statement would wait at a server by what the owner of its connections told last; by what waits here if
+    /// nothing was told.
+    pub fn expected_wait_at(&self, server: &str, rank: Rank) -> Duration {
+        let now = Instant::now();
+        let told = self.owner_link(server).map(|owner| self.told_wait(&owner, server, rank, now));
+        told.unwrap_or_else(|| self.expected_wait())
+    }
+
+    fn told_wait(&self, owner: &RelayLink, server: &str, rank: Rank, now: Instant) -> Duration {
+        let report = owner.load_of(server).filter(|_| self.overload.balance);
+        report.map_or(Duration::ZERO, |report| report.expected_wait(rank, now))
+    }
+
     /// Returns how long a new statement would wait, for callers that are told when to come back.
     pub fn expected_wait(&self) -> Duration {
         let state = self.state.borrow();
--- a/crates/proxy/src/serve/transaction.rs
+++ b/crates/proxy/src/serve/transaction.rs
@@ -210,7 +210,7 @@
                     drop(granted);
                     rounds.last_error = refused_as(&lost);
                     self.note_loss(group, &job.route.service, &reached, &lost);
-                    if let Some(error) = self.turned_away(group, job, rounds, &lost) {
+                    if let Some(error) = self.turned_away(group, job, rounds, &server, &lost) {
                         return Some(refusal(error, TransactionState::Failed));
                     }
                     Next::TryElsewhere
--- a/crates/proxy/src/serve/wish.rs
+++ b/crates/proxy/src/serve/wish.rs
@@ -1,6 +1,7 @@
 //! What a statement that wants a connection asks for.
 
 use model::{LogPoint, Name};
+use overload::Rank;
 use tokio_util::sync::CancellationToken;
 
 use crate::accounts::Principal;
@@ -34,6 +35,11 @@
 }
 
 impl Wish {
+    /// Returns how urgent it is.
+    pub(crate) fn rank(&self) -> Rank {
+        Rank::of_priority(self.priority)
+    }
+
     /// Whether a connection that works for `principal` will do.
     pub(crate) fn may_use(&self, principal: &Principal) -> bool {
         self.principal.as_ref().is_none_or(|wanted| wanted == principal)
--- a/crates/proxy/tests/reads.rs
+++ b/crates/proxy/tests/reads.rs
@@ -76,6 +76,7 @@
         full: false,
         is_strange: false,
         latency_us: 20_000,
+        wait_us: 0,
     }
 }
 
@@ -136,3 +137,14 @@
     let expected = [0, 0, 0, 1, 0, 0, 0].map(Choice::UseIdle);
     assert_eq!(chosen, expected);
 }
+
+/// A burst at one replica of three: who hears from its owner how long others wait there goes elsewhere, also across zones, and
+/// comes back once the wait is shorter than the way.
+#[test]
+fn a_read_goes_where_its_wait_and_its_way_are_shortest_together() {
+    let waits = |wait_us| Candidate { wait_us, ..candidate(0) };
+    let far = Candidate { reach: Reach::SameRegion, ..candidate(1) };
+    let chosen: Vec<Choice> =
+        [0, 30_000, 90_000, 30_000].map(|wait_us| choose(&[waits(wait_us), far], true)).to_vec();
+    assert_eq!(chosen, [0, 0, 1, 0].map(Choice::UseIdle));
+}
