--- a/crates/proxy/src/serve/engine.rs
+++ b/crates/proxy/src/serve/engine.rs
@@ -12,7 +12,7 @@
 use config::OverloadSettings;
 use limits::WindowRule;
 use model::Name;
-use overload::{Layout, Rank};
+use overload::Layout;
 use routing::RetryBudget;
 use session::StalenessSamples;
 use tokio::sync::{Notify, watch};
--- a/crates/proxy/src/serve/in_turn.rs
+++ b/crates/proxy/src/serve/in_turn.rs
@@ -5,7 +5,7 @@
     time::{Duration, Instant},
 };
 
-use overload::{LoadReport, Rank, Request, Room, Stage};
+use overload::{LoadReport, Request, Room, Stage};
 use tokio_util::sync::CancellationToken;
 
 use crate::{
