--- a/crates/proxy/src/control/asking.rs
+++ b/crates/proxy/src/control/asking.rs
@@ -92,6 +92,12 @@
     /// caller of this daemon asks for are left out where there are many.
     fn services_to_ask(&self, now: Instant) -> Vec<Name> {
         let follows = self.zone_reader().is_some();
+        // In a large fleet unused ones are left to whoever is followed: hundreds that each ask for them fill the links
+        // between regions, and by that keep the store out of reach.
+        let most_unused = match follows && self.is_fleet_large() {
+            true => 0,
+            false => MOST_UNUSED_ASKED,
+        };
         let mut state = self.state.borrow_mut();
         state.used_at.retain(|_, used_at| now.duration_since(*used_at) < USED_FOR);
         let state = &*state;
@@ -104,7 +110,7 @@
             services.partition(|service| state.used_at.contains_key(*service));
         // The same ones each time, so that the rights to them last.
         unused.sort_unstable();
-        unused.truncate(MOST_UNUSED_ASKED);
+        unused.truncate(most_unused);
         let considered = used.into_iter().chain(unused);
         considered.filter(|service| !(follows && is_known(service))).cloned().collect()
     }
