--- a/crates/proxy/src/serve/mod.rs
+++ b/crates/proxy/src/serve/mod.rs
@@ -21,6 +21,7 @@
 pub mod pool;
 pub(crate) mod reachability;
 pub mod replay;
+mod server_news;
 pub mod server_queue;
 pub mod session;
 pub mod share;
--- a/crates/proxy/src/serve/pool.rs
+++ b/crates/proxy/src/serve/pool.rs
@@ -7,15 +7,13 @@
 use std::{
     cell::RefCell,
     collections::VecDeque,
-    net::SocketAddr,
     rc::Rc,
     sync::Arc,
     time::{Duration, Instant},
 };
 
 use config::OverloadSettings;
-use model::LogPoint;
-use overload::{Layout, Rank, Reach};
+use overload::{Layout, Reach};
 use tokio::sync::oneshot;
 
 use crate::{
--- a/crates/proxy/src/serve/server_news.rs
+++ b/crates/proxy/src/serve/server_news.rs
@@ -62,7 +62,13 @@
     }
 
     /// Returns how long a statement would wait by what an owner told last; nothing if it told nothing.
-    pub(super) fn told_wait(&self, owner: &RelayLink, server: &str, rank: Rank, now: Instant) -> Duration {
+    pub(super) fn told_wait(
+        &self,
+        owner: &RelayLink,
+        server: &str,
+        rank: Rank,
+        now: Instant,
+    ) -> Duration {
         let report = owner.load_of(server).filter(|_| self.overload.balance);
         report.map_or(Duration::ZERO, |report| report.expected_wait(rank, now))
     }
