--- a/crates/limits/src/election.rs
+++ b/crates/limits/src/election.rs
@@ -18,7 +18,7 @@
 /// The part of the members' votes from which a keeper lends the whole rate; with fewer it lends their part of it, and the others
 /// may lend theirs. Whoever has no more votes than are left beside it lends none of the rate, so that nothing is lent twice.
 const WHOLE_PART: f64 = 0.75;
-/// A candidate with one vote in so many, or more, does not leave the campaign to another one.
+/// A candidate to which more than one member in so many is bound does not leave the campaign to another one.
 const MANY_PART: usize = 3;
 /// How often a daemon's part of what is lent without a keeper may be used in a window: by a candidate that it supported
 /// at the end of one window and still lends, by the next one, and once more where the daemon started anew and does not
@@ -154,7 +154,7 @@
     },
     /// It keeps them for the part of the members that it reaches, as on one side of a partition.
     Partial {
-        /// As for a keeper.
+        /// The term of this candidacy; it rises where a quorum is reached.
         term: u64,
         /// Since when it has every one of the votes that count.
         since: Instant,
--- a/crates/overload/src/circuit.rs
+++ b/crates/overload/src/circuit.rs
@@ -118,7 +118,7 @@
                 self.remember(outcome == PathOutcome::Missed, now);
                 self.is_bad().then(|| self.open(now))
             }
-            // It was sent before the circuit opened.
+            // It was sent before the circuit opened. One that comes later still counts as a try; the next ones put it right.
             (State::Open { .. }, _) => None,
             (State::HalfOpen { next_at, succeeded }, PathOutcome::Answered) => {
                 let succeeded = succeeded + 1;
--- a/crates/overload/src/demand.rs
+++ b/crates/overload/src/demand.rs
@@ -13,7 +13,7 @@
 const HEAVY_PART: f64 = 4.0;
 /// And for more than so many times what accounts ask on average: where all ask for much, none is to blame.
 const HEAVY_TIMES: f64 = 3.0;
-/// Accounts of which less work is left are none that ask.
+/// Microseconds of work: an account of which less is left counts as not asking.
 const FADED_US: f64 = 1_000.0;
 
 /// The work that each account asked for lately.
@@ -30,13 +30,7 @@
 
 impl Demand {
     /// Notes that an account asks for some work, and returns whether it is heavy for a server of so many slots.
-    pub(crate) fn is_heavy(
-        &mut self,
-        account: &Name,
-        work_us: u64,
-        slots: u32,
-        now: Instant,
-    ) -> bool {
+    pub(crate) fn add(&mut self, account: &Name, work_us: u64, slots: u32, now: Instant) -> bool {
         let asked_us = self.asked_us.add(account, work_us as f64, now);
         // What a steady rate of work adds up to while it fades.
         let slot_us = HALVED_AFTER.as_micros() as f64 / std::f64::consts::LN_2;
--- a/crates/overload/src/fading.rs
+++ b/crates/overload/src/fading.rs
@@ -9,7 +9,7 @@
 
 /// Accounts that are remembered before those that have faded are forgotten.
 const MOST_REMEMBERED: usize = 1_024;
-/// A sum below this part of what is usually added has faded.
+/// A sum below this part of what was added last, to any account, has faded.
 const FADED_PART: f64 = 0.01;
 
 #[derive(Clone, Copy, Debug)]
--- a/crates/overload/src/load_report.rs
+++ b/crates/overload/src/load_report.rs
@@ -36,9 +36,4 @@
         let halvings = age.as_secs_f64() / HALVED_AFTER.as_secs_f64();
         self.report.waits[rank.index()].mul_f64(0.5_f64.powf(halvings))
     }
-
-    /// Whether a statement could begin at once when the report was made.
-    pub fn had_free_slot(&self) -> bool {
-        self.report.running < self.report.slots
-    }
 }
--- a/crates/overload/src/turns.rs
+++ b/crates/overload/src/turns.rs
@@ -36,7 +36,8 @@
         self.now_us = self.now_us.max(stamp);
     }
 
-    /// Charges what a statement took beyond what was expected, or gives back what it took less.
+    /// Charges what a statement took beyond what was expected, or gives back what it took less. What is expected may
+    /// have changed a little since the stamp.
     pub(crate) fn settle(&mut self, account: &Name, expected_us: u64, took_us: u64) {
         if let Some(asked_us) = self.asked_us.get_mut(account) {
             *asked_us = (*asked_us + took_us).saturating_sub(expected_us);
--- a/crates/overload/src/work_queue.rs
+++ b/crates/overload/src/work_queue.rs
@@ -81,7 +81,7 @@
     },
     /// It is refused, as not run: it would not begin in time.
     Refused {
-        /// After how long it would begin at once, if nothing else came.
+        /// After how long there would be a slot for it, if nothing else came; when a connection is given back is not known.
         come_back: Duration,
     },
 }
@@ -112,7 +112,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Order {
     step: usize,
-    opens: bool,
+    /// Whether it belongs to no open transaction: those go first.
+    is_new: bool,
     stamp: u64,
     until: Instant,
     ticket: Ticket,
@@ -139,7 +140,7 @@
     waiters: Vec<Waiter>,
     next_ticket: u64,
     begun: u32,
-    /// The work that began lately, by order.
+    /// The work that began lately, in microseconds, by the step of its [`Order`].
     begun_us: [f64; RANKS],
     /// When a statement last began or ended.
     moved_at: Option<Instant>,
@@ -181,8 +182,8 @@
         }
         let ahead = self.waiters.iter().filter(|other| other.order < waiter.order);
         let ahead_us: u64 = ahead.map(|other| other.cost_us).sum();
-        let overtaken = 1.0 - self.begun_before(waiter.order.step);
-        let wait = self.drained_after((ahead_us as f64 / overtaken) as u64, now);
+        let part_left = 1.0 - self.begun_before(waiter.order.step);
+        let wait = self.drained_after((ahead_us as f64 / part_left) as u64, now);
         if now + wait >= waiter.request.until {
             return self.refuse(&waiter, now);
         }
@@ -292,11 +293,11 @@
         let continues = request.stage == Stage::Continues;
         let slots = self.limit.slots();
         let is_heavy =
-            request.has_account() && self.demand.is_heavy(&request.account, cost_us, slots, now);
+            request.has_account() && self.demand.add(&request.account, cost_us, slots, now);
         let step = request.rank.index() + usize::from(is_heavy);
         Order {
             step: step.saturating_sub(usize::from(continues)).min(RANKS - 1),
-            opens: !continues,
+            is_new: !continues,
             stamp: self.turns[request.rank.index()].stamp(&request.account, cost_us),
             until: request.until,
             ticket,
@@ -337,7 +338,8 @@
         // The turn is the account's; of its own statements the one whose time ends first has it.
         let own = able.filter(|(_, waiter)| {
             waiter.request.account == first.request.account
-                && (waiter.order.step, waiter.order.opens) == (first.order.step, first.order.opens)
+                && (waiter.order.step, waiter.order.is_new)
+                    == (first.order.step, first.order.is_new)
         });
         own.min_by_key(|(_, waiter)| (waiter.request.until, waiter.order)).map(|(index, _)| index)
     }
@@ -367,11 +369,11 @@
         Offered::Refused { come_back: wait.max(Duration::from_millis(1)) }
     }
 
-    /// Returns the last in order, if it goes behind the newcomer and no transaction of its is open.
+    /// Returns the last in order, if it goes behind the newcomer and belongs to no open transaction.
     fn last_behind(&self, newcomer: &Waiter) -> Option<usize> {
         let places = self.waiters.iter().enumerate();
         let (index, last) = places.max_by_key(|(_, waiter)| waiter.order)?;
-        (last.order.opens && last.order > newcomer.order).then_some(index)
+        (last.order.is_new && last.order > newcomer.order).then_some(index)
     }
 
     /// Whether the last in order has to make room: there are too many, or it would not begin in time any more.
--- a/crates/overload/tests/load_report.rs
+++ b/crates/overload/tests/load_report.rs
@@ -18,7 +18,6 @@
     assert_eq!(wait_after(0), Duration::from_millis(80));
     assert_eq!(wait_after(200), Duration::from_millis(40));
     assert_eq!(wait_after(400), Duration::from_millis(20));
-    assert!(!aged.had_free_slot());
 }
 
 #[test]
--- a/crates/proxy/src/control/looks.rs
+++ b/crates/proxy/src/control/looks.rs
@@ -1,6 +1,6 @@
 //! When this daemon looks at servers that others suspect: at once, and then only now and then.
 //!
-//! Forty daemons that suspect a server say so one after the other. A look for each of these words would open forty
+//! Daemons that suspect a server say so one after the other. A look for each of these words would open as many
 //! connections from each daemon, to a server that may only be slow.
 
 use std::{
--- a/crates/proxy/src/control/suspicion.rs
+++ b/crates/proxy/src/control/suspicion.rs
@@ -85,8 +85,8 @@
     /// not in the next moment again. A primary that fails while the store is away would never be replaced if they were
     /// told once, in vain; the daemons' leases may have ended too.
     ///
-    /// A write for each suspicion, without a rest, is what a large fleet can't bear: a hundred daemons that start at once
-    /// and are slow to reach a thousand servers filled the store's rate and every daemon's link with them.
+    /// A write for each suspicion, without a rest, is what a large fleet can't bear: daemons that start together and
+    /// are slow to reach many servers fill the store's rate and every daemon's link with them.
     pub(crate) async fn suspicion_loop(self: Rc<Self>) {
         let mut pause = Pause::default();
         loop {
@@ -127,8 +127,8 @@
     /// Returns what the store should show and does not, with the lease to write it under.
     ///
     /// What cut a daemon from a server has often cut it from the store as well, and ends for both at once. So
-    /// after a time without the store a suspicion counts only once the server was tried again in vain: forty
-    /// daemons that came back with what they had found behind a partition had a healthy primary replaced.
+    /// after a time without the store a suspicion counts only once the server was tried again in vain: else what
+    /// daemons found behind a partition would have a healthy primary replaced.
     ///
     /// Of daemons that are no witnesses of a server a few are enough to have the witnesses look at it.
     fn untold_suspicions(&self) -> Option<(Untold, LeaseId)> {
@@ -207,7 +207,7 @@
     }
 
     fn have_probed(&self, (service, server): (Name, Name)) {
-        // A full ring means that the serving thread is behind; its own traffic will show it.
+        // A full ring means that the serving thread is behind; it tries by itself soon, or its own traffic shows it.
         let _ = self.asks.try_send(Ask::Probe { service, server });
     }
 
@@ -220,10 +220,7 @@
             let suspected = state.suspected.iter().filter(|(_, asked_at)| is_older(asked_at));
             suspected.map(|(pair, _)| pair.clone()).collect()
         };
-        for (service, server) in unconfirmed {
-            // A full ring means that the serving thread is behind; it tries again by itself soon.
-            let _ = self.asks.try_send(Ask::Probe { service, server });
-        }
+        unconfirmed.into_iter().for_each(|pair| self.have_probed(pair));
     }
 
     /// Returns, for each server that this daemon can't reach, some daemons that have not said so too.
--- a/crates/proxy/src/relay/answering.rs
+++ b/crates/proxy/src/relay/answering.rs
@@ -370,7 +370,7 @@
         return Err(NotSent::Unwilling);
     }
     let server = Name::from(request.server.as_str());
-    if request.may_go_elsewhere() && !engine.is_healthy(group, &server) {
+    if request.may_go_elsewhere() && !engine.pass_read(group, &server) {
         return Err(NotSent::SetAside);
     }
     let wish = Wish {
--- a/crates/proxy/src/relay/link.rs
+++ b/crates/proxy/src/relay/link.rs
@@ -258,8 +258,10 @@
                                 task: Some(RelayTask::Ping(true)),
                                 ..RelayRequest::default()
                             };
-                            if let Err(error) = sink.send(encoded(&ping)).await {
-                                return error.to_string();
+                            match timeout(WRITE_WITHIN, sink.send(encoded(&ping))).await {
+                                Ok(Ok(())) => {}
+                                Ok(Err(error)) => return error.to_string(),
+                                Err(_) => return "its bytes stay unread".to_owned(),
                             }
                         }
                         Look::Dead => return "no sign of life".to_owned(),
--- a/crates/proxy/src/serve/health.rs
+++ b/crates/proxy/src/serve/health.rs
@@ -29,8 +29,8 @@
 }
 
 impl<C: CallerDialect, E: EndpointDialect> Engine<C, E> {
-    /// Whether a read may go to a server; one that may while the circuit is not closed is a try.
-    pub(crate) fn is_healthy(&self, group: &Group<E>, server: &Name) -> bool {
+    /// Lets a read pass to a server, or says no. One that passes while the circuit is not closed is a try, and noted as such.
+    pub(crate) fn pass_read(&self, group: &Group<E>, server: &Name) -> bool {
         let now = Instant::now();
         let may_pass = group.pool.with_slot(server, |slot| {
             let may_pass = slot.health.may_pass(now);
--- a/crates/proxy/src/serve/holding.rs
+++ b/crates/proxy/src/serve/holding.rs
@@ -327,9 +327,10 @@
         let now = Instant::now();
         let beliefs = self.beliefs();
         let lead = beliefs.lead_in_force(&job.route.service, now);
-        let only_primary =
-            job.work.class() == StatementClass::Write || job.route.reads == ReadRule::Primary;
-        if only_primary && lead.is_some_and(|lead| lead.server == *server || server.is_empty()) {
+        // An empty name: no server was found, so it was the primary that wasn't.
+        if needs_primary(job)
+            && lead.is_some_and(|lead| lead.server == *server || server.is_empty())
+        {
             let ongoing = self.observe_outage(group, Outage::Unreachable, now, now);
             if let Hold::Refuse { .. } = self.decide(&ongoing, job, Duration::ZERO, now) {
                 return true;
--- a/crates/proxy/src/serve/in_turn.rs
+++ b/crates/proxy/src/serve/in_turn.rs
@@ -74,7 +74,7 @@
                 let waits = queue.await_turn(request);
                 Some(unless_unwanted(wish.is_unwanted.as_ref(), waits).await?)
             }
-            // Commands of a daemon wait for nothing but a connection.
+            // Commands of a daemon, and statements where the server has no queue, wait for nothing but a connection.
             _ => None,
         };
         // Servers may have come and gone meanwhile.
--- a/crates/proxy/src/serve/job.rs
+++ b/crates/proxy/src/serve/job.rs
@@ -21,9 +21,7 @@
 
 /// The part of a statement's time after which it is refused if it could not be sent, also while a primary
 /// that failed is being replaced. A caller that is told early, and when to come back, has time left for
-/// another attempt. On a day on which a primary dies while the store is away, nine tenths in a change and
-/// 0.35 else held 480 of 12,900 statements in vain until their callers had gone; this holds 7, and as many
-/// are answered in time.
+/// another attempt; a larger part holds statements in vain until their callers have gone.
 const HOLD_SHARE: f64 = 0.1;
 /// The same while a primary is replaced as planned: the gap is known to be short, so most of those that wait
 /// never learn of it. Under half, so that a caller whose own deadline is nearer can still go elsewhere.
--- a/crates/proxy/src/serve/server_queue.rs
+++ b/crates/proxy/src/serve/server_queue.rs
@@ -8,7 +8,7 @@
 };
 
 use model::Name;
-use overload::{LoadReport, Next, Offered, Request, Room, Stage, Ticket, WorkQueue};
+use overload::{LoadReport, Next, Offered, RANKS, Rank, Request, Room, Stage, Ticket, WorkQueue};
 use tokio::sync::oneshot;
 
 /// Why a statement did not begin. Nothing of it was run.
@@ -74,7 +74,9 @@
                 let (answer, answered) = oneshot::channel();
                 self.waiting.borrow_mut().insert(ticket, answer);
                 if let Some(displaced) = displaced {
-                    let come_back = self.work.borrow().expected_wait(request.rank, Instant::now());
+                    // It was the last in order, so all that wait go before it.
+                    let last = Rank::ALL[RANKS - 1];
+                    let come_back = self.work.borrow().expected_wait(last, Instant::now());
                     self.answer(displaced, Err(NotBegun::Overloaded { come_back }));
                 }
                 self.await_answer(ticket, answered, request.until).await
