fix(proxy): a driver knows what it wrote itself when the store is restored

Cause of restored.rs tests that don't end or fail at their assertions. What daemons knew of records came from the watch alone. Where the store came back before the watch had told of the record that names the chosen server, the driver had given the order by it and knew of no choice: the change it put back was begun again, no server took the pause of a term that was over ('refused: malformed'), after 3 s it was called off, and that confirmed the old primary in the new era, for good. a_late_write_of_an_ended_era_is_written_over then waits for ever for the new one.

Each record that the store took counts as known by its writer until the watch tells of it; so does one without a change whose answer came in a later era, since it says what the servers showed. A change whose record may not have been taken counts as never begun, as no order follows it.

Not mended: if nobody alive knows the choice (its driver died), a change that is gone on with is still called off so.

--- a/crates/proxy/src/control/change.rs
+++ b/crates/proxy/src/control/change.rs
@@ -196,7 +196,10 @@
         let written = self.store.commit(&transaction, self.write_timeout()).await;
         self.count_call("commit", &written);
         match written {
-            Ok(TransactionOutcome::Done(revision)) => Ok(revision),
+            Ok(TransactionOutcome::Done(revision)) => {
+                self.note_written(service, VersionedRecord { record, revision });
+                Ok(revision)
+            }
             Ok(TransactionOutcome::Conflict)
             | Err(MetadataError::NoAnswer(_) | MetadataError::Unfinished) => {
                 // The answer to an earlier attempt may have been lost: what stands there decides.
@@ -209,9 +212,11 @@
                 }
             }
             // Where the store was restored meanwhile, whatever was done was done under a duty that has ended.
-            Ok(TransactionOutcome::LeaseOver) | Err(MetadataError::EraChanged(_)) => {
+            Err(MetadataError::EraChanged(_)) => {
+                self.note_unwritten(service, record);
                 Err(ChangeEnd::Superseded)
             }
+            Ok(TransactionOutcome::LeaseOver) => Err(ChangeEnd::Superseded),
             Err(error) => Err(ChangeEnd::Store(error)),
         }
     }
--- a/crates/proxy/src/control/restored.rs
+++ b/crates/proxy/src/control/restored.rs
@@ -6,6 +6,7 @@
 
 use std::{
     collections::BTreeSet,
+    sync::Arc,
     time::{Duration, Instant},
 };
 
@@ -15,13 +16,14 @@
 use crate::{
     catalog::{CatalogFormat, ServerEntry},
     control::{
+        change::VersionedRecord,
         outside::Outside,
         peers::StoreReading,
         record::{EraSeen, LeadershipRecord},
         runner::Control,
         state::State,
     },
-    metadata::{Era, Item, MetadataError, Revision},
+    metadata::{Era, Item, MetadataError, MetadataStore, Revision},
 };
 
 /// For how long members that the copy does not have are still counted: about the lease of a member, within which every one
@@ -74,6 +76,18 @@
         LeadershipRecord { era: era.0, edition: *latest, ..record.clone() }
     }
 
+    /// Counts what this daemon wrote and the watch did not tell of before the era ended as known, so that it is put back:
+    /// nobody else may have heard of it, and an order may have followed.
+    fn keep_unheard_records(&mut self, heard_to: Revision) {
+        for (service, written) in std::mem::take(&mut self.written) {
+            let known = self.records.get(&service);
+            let is_later = known.is_none_or(|known| written.record.is_after(&known.record));
+            if written.revision > heard_to && is_later {
+                self.records.insert(service, Arc::new(written));
+            }
+        }
+    }
+
     /// Notes the edition of a record that was heard of.
     pub(crate) fn note_edition(&mut self, service: &Name, record: &LeadershipRecord) {
         if record.edition > 0 {
@@ -142,6 +156,7 @@
         let knew_before = state.mirror.followed_to() != Revision::ABSENT;
         let lost_from = state.mirror.followed_to();
         state.mirror.enter(era);
+        state.keep_unheard_records(lost_from);
         let now = Instant::now();
         state.restore = Restore {
             entered_at: Some(now),
@@ -180,6 +195,31 @@
         Ok(())
     }
 
+    /// Notes a record that the store took from this daemon.
+    pub(crate) fn note_written(&self, service: &Name, written: VersionedRecord) {
+        self.state.borrow_mut().written.insert(service.clone(), written);
+    }
+
+    /// Notes a record that was to be written as the store was restored. One without a change says what the group's servers
+    /// showed, which is so whether the store took it or not; a change that it may not have taken was never begun.
+    pub(crate) fn note_unwritten(&self, service: &Name, record: LeadershipRecord) {
+        if record.change.is_some() {
+            return;
+        }
+        self.note_written(service, VersionedRecord { record, revision: Revision::MAX });
+        let has_entered = {
+            let mut state = self.state.borrow_mut();
+            let has_entered = state.mirror.era() >= self.store.era();
+            if has_entered {
+                state.keep_unheard_records(Revision::ABSENT);
+            }
+            has_entered
+        };
+        if has_entered {
+            self.take_over_records(std::slice::from_ref(service));
+        }
+    }
+
     /// Waits for this daemon's turn to join again: all daemons of the fleet have lost their leases at the same moment.
     pub(crate) async fn await_turn_to_join(&self) {
         let members = self.state.borrow().members.len() as u32;
--- a/crates/proxy/src/control/state.rs
+++ b/crates/proxy/src/control/state.rs
@@ -135,6 +135,8 @@
     pub(crate) restore: Restore,
     /// The latest edition of each record that was seen or written here.
     pub(crate) editions: HashMap<Name, u64>,
+    /// Records that this daemon wrote last; the watch may not have told of them yet.
+    pub(crate) written: HashMap<Name, VersionedRecord>,
     pub(crate) configurations: ConfigurationsHeard,
 }
 
