fix(proxy): a write that was given up does not run after its caller's later ones

Cause: when a statement's time was over the daemon closed its connection in order, and the system went on sending the held-up write until the link was well. It then ran after the caller's later ones.

Ruled out: a replica behind, two primaries (one server ran all of them), a promotion that took writes back (none ran elsewhere).

Change: a connection that ends with an answer owed, or with its process, is reset; what was not received is dropped.

--- a/crates/proxy/src/links.rs
+++ b/crates/proxy/src/links.rs
@@ -1,4 +1,5 @@
-//! What holds for every connection that a daemon keeps: it does not stay silent for good unnoticed.
+//! What holds for every connection that a daemon keeps: it does not stay silent for good unnoticed, and what was given
+//! up on it is not delivered later.
 
 use std::time::Duration;
 
@@ -34,3 +35,22 @@
         );
     }
 }
+
+/// Has a connection that ends in the middle of something, or with its process, drop what the other end has not received.
+///
+/// A connection that is closed in order goes on sending it, also when a partition holds it up for seconds: a write would
+/// run after its caller was told that its outcome is in doubt and has written anew. See `docs/PLATFORM.md`, "Verdicts".
+pub(crate) fn drop_unreceived_at_end(stream: &TcpStream) -> std::io::Result<()> {
+    SockRef::from(stream).set_linger(Some(Duration::ZERO))
+}
+
+/// Has a connection on which nothing is under way end in order.
+pub(crate) fn end_in_order(stream: &TcpStream) {
+    if let Err(error) = SockRef::from(stream).set_linger(None) {
+        // The other end sees a reset in place of an end; nothing is lost by it.
+        log::debug!(
+            event = "linger_unset", why = error.to_string().as_str();
+            "a connection ends by a reset"
+        );
+    }
+}
--- a/crates/proxy/src/serve/connection.rs
+++ b/crates/proxy/src/serve/connection.rs
@@ -18,7 +18,7 @@
     catalog::{ServerEntry, ServerLife},
     control::{detour::open_detour, peers::DetourRequest},
     dialect::{EndpointDialect, EndpointMessage, EndpointStartup},
-    links::bound_silence,
+    links::{bound_silence, drop_unreceived_at_end, end_in_order},
     relay::messages::NotSent,
     serve::replay::Environment,
     statement::{Answer, EndpointCommand, ErrorCode, Outcome, StatementError, TransactionState},
@@ -100,6 +100,8 @@
     stream: TcpStream,
     incoming: BytesMut,
     outgoing: BytesMut,
+    /// Commands whose answers have not come whole.
+    unanswered: u32,
     /// The server's identity, as it was expected and confirmed.
     pub server: Name,
     /// For whom it works, for as long as it stands.
@@ -159,14 +161,17 @@
         introduction: Introduction<'_>,
         deadline: Instant,
     ) -> Result<EndpointConnection<E>, ConnectionLost> {
-        stream.set_nodelay(true).map_err(|error| ConnectionLost::Broken(error.to_string()))?;
+        let broken = |error: std::io::Error| ConnectionLost::Broken(error.to_string());
+        stream.set_nodelay(true).map_err(broken)?;
         bound_silence(&stream);
+        drop_unreceived_at_end(&stream).map_err(broken)?;
         let mut connection = EndpointConnection {
             dialect: dialect.clone(),
             stream,
             is_direct,
             incoming: BytesMut::new(),
             outgoing: BytesMut::new(),
+            unanswered: 0,
             server: entry.server.clone(),
             principal: introduction.principal.clone(),
             life: entry.life,
@@ -207,6 +212,7 @@
     /// Adds a command to what the next flush sends.
     pub fn queue(&mut self, command: &EndpointCommand) {
         self.dialect.encode(command, &mut self.outgoing);
+        self.unanswered += 1;
     }
 
     /// Sends what is queued, in one write where the socket takes it.
@@ -233,6 +239,7 @@
                         return Err(ConnectionLost::Garbled("an answer without an end".to_owned()));
                     };
                     self.last_point = point.or(self.last_point);
+                    self.unanswered = self.unanswered.saturating_sub(1);
                     return Ok(Answer { rows, outcome, state, point });
                 }
             }
@@ -275,6 +282,14 @@
     }
 }
 
+impl<E> Drop for EndpointConnection<E> {
+    fn drop(&mut self) {
+        if self.unanswered == 0 {
+            end_in_order(&self.stream);
+        }
+    }
+}
+
 /// Makes the answer for a statement that the engine refuses itself.
 pub fn refusal(error: StatementError, state: TransactionState) -> Answer {
     Answer { rows: Vec::new(), outcome: Outcome::Error(error), state, point: None }
