fix(control): a region that starts behind its link does not keep that link full

Cause: 150 daemons of the far region share a link of 60 Mbit/s, and whoever was late asked for more than it had asked for before.

Change, in fleets of more than 90 daemons but for the last two: hearing goes on and its age is shown by a reading of the own key; each 6 s about twice as many of a zone read the store themselves; rights ask for changes of the daemons' own keys, and for no more than 500; lists are waited for 3 s; a failed watch is asked again; catching up takes turns by place in the zone; no region follows another one while the store answers; changes of 32 KB and more are packed together.

--- a/crates/proxy/src/control/following.rs
+++ b/crates/proxy/src/control/following.rs
@@ -9,7 +9,9 @@
     time::{Duration, Instant},
 };
 
+use bytes::Bytes;
 use model::Name;
+use overload::Reach;
 use tokio::net::TcpListener;
 
 use crate::{
@@ -61,14 +63,19 @@
         }
         let now = Instant::now();
         let state = self.state.borrow();
+        // What a region hears through another one, it hears through the link between them, which a start of either
+        // may fill; the store itself may be near.
+        let crosses_regions = state.is_store_silent(self.patience());
         let askable: Vec<TreeMember<'_>> = state
             .members
             .iter()
             .filter_map(|(host, member)| {
                 let address = member.peer_address?;
                 let availability_zone = &member.availability_zone;
+                let reach = self.settings.layout.reach(availability_zone);
+                let is_near = reach < Reach::OtherRegion || crosses_regions;
                 let is_silent = self.asker.is_silent(address, now);
-                (!is_silent).then_some(TreeMember { host, availability_zone, address })
+                (is_near && !is_silent).then_some(TreeMember { host, availability_zone, address })
             })
             .collect();
         daemon_to_follow(&askable, &self.settings.host, &self.settings.availability_zone)
@@ -138,10 +145,11 @@
             heard: heard_of.clock.map(|(clock, _)| clock),
             samples: self.samples_since(heard_of.clock.map(|(_, heard_at)| heard_at)),
             behind: Vec::new(),
-            takes_packed: !self.state.borrow().servers_known,
+            takes_packed: true,
         };
         let sent_at = Instant::now();
-        match self.asker.ask(reader, &request).await {
+        let is_starting = !self.state.borrow().servers_known;
+        match self.asker.ask(reader, &request, is_starting).await {
             Some(answer) => self.take_answer(answer, sent_at),
             None => {
                 log::info!(
@@ -286,15 +294,18 @@
         let known_to =
             whole.as_ref().map_or(request.followed_revision(), |whole| whole.followed_to);
         let news = state.mirror.news_since(known_to);
+        let changes: Vec<_> = news.changes.into_iter().filter(is_wanted).collect();
+        let span = (known_to, news.followed_to);
+        let changes: Vec<_> = changes.into_iter().map(|change| self.packer.pack(change)).collect();
+        let (changes, packed) = match whole {
+            Some(whole) => (changes, whole.packed),
+            None if request.takes_packed => self.packer.pack_together(span, changes),
+            None => (changes, Bytes::new()),
+        };
         let answer = FollowAnswer {
             held_ms: now.duration_since(received_at).as_millis() as u64,
             reading: reading.map(|reading| reading.told_at(state.reading_number, now)),
-            changes: news
-                .changes
-                .into_iter()
-                .filter(is_wanted)
-                .map(|change| self.packer.pack(change))
-                .collect(),
+            changes,
             is_whole: news.is_whole,
             followed_to: news.followed_to.number(),
             heard_to: state.mirror.last_revision().number(),
@@ -320,7 +331,7 @@
                 .map(|(service, sample)| sample.told_at(service, now))
                 .collect(),
         };
-        answer.split(whole.map(|whole| whole.packed).unwrap_or_default())
+        answer.split(packed)
     }
 
     /// Returns where a server listens that another daemon wants a detour to; nothing once this daemon
--- a/crates/proxy/src/control/knowledge.rs
+++ b/crates/proxy/src/control/knowledge.rs
@@ -19,6 +19,16 @@
 /// of a megabyte, packed to a tenth, over the links of three daemons that each pass it on to eight others.
 const RECEIVES_FOR: Duration = Duration::from_millis(2_500);
 
+/// How much later twice as many daemons of a zone may ask.
+const TURN: Duration = Duration::from_millis(300);
+
+/// Returns how much later a daemon of a large fleet asks the store for what it misses, with so many others of its zone
+/// before it. Those ask first and pass on what they hear, so that a zone which is behind as a whole, as behind a full link,
+/// draws it once or twice instead of once for each daemon. The fiftieth asks 1.7 s after the first.
+pub fn asks_later_by(daemons_before: usize) -> Duration {
+    TURN * (daemons_before + 1).ilog2()
+}
+
 /// That the store stood at a revision when it was asked.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Sighting {
--- a/crates/proxy/src/control/mod.rs
+++ b/crates/proxy/src/control/mod.rs
@@ -30,7 +30,7 @@
 mod rights;
 pub mod runner;
 pub mod servers;
-mod starting;
+pub mod starting;
 mod state;
 mod suspicion;
 pub mod telling;
--- a/crates/proxy/src/control/packing.rs
+++ b/crates/proxy/src/control/packing.rs
@@ -28,6 +28,10 @@
 /// The most that is taken out of the one piece that holds everything; several times what 22,000 groups need.
 const LONGEST_WHOLE_BYTES: u64 = 64 * 1024 * 1024;
 
+/// Changes that together have this size are packed in one piece: some hundred entries of servers, as where many start at
+/// once. Eight followers of a daemon would else draw a megabyte each over a link of a megabyte a second.
+const PACK_TOGETHER_FROM_BYTES: usize = 32 * 1024;
+
 /// How long what the store holds is sent as it was packed, with what has changed since behind it: daemons that start
 /// together ask one after the other, and each of them changes something by joining.
 const WHOLE_LASTS: Duration = Duration::from_secs(2);
@@ -48,6 +52,13 @@
 pub(crate) struct Packer {
     last: RefCell<Option<(String, Revision, Bytes)>>,
     whole: RefCell<Option<PackedWhole>>,
+    together: RefCell<Option<PackedChanges>>,
+}
+
+/// The changes after one revision up to another, packed in one piece.
+struct PackedChanges {
+    span: (Revision, Revision),
+    packed: Bytes,
 }
 
 impl Packer {
@@ -86,6 +97,26 @@
         made
     }
 
+    /// Packs the changes of a span in one piece if they are large; returns those that are sent as they are, and the piece.
+    pub(crate) fn pack_together(
+        &self,
+        span: (Revision, Revision),
+        changes: Vec<ChangeMessage>,
+    ) -> (Vec<ChangeMessage>, Bytes) {
+        let size = |change: &ChangeMessage| change.value.as_ref().map_or(0, Bytes::len);
+        if changes.iter().map(size).sum::<usize>() < PACK_TOGETHER_FROM_BYTES {
+            return (changes, Bytes::new());
+        }
+        let mut together = self.together.borrow_mut();
+        if let Some(known) = together.as_ref().filter(|known| known.span == span) {
+            return (Vec::new(), known.packed.clone());
+        }
+        let message = ChangesMessage { changes, packed: Bytes::new() };
+        let packed = deflate(&message.encode_to_vec());
+        *together = Some(PackedChanges { span, packed: packed.clone() });
+        (Vec::new(), packed)
+    }
+
     fn packed(&self, key: &str, revision: Revision, value: &Bytes) -> Bytes {
         let mut last = self.last.borrow_mut();
         if let Some((known, at, packed)) = last.as_ref()
--- a/crates/proxy/src/control/peer_link.rs
+++ b/crates/proxy/src/control/peer_link.rs
@@ -194,16 +194,22 @@
         &self,
         address: SocketAddr,
         request: &FollowRequest,
+        is_starting: bool,
     ) -> Option<FollowAnswer> {
-        let answer = self.exchange(address, request).await;
+        let answer = self.exchange(address, request, is_starting).await;
         if answer.is_none() {
             self.pass_over(address, Instant::now());
         }
         answer
     }
 
-    async fn exchange(&self, address: SocketAddr, request: &FollowRequest) -> Option<FollowAnswer> {
-        let within = if request.takes_packed {
+    async fn exchange(
+        &self,
+        address: SocketAddr,
+        request: &FollowRequest,
+        is_starting: bool,
+    ) -> Option<FollowAnswer> {
+        let within = if is_starting {
             FIRST_ANSWER_WITHIN
         } else {
             Duration::from_millis(request.wait_ms) + ANSWER_WITHIN
--- a/crates/proxy/src/control/reports.rs
+++ b/crates/proxy/src/control/reports.rs
@@ -46,7 +46,7 @@
         let control = self.clone();
         tokio::task::spawn_local(async move {
             // One that does not answer is passed over for a while and logged where it matters.
-            let _ = control.asker.ask(holder, &request).await;
+            let _ = control.asker.ask(holder, &request, false).await;
         });
     }
 
@@ -98,7 +98,7 @@
         let control = self.clone();
         tokio::task::spawn_local(async move {
             let sent_at = Instant::now();
-            let Some(mut answer) = control.asker.ask(peer, &request).await else { return };
+            let Some(mut answer) = control.asker.ask(peer, &request, false).await else { return };
             let samples = answer.take_told(sent_at).samples;
             log::debug!(
                 event = "samples_heard", peer = peer.to_string().as_str(), samples = samples.len();
--- a/crates/proxy/src/control/rights.rs
+++ b/crates/proxy/src/control/rights.rs
@@ -16,7 +16,7 @@
         runner::Control,
         state::State,
     },
-    metadata::{Consistency, MetadataError, MetadataStore, Revision, Snapshot},
+    metadata::{Changes, Consistency, MetadataError, MetadataStore, Revision, Snapshot},
 };
 use model::{Name, Term};
 
@@ -24,6 +24,10 @@
 /// two readings.
 const LOOKS_PER_READING: u32 = 4;
 
+/// Changes that a daemon of a large fleet may miss and still ask the store for to renew its rights: of some hundred bytes
+/// each they are a tenth of a megabyte.
+const MOST_MISSING_ASKED: u64 = 500;
+
 impl<P: Outside> Control<P> {
     /// Renews the rights again and again, by a reading of the store or of another daemon.
     pub(crate) async fn refresh_loop(self: Rc<Self>) {
@@ -104,7 +108,7 @@
     /// bytes instead of some hundred for each daemon of the fleet; the whole is read only by who is behind, in a large
     /// fleet only where the changes that are missing can't be had by themselves. There hundreds are behind together as
     /// soon as a link is full, and all that they would read would keep it so.
-    async fn renew_rights(&self, asked_at: Instant) -> Result<(), MetadataError> {
+    pub(crate) async fn renew_rights(&self, asked_at: Instant) -> Result<(), MetadataError> {
         let own = self.read_below(&self.member_key()).await?;
         if own.revision.era() > self.state.borrow().mirror.era() {
             return self.meet_era(StoreReading { asked_at, revision: own.revision }).await;
@@ -114,7 +118,10 @@
             return Ok(());
         }
         if self.is_fleet_large() {
-            match self.watch_once(Duration::ZERO).await {
+            if self.is_told_soon(own.revision) {
+                return Ok(());
+            }
+            match self.hear_own_changes().await {
                 Ok(()) | Err(MetadataError::HistoryGone) => {}
                 Err(error) => return Err(error),
             }
@@ -132,6 +139,28 @@
         Ok(())
     }
 
+    /// Whether so much is missing up to a revision that whoever is followed is waited for: he sends it packed, and once.
+    fn is_told_soon(&self, revision: Revision) -> bool {
+        let known = self.state.borrow().own_followed_to;
+        let missing = revision.number().saturating_sub(known.number());
+        missing > MOST_MISSING_ASKED && self.zone_reader().is_some()
+    }
+
+    /// Asks the store once what has changed of the daemons' own keys, and takes that over.
+    ///
+    /// Rights need no more than that. Asked for all changes, a region of 150 daemons that was half a second behind drew a
+    /// configuration of a megabyte for each of them over one link, and was behind for as long as that lasted.
+    async fn hear_own_changes(&self) -> Result<(), MetadataError> {
+        let after = self.state.borrow().own_followed_to;
+        let changes = self.store.watch(&self.key(""), after, Duration::ZERO).await;
+        self.count_call("watch", &changes);
+        let Changes { changes, revision } = changes?;
+        self.take_over(changes);
+        let mut state = self.state.borrow_mut();
+        state.own_followed_to = state.own_followed_to.max(revision);
+        Ok(())
+    }
+
     async fn read_below(&self, prefix: &str) -> Result<Snapshot, MetadataError> {
         let timeout = self.read_timeout().min(self.right());
         let read = self.store.range(prefix, Consistency::Linearizable, timeout.into()).await;
--- a/crates/proxy/src/control/runner.rs
+++ b/crates/proxy/src/control/runner.rs
@@ -12,6 +12,7 @@
 
 use config::{LeadershipSettings, MetadataSettings};
 use model::Name;
+use overload::Layout;
 use rand::RngExt;
 use tokio::sync::{Notify, oneshot, watch};
 
@@ -71,6 +72,8 @@
     pub host: Name,
     /// Its availability zone.
     pub availability_zone: Name,
+    /// Which zones are in the same region.
+    pub layout: Layout,
     /// Where other daemons ask it; `None` if it shares nothing.
     pub peer_address: Option<SocketAddr>,
     /// The store.
--- a/crates/proxy/src/control/starting.rs
+++ b/crates/proxy/src/control/starting.rs
@@ -25,9 +25,28 @@
 /// where all do so at once.
 const MOST_LOOKS: usize = 4;
 const LOOK_AGAIN_AFTER: Duration = Duration::from_millis(200);
+/// How long the answer with the list may take to begin: a region of some hundred daemons that start at once asks for ten
+/// megabytes of lists. Whoever gives one up and asks again adds to what the others wait for.
+const LISTED_WITHIN: Duration = Duration::from_secs(3);
 /// A list that has grown by more than this factor since the last look shows a fleet that is just being started.
 const GROWS_FROM: usize = 2;
 
+/// How old the knowledge may be with which a daemon begins to serve: as old as whoever serves lets it become before it asks
+/// the store itself.
+const KNOWN_WITHIN: Duration = Duration::from_secs(2);
+/// Rounds after which everybody of any zone reads for himself.
+const MOST_ROUNDS: u128 = 16;
+
+/// What another daemon has told of what the store holds.
+enum Heard {
+    /// Nothing yet.
+    Nothing,
+    /// All of it, but not as of when.
+    WithoutAge,
+    /// All of it, as of a moment ago.
+    Everything,
+}
+
 /// A member as the store shows it before this daemon knows anything.
 struct Listed {
     host: String,
@@ -54,20 +73,36 @@
             return Ok(false);
         }
         let began = Instant::now();
-        while began.elapsed() < self.whole_read_timeout() {
-            let Some(reader) = self.first_reader(&members) else { return Ok(false) };
+        loop {
+            let Some(reader) = self.first_reader(&members, began.elapsed()) else {
+                return Ok(false);
+            };
             self.follow_reader(reader).await;
-            if self.has_heard_everything() {
-                self.note_everything_known();
-                log::info!(
-                    event = "heard_everything", peer = reader.to_string().as_str(),
-                    took_ms = began.elapsed().as_millis() as u64;
-                    "what the store holds was heard from another daemon"
-                );
-                return Ok(true);
+            match self.how_much_is_heard() {
+                Heard::Nothing => {}
+                Heard::WithoutAge => self.look_at_own_key().await,
+                Heard::Everything => {
+                    self.note_everything_known();
+                    log::info!(
+                        event = "heard_everything", peer = reader.to_string().as_str(),
+                        took_ms = began.elapsed().as_millis() as u64;
+                        "what the store holds was heard from another daemon"
+                    );
+                    return Ok(true);
+                }
             }
         }
-        Ok(false)
+    }
+
+    /// Reads this daemon's own key, which shows whether everything up to now was heard: readings of whoever is followed
+    /// are late where links are full, and are of no use then.
+    async fn look_at_own_key(&self) {
+        if let Err(error) = self.renew_rights(Instant::now()).await {
+            log::info!(
+                event = "store_unreachable", call = "refresh", why = error.to_string().as_str();
+                "the store did not answer"
+            );
+        }
     }
 
     /// Whether there are so many members that what each of them reads of the store may fill a link.
@@ -91,7 +126,8 @@
     /// more come.
     async fn list_settled_members(&self) -> Result<Vec<Listed>, MetadataError> {
         let mut members = self.list_members(Consistency::Stale).await?;
-        if members.iter().any(|member| *member.host == *self.settings.host) {
+        let is_listed = members.iter().any(|member| *member.host == *self.settings.host);
+        if is_listed || members.len() > MOST_WHO_READ {
             return Ok(members);
         }
         for _ in 0..MOST_LOOKS {
@@ -107,7 +143,8 @@
 
     async fn list_members(&self, consistency: Consistency) -> Result<Vec<Listed>, MetadataError> {
         let prefix = self.key("members/");
-        let patience = Patience { answer: self.read_timeout(), whole: self.whole_read_timeout() };
+        let answer = self.read_timeout().max(LISTED_WITHIN);
+        let patience = Patience { answer, whole: self.whole_read_timeout() };
         let read = self.store.range(&prefix, consistency, patience).await;
         self.count_call("range", &read);
         let listed = read?.items.into_iter().filter_map(|item| {
@@ -119,8 +156,8 @@
         Ok(listed.collect())
     }
 
-    /// Returns the daemon of this zone that is asked first; `None` for the first of the zone.
-    fn first_reader(&self, members: &[Listed]) -> Option<std::net::SocketAddr> {
+    /// Returns the daemon of this zone that is asked first; `None` for those of the zone that read the store.
+    fn first_reader(&self, members: &[Listed], waited: Duration) -> Option<std::net::SocketAddr> {
         let now = Instant::now();
         let own_zone = &*self.settings.availability_zone;
         let near = members.iter().filter(|member| member.value.availability_zone == own_zone);
@@ -128,12 +165,27 @@
             let address = value.peer_address.filter(|it| !self.asker.is_silent(*it, now))?;
             Some(TreeMember { host, availability_zone: own_zone, address })
         });
-        let askable: Vec<TreeMember<'_>> = askable.collect();
+        let askable: Vec<TreeMember<'_>> =
+            askable.skip(passed_over(waited, self.whole_read_timeout())).collect();
         daemon_to_follow(&askable, &self.settings.host, own_zone)
     }
 
-    /// Whether another daemon has told all of it, and that its reading of the store is young and shows this daemon.
-    fn has_heard_everything(&self) -> bool {
-        self.state.borrow().mirror.followed_to() > Revision::ABSENT && self.is_reading_shared()
+    fn how_much_is_heard(&self) -> Heard {
+        let state = self.state.borrow();
+        if state.mirror.followed_to() == Revision::ABSENT {
+            return Heard::Nothing;
+        }
+        match state.knowledge.age(Instant::now()) {
+            Some(age) if age < KNOWN_WITHIN => Heard::Everything,
+            Some(_) | None => Heard::WithoutAge,
+        }
     }
 }
+
+/// Returns how many of a zone's first daemons are passed over by one that has waited so long for them: none of them may
+/// reach the store. Each time that a reading of everything may take lets about as many more read it as have tried, so
+/// that a slow start does not have all of a zone read at once, which would make it slower for each of them.
+pub fn passed_over(waited: Duration, reading_takes: Duration) -> usize {
+    let rounds = waited.as_millis() / reading_takes.as_millis().max(1);
+    (1_usize << rounds.min(MOST_ROUNDS)) - 1
+}
--- a/crates/proxy/src/control/watching.rs
+++ b/crates/proxy/src/control/watching.rs
@@ -6,9 +6,11 @@
     time::{Duration, Instant},
 };
 
+use model::Name;
+
 use crate::{
     catalog::CatalogFormat,
-    control::knowledge::{BEHIND_FOR, must_ask_store},
+    control::knowledge::{BEHIND_FOR, asks_later_by, must_ask_store},
     control::outside::Outside,
     control::pause::Pause,
     control::runner::Control,
@@ -39,7 +41,7 @@
             match self.learn_everything().await {
                 Ok(()) => {
                     pause.reset();
-                    let error = self.follow().await;
+                    let error = self.follow(&mut pause).await;
                     log::info!(
                         event = "watch_ended", why = error.to_string().as_str();
                         "the watch ended and everything is read again"
@@ -76,8 +78,8 @@
         Ok(())
     }
 
-    /// Follows the changes, through the zone's reader where there is one, until something goes wrong.
-    pub(crate) async fn follow(&self) -> MetadataError {
+    /// Follows the changes, through the zone's reader where there is one, until they can't be followed any more.
+    async fn follow(&self, pause: &mut Pause) -> MetadataError {
         let wait = Duration::from_millis(self.settings.metadata.watch_wait_ms);
         let mut followed = None;
         loop {
@@ -91,8 +93,20 @@
                 continue;
             }
             let asked_at = Instant::now();
-            if let Err(error) = self.watch_once(wait).await {
-                return error;
+            match self.watch_once(wait).await {
+                Ok(()) => pause.reset(),
+                Err(error) if self.may_watch_on(&error) => {
+                    log::info!(
+                        event = "store_unreachable", call = "watch",
+                        why = error.to_string().as_str();
+                        "the store did not answer"
+                    );
+                    // Servers may have been unable to renew their entries in the same time.
+                    self.state.borrow_mut().servers.restart_grace(Instant::now());
+                    pause.wait().await;
+                    continue;
+                }
+                Err(error) => return error,
             }
             self.note_members(Instant::now());
             self.publish();
@@ -102,6 +116,20 @@
         }
     }
 
+    /// Whether a watch that failed is asked for again from where it was. No change is missed by that; in a large fleet
+    /// everything in place of the changes would keep the link full whose fullness made it fail.
+    fn may_watch_on(&self, error: &MetadataError) -> bool {
+        let is_gone = match error {
+            MetadataError::NotDone(_) | MetadataError::NoAnswer(_) | MetadataError::Unfinished => {
+                false
+            }
+            MetadataError::HistoryGone
+            | MetadataError::EraChanged(_)
+            | MetadataError::Malformed(_) => true,
+        };
+        !is_gone && self.is_fleet_large()
+    }
+
     /// Asks the store once what has changed since the last change that is known, and takes that over.
     pub(crate) async fn watch_once(&self, wait: Duration) -> Result<(), MetadataError> {
         let after = self.state.borrow().mirror.followed_to();
@@ -153,17 +181,33 @@
         let now = Instant::now();
         let behind_for = self.state.borrow().knowledge.behind_for(now);
         let Some(behind_for) = behind_for.filter(|time| *time > BEHIND_FOR) else { return false };
+        let behind_for = behind_for.saturating_sub(self.asks_later_by());
         let follows = self.zone_reader().is_some();
         must_ask_store(behind_for, follows, self.asker.receives_for(now))
     }
 
+    /// How much later this daemon asks than the first of its zone.
+    fn asks_later_by(&self) -> Duration {
+        if !self.is_fleet_large() {
+            return Duration::ZERO;
+        }
+        let (host, zone) = (&self.settings.host, &self.settings.availability_zone);
+        let state = self.state.borrow();
+        let before = state.members.range::<Name, _>(..host);
+        asks_later_by(before.filter(|(_, member)| member.availability_zone == **zone).count())
+    }
+
     /// Asks for the changes, and for everything where that brings nothing: watches may be deaf for a while.
     ///
     /// An answer that has begun is waited for, and asked for again if it does not end: everything is more than the changes,
     /// and would come over the same link.
     async fn catch_up(&self) -> Result<(), MetadataError> {
-        match self.watch_once(Duration::ZERO).await {
-            Ok(()) if !self.is_behind() => {
+        let before = self.state.borrow().mirror.followed_to();
+        let asked = self.watch_once(Duration::ZERO).await;
+        let has_moved = self.state.borrow().mirror.followed_to() > before;
+        match asked {
+            // In a large fleet readings overtake an answer that takes long; more of them follows it.
+            Ok(()) if !self.is_behind() || (has_moved && self.is_fleet_large()) => {
                 self.publish();
                 Ok(())
             }
--- a/crates/proxy/src/daemon.rs
+++ b/crates/proxy/src/daemon.rs
@@ -19,6 +19,7 @@
 use config::ProxySettings;
 use eyre::{OptionExt, WrapErr};
 use limits::WindowRule;
+use overload::Layout;
 use tokio::{net::TcpListener, runtime::Runtime, sync::watch, task::LocalSet};
 
 use crate::{
@@ -114,6 +115,10 @@
         let control_settings = ControlSettings {
             host: settings.daemon.host.clone(),
             availability_zone: settings.daemon.availability_zone.clone(),
+            layout: Layout::new(
+                settings.daemon.availability_zone.clone(),
+                settings.daemon.region_by_zone().collect(),
+            ),
             peer_address: peer_listener.as_ref().map(|it| it.local_addr()).transpose()?,
             metadata: settings.metadata.clone(),
             leadership: settings.leadership.clone(),
--- a/crates/proxy/tests/knowledge.rs
+++ b/crates/proxy/tests/knowledge.rs
@@ -4,7 +4,7 @@
 
 use proptest::prelude::*;
 use proxy::{
-    control::knowledge::{Knowledge, Sighting, must_ask_store},
+    control::knowledge::{Knowledge, Sighting, asks_later_by, must_ask_store},
     metadata::{Era, Revision},
 };
 
@@ -134,3 +134,13 @@
         assert_eq!(asks, expected, "{behind_ms} {follows} {receives_ms:?}");
     }
 }
+
+/// Guards against a zone that is behind as a whole and draws what it misses once for each of its daemons.
+#[test]
+fn a_zone_that_is_behind_asks_in_turns_and_everybody_within_two_seconds() {
+    let within = |time: Duration| (0..100).filter(|before| asks_later_by(*before) <= time).count();
+    assert_eq!(within(ms(0)), 1);
+    assert_eq!(within(ms(300)), 3);
+    assert_eq!(within(ms(600)), 7);
+    assert_eq!(within(ms(2_000)), 100);
+}
