--- a/crates/proxy/src/control/knowledge.rs
+++ b/crates/proxy/src/control/knowledge.rs
@@ -24,7 +24,7 @@
 
 /// Returns how much later a daemon of a large fleet asks the store for what it misses, with so many others of its zone
 /// before it. Those ask first and pass on what they hear, so that a zone which is behind as a whole, as behind a full link,
-/// draws it once or twice instead of once for each daemon. The fiftieth asks 1.7 s after the first.
+/// draws it once or twice instead of once for each daemon. The fiftieth asks 1.5 s after the first.
 pub fn asks_later_by(daemons_before: usize) -> Duration {
     TURN * (daemons_before + 1).ilog2()
 }
--- a/crates/proxy/src/control/rights.rs
+++ b/crates/proxy/src/control/rights.rs
@@ -139,7 +139,7 @@
         Ok(())
     }
 
-    /// Whether so much is missing up to a revision that whoever is followed is waited for: he sends it packed, and once.
+    /// Whether so much is missing up to a revision that whoever is followed is waited for: that one sends it packed, and once.
     fn is_told_soon(&self, revision: Revision) -> bool {
         let known = self.state.borrow().own_followed_to;
         let missing = revision.number().saturating_sub(known.number());
--- a/crates/proxy/src/control/starting.rs
+++ b/crates/proxy/src/control/starting.rs
@@ -34,7 +34,7 @@
 /// How old the knowledge may be with which a daemon begins to serve: as old as whoever serves lets it become before it asks
 /// the store itself.
 const KNOWN_WITHIN: Duration = Duration::from_secs(2);
-/// Rounds after which everybody of any zone reads for himself.
+/// Rounds after which every daemon of any zone reads for itself.
 const MOST_ROUNDS: u128 = 16;
 
 /// What another daemon has told of what the store holds.
