fix(control): a daemon that starts does not wait 3 s for a list of members from a store that is away

Cause: the list's answer was waited for 3 s in place of 1.2, in fleets of any size, since the size is not known before the list; a store that is silent and comes back found the daemons in that wait.

--- a/crates/proxy/src/control/starting.rs
+++ b/crates/proxy/src/control/starting.rs
@@ -25,9 +25,6 @@
 /// where all do so at once.
 const MOST_LOOKS: usize = 4;
 const LOOK_AGAIN_AFTER: Duration = Duration::from_millis(200);
-/// How long the answer with the list may take to begin: a region of some hundred daemons that start at once asks for ten
-/// megabytes of lists. Whoever gives one up and asks again adds to what the others wait for.
-const LISTED_WITHIN: Duration = Duration::from_secs(3);
 /// A list that has grown by more than this factor since the last look shows a fleet that is just being started.
 const GROWS_FROM: usize = 2;
 
@@ -143,8 +140,7 @@
 
     async fn list_members(&self, consistency: Consistency) -> Result<Vec<Listed>, MetadataError> {
         let prefix = self.key("members/");
-        let answer = self.read_timeout().max(LISTED_WITHIN);
-        let patience = Patience { answer, whole: self.whole_read_timeout() };
+        let patience = Patience { answer: self.read_timeout(), whole: self.whole_read_timeout() };
         let read = self.store.range(&prefix, consistency, patience).await;
         self.count_call("range", &read);
         let listed = read?.items.into_iter().filter_map(|item| {
