--- a/review/run-case.sh
+++ b/review/run-case.sh
@@ -1,5 +1,5 @@
-# Runs one case with the stand-ins; sourced by the scripts of the cases, which set `scene` and `here`.
-# TROUBLE=0 leaves the disruption out. KEEP=1 keeps the daemons' logs and tells where they are.
+# Runs one case with the stand-ins; sourced by the scripts of the cases, which set `scene`, `here` and `trouble`.
+# KEEP=1 keeps the daemons' logs and tells where they are.
 root="$(cd "$here/../.." && pwd)"
 standin="$root/target/review/standin"
 if [ ! -x "$standin" ] || [ ! -x "$root/target/release/wardtiller-fleet" ]; then
@@ -8,7 +8,7 @@
 fi
 folder="$(mktemp -d)"
 status=0
-timeout -k 2 115 "$standin" "$scene" "$root" "$folder" "$here/record.txt" || status=$?
+timeout -k 2 115 "$standin" "$scene" "$root" "$folder" "$here/record.txt" "$trouble" || status=$?
 if [ "${KEEP:-0}" = 1 ]; then
     echo "logs: $folder"
 else
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -1,6 +1,6 @@
-//! Plays one case of the review against the project's daemons: `standin CASE REPOSITORY FOLDER RECORD`.
+//! Plays one case of the review against the project's daemons: `standin CASE REPOSITORY FOLDER RECORD TROUBLE`.
 //!
-//! It exits with 1 if a rule was broken, 0 if all held, and 2 if the case could not run. With `TROUBLE=0` the
+//! It exits with 1 if a rule was broken, 0 if all held, and 2 if the case could not run. With a TROUBLE of 0 the
 //! disruption is left out.
 
 mod clients;
@@ -17,11 +17,11 @@
 
 fn main() {
     let arguments: Vec<String> = std::env::args().collect();
-    let [_, case, repository, folder, record] = &arguments[..] else {
-        eprintln!("usage: standin CASE REPOSITORY FOLDER RECORD");
+    let [_, case, repository, folder, record, trouble] = &arguments[..] else {
+        eprintln!("usage: standin CASE REPOSITORY FOLDER RECORD TROUBLE");
         exit(2);
     };
-    let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
+    let has_trouble = trouble != "0";
     let (repository, folder) = (PathBuf::from(repository), PathBuf::from(folder));
     let record = match record::Record::create(&PathBuf::from(record)) {
         Ok(record) => record,
