review: ports of the stand-ins outside the range of outgoing connections

Two of thirty runs, of cases 1 and 3, could not run (exit 2) while all three cases ran at the same time: a daemon was not ready within 15 s. Its ports had been chosen among those that the system gives to outgoing connections, and freed before it listened. They are now below that range, each run at ports of its own.

--- a/review/standin/daemons.rs
+++ b/review/standin/daemons.rs
@@ -5,6 +5,7 @@
     net::TcpListener,
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
+    sync::atomic::{AtomicU16, Ordering},
 };
 
 unsafe extern "C" {
@@ -106,11 +107,19 @@
     std::fs::read_to_string(path).map_err(|error| format!("{}: {error}", path.display()))
 }
 
+/// Returns free ports below those that the system gives to outgoing connections, which would take one before its daemon
+/// listens. Runs at the same time begin at different ones.
 fn free_ports(count: usize) -> Vec<u16> {
-    let listeners: Vec<TcpListener> = (0..count)
-        .map(|_| TcpListener::bind("127.0.0.1:0").expect("loopback has free ports"))
-        .collect();
-    listeners.iter().map(|it| it.local_addr().expect("bound").port()).collect()
+    static TRIED: AtomicU16 = AtomicU16::new(0);
+    let first = 12_000 + (std::process::id() % 300) as u16 * 64;
+    let mut ports = Vec::new();
+    while ports.len() < count {
+        let port = first + TRIED.fetch_add(1, Ordering::SeqCst);
+        if TcpListener::bind(("127.0.0.1", port)).is_ok() {
+            ports.push(port);
+        }
+    }
+    ports
 }
 
 /// Fills the template as the platform does, with the bounds of a small installation.
