promoter: send commands to servers only while the promoter lease lasts

Change: PAUSE, STEPDOWN and RESUME are sent only while this daemon holds the promoter lease; a stop needs 300 ms of it, so that it can still be undone. The lease is looked at before every attempt, also the repeated ones and those over shared connections, and bounds the time of a command; a connection with an unanswered command is reset then, so that the network does not deliver it later. A command that is not sent is logged (command_withheld). cancel_change, stop_servers and resume_others go the same way.

--- a/crates/proxy/src/control/change.rs
+++ b/crates/proxy/src/control/change.rs
@@ -250,7 +250,8 @@
         let ended = self.complete_change(service, run, &mut commands).await;
         if let Err(ChangeFailure::Store(_)) = &ended {
             // The change can't continue without the store. Until it is back, daemons use the old primary on evidence,
-            // which requires servers that are not paused. The daemon that resumes the change stops them again.
+            // which requires servers that are not paused. Once the promoter lease has ended, another daemon may have
+            // paused them, so nothing is sent then.
             let entries = self.entries(service).into_iter();
             commands
                 .send_all(entries.map(|entry| (entry, EndpointOperation::Resume)).collect())
--- a/crates/proxy/src/control/commands.rs
+++ b/crates/proxy/src/control/commands.rs
@@ -1,4 +1,8 @@
 //! Commands to servers during a change of primary, over the control thread's own connections.
+//!
+//! A server does not know who the promoter is, and a resume has no term that would show which change it belongs to. So
+//! commands that change a server are sent only while this daemon holds the promoter lease, and are given up when it
+//! ends. See `docs/PLATFORM.md`, "Commands to servers".
 
 use std::{
     collections::HashMap,
@@ -21,11 +25,49 @@
 
 /// Timeout of a command when the change was caused by a failure.
 const COMMAND_TIMEOUT: Duration = Duration::from_millis(150);
+/// The remaining promoter lease that is needed to stop a server, so that it can be resumed before the lease ends: one
+/// command and its answer on busy servers.
+pub(crate) const MIN_LEASE_TO_RESUME: Duration = Duration::from_millis(300);
 /// How long to wait for a replica to receive the log entries that a stepped-down primary still holds.
 const CATCH_UP_TIMEOUT: Duration = Duration::from_millis(800);
 /// The interval between two requests to a server whose state is polled.
 pub(crate) const POLL_INTERVAL: Duration = Duration::from_millis(30);
 
+/// Why a command brought no status.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum CommandFailure {
+    /// The server did not answer, or refused the command.
+    Lost(ConnectionLost),
+    /// The command was not sent, because too little of the promoter lease was left.
+    LeaseEnding,
+}
+
+impl std::fmt::Display for CommandFailure {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            CommandFailure::Lost(lost) => lost.fmt(f),
+            CommandFailure::LeaseEnding => f.write_str("too little of the promoter lease is left"),
+        }
+    }
+}
+
+impl From<ConnectionLost> for CommandFailure {
+    fn from(lost: ConnectionLost) -> CommandFailure {
+        CommandFailure::Lost(lost)
+    }
+}
+
+/// Returns how much of the promoter lease must be left to send a command; `None` if every daemon may send it.
+fn required_lease(operation: &EndpointOperation) -> Option<Duration> {
+    match operation {
+        EndpointOperation::Pause { .. } | EndpointOperation::StepDown { .. } => {
+            Some(MIN_LEASE_TO_RESUME)
+        }
+        EndpointOperation::Resume => Some(Duration::ZERO),
+        _ => None,
+    }
+}
+
 /// Sends the commands of one change over the control thread's own connections.
 pub(crate) struct Commands<'a, P: Adapter> {
     pub(crate) control: &'a Control<P>,
@@ -44,7 +86,7 @@
         &mut self,
         entry: &Arc<ServerEntry>,
         operation: EndpointOperation,
-    ) -> Result<EndpointStatus, ConnectionLost> {
+    ) -> Result<EndpointStatus, CommandFailure> {
         let existing = self.connections.remove(&entry.server);
         let (connection, status) =
             self.control.send_command(existing, entry.clone(), operation, self.timeout).await?;
@@ -78,11 +120,16 @@
                     }
                     statuses.push((entry, status));
                 }
-                Err(lost) => log::info!(
+                Err(CommandFailure::Lost(lost)) => log::info!(
                     event = "server_silent", server = &*entry.server,
                     why = lost.to_string().as_str();
                     "server did not answer a command"
                 ),
+                Err(failure @ CommandFailure::LeaseEnding) => log::info!(
+                    event = "command_withheld", server = &*entry.server,
+                    why = failure.to_string().as_str();
+                    "a command was not sent"
+                ),
             }
         }
         statuses
@@ -121,12 +168,14 @@
         entry: Arc<ServerEntry>,
         operation: EndpointOperation,
         timeout: Duration,
-    ) -> Result<CommandResult<P::Dialect>, ConnectionLost> {
-        match self.send_over(existing, entry.clone(), operation.clone(), timeout).await {
+    ) -> Result<CommandResult<P::Dialect>, CommandFailure> {
+        let deadline = self.command_deadline(&operation, timeout)?;
+        match self.send_over(existing, entry.clone(), operation.clone(), deadline).await {
             Ok((connection, status)) => Ok((Some(connection), status)),
-            Err(ConnectionLost::Refused(ErrorCode::TooManyConnections)) => {
+            Err(CommandFailure::Lost(ConnectionLost::Refused(ErrorCode::TooManyConnections))) => {
+                // The attempt may have taken some of the promoter lease.
+                let deadline = deadline.min(self.command_deadline(&operation, timeout)?);
                 let (answer, answered) = oneshot::channel();
-                let deadline = Instant::now() + timeout;
                 let request = CommandRequest {
                     service: entry.service.clone(),
                     server: entry.server.clone(),
@@ -139,33 +188,52 @@
                 match tokio::time::timeout_at(deadline.into(), answered).await {
                     Ok(Ok(status)) => Ok((None, status)),
                     Ok(Err(_)) | Err(_) => {
-                        Err(ConnectionLost::Refused(ErrorCode::TooManyConnections))
+                        Err(ConnectionLost::Refused(ErrorCode::TooManyConnections).into())
                     }
                 }
             }
-            Err(lost) => Err(lost),
+            Err(failure) => Err(failure),
+        }
+    }
+
+    /// Returns until when a command may be under way: its timeout, and not beyond the promoter lease if only the
+    /// promoter may send it. A connection with an unanswered command is reset then, so that a command that the network
+    /// still holds is not delivered later.
+    fn command_deadline(
+        &self,
+        operation: &EndpointOperation,
+        timeout: Duration,
+    ) -> Result<Instant, CommandFailure> {
+        let now = Instant::now();
+        let Some(required) = required_lease(operation) else { return Ok(now + timeout) };
+        let left = self.promoter_lease_left(now);
+        match left > required {
+            true => Ok(now + timeout.min(left)),
+            false => Err(CommandFailure::LeaseEnding),
         }
     }
 
-    /// Sends a command over `existing` or a new connection. Repeats it until the timeout if the server refuses it
+    /// Sends a command over `existing` or a new connection. Repeats it until the deadline if the server refuses it
     /// without running it.
-    pub(crate) async fn send_over(
+    async fn send_over(
         &self,
         existing: Option<EndpointConnection<P::Dialect>>,
         entry: Arc<ServerEntry>,
         mut operation: EndpointOperation,
-        timeout: Duration,
-    ) -> Result<(EndpointConnection<P::Dialect>, EndpointStatus), ConnectionLost> {
-        let deadline = Instant::now() + timeout;
+        deadline: Instant,
+    ) -> Result<(EndpointConnection<P::Dialect>, EndpointStatus), CommandFailure> {
         let mut connection = match existing {
             Some(connection) if connection.is_reusable() => connection,
             _ => {
                 let identity =
                     ClientIdentity { host: &self.settings.host, principal: &Principal::Daemon };
-                EndpointConnection::open(&self.dialect, &entry, identity, timeout).await?
+                let within = deadline.saturating_duration_since(Instant::now());
+                EndpointConnection::open(&self.dialect, &entry, identity, within).await?
             }
         };
         loop {
+            // The promoter lease may have been lost since the deadline was determined.
+            self.command_deadline(&operation, Duration::ZERO)?;
             let answer =
                 connection.call(&EndpointCommand::internal(operation.clone()), deadline).await?;
             if let Some(code) = answer.error_code() {
@@ -173,7 +241,7 @@
                     tokio::time::sleep(POLL_INTERVAL).await;
                     continue;
                 }
-                return Err(ConnectionLost::Refused(code));
+                return Err(ConnectionLost::Refused(code).into());
             }
             if operation == EndpointOperation::Resume {
                 // The answer to a resume contains no status.
--- a/crates/proxy/src/control/fencing.rs
+++ b/crates/proxy/src/control/fencing.rs
@@ -13,7 +13,7 @@
     control::{
         adapter::Adapter,
         change::{ChangeFailure, ChangeRun},
-        commands::{Commands, POLL_INTERVAL},
+        commands::{Commands, MIN_LEASE_TO_RESUME, POLL_INTERVAL},
         record::{
             FencingProgress, LeadershipRecord, PrimaryLeaseDurations, StoppedServer, majority,
         },
@@ -26,8 +26,6 @@
 
 /// How long a planned change waits for the daemons' acknowledgements before it pauses the replicas.
 const ACKNOWLEDGEMENT_TIMEOUT: Duration = Duration::from_millis(300);
-/// The remaining promoter lease that is needed to resume paused servers: one command and its answer on busy servers.
-const MIN_LEASE_TO_RESUME: Duration = Duration::from_millis(300);
 /// How often the remaining promoter lease is checked.
 const LEASE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// How long a change tries to stop a majority before it is cancelled.
@@ -52,6 +50,7 @@
         loop {
             let entries = self.entries(service);
             let stopped = self.stop_servers(service, &entries, run, commands).await;
+            self.check_lease_to_resume(Instant::now())?;
             if stopped.fenced_count >= majority(entries.len()) {
                 self.log_step("fenced", service, run);
                 self.await_daemon_stops(service, run, Instant::now()).await?;
@@ -154,10 +153,7 @@
             if now >= complete_at {
                 return Ok(());
             }
-            if self.promoter_lease_left(now) < MIN_LEASE_TO_RESUME {
-                let why = "the promoter lease could not be renewed".to_owned();
-                return Err(ChangeFailure::Store(MetadataError::NotDone(why)));
-            }
+            self.check_lease_to_resume(now)?;
             let check_at = complete_at.min(now + LEASE_CHECK_INTERVAL);
             tokio::select! {
                 () = tokio::time::sleep_until(check_at.into()) => {}
@@ -166,6 +162,15 @@
         }
     }
 
+    /// Fails once too little of the promoter lease is left to continue a change.
+    fn check_lease_to_resume(&self, now: Instant) -> Result<(), ChangeFailure> {
+        if self.promoter_lease_left(now) < MIN_LEASE_TO_RESUME {
+            let why = "the promoter lease could not be renewed".to_owned();
+            return Err(ChangeFailure::Store(MetadataError::NotDone(why)));
+        }
+        Ok(())
+    }
+
     /// Whether every daemon that may hold a primary lease has acknowledged the stop.
     pub(crate) fn all_acknowledged(&self, service: &Name, run: &ChangeRun) -> bool {
         let state = self.state.borrow();
