fencing: step the old primary down before the order of a planned change

Cause: in a planned change the old primary led until the order took effect, and only the pauses of the replicas kept daemons from it. A pause is no proof that holds: RESUME has no term, so the resume of a former promoter ends it whenever it arrives, be it that its sender stood still between looking at its lease and sending, or that the network held it.

Change: once every daemon has acknowledged the stop, or W has passed, and the store has confirmed the promoter lease, the old primary is stepped down; only then does the wait of V begin. A server that has stepped down leads that term no more, whatever is resumed, so evidence of it ends V later. Where all daemons acknowledge, nothing takes longer than before (V ran from the pauses, 10 to 20 ms earlier); where one does not, the order comes V later. The successor is chosen before the step-down, so a change without one still leaves the old primary leading; so does a store that is lost before the confirmation.

Weighed: stepping down directly before the order costs no wait, but a daemon could run reads at the old primary for up to V beside the new one (STALE); always waiting V after the order's write costs every planned change 0.3 s.

--- a/crates/proxy/src/control/change.rs
+++ b/crates/proxy/src/control/change.rs
@@ -1,13 +1,14 @@
 //! The steps of a change of primary:
 //!
 //! 1. Record the change, so that daemons stop using the primary.
-//! 2. Stop the servers: step the old primary down, and pause the replicas so that they receive no log entries.
-//! 3. Wait until no daemon can hold a primary lease.
+//! 2. Stop the servers: step the old primary down unless the change is planned, and pause the replicas so that they
+//!    receive no log entries.
+//! 3. Wait until no daemon can hold a primary lease. In a planned change the old primary leads until no daemon uses it
+//!    on the basis of the store, and is stepped down then.
 //! 4. Record the successor and order its promotion.
 //! 5. Verify that the successor is primary, and record the outcome.
 //!
-//! In a planned change the old primary leads until step 4 if enough replicas can be paused. A new promoter can resume
-//! at every step. `docs/PLATFORM.md`, "Who leads", has the argument and the table of faults.
+//! A new promoter can resume at every step. `docs/PLATFORM.md`, "Who leads", has the argument and the table of faults.
 
 use std::{
     sync::Arc,
@@ -141,7 +142,7 @@
         self.record.change.as_ref().map_or("", |change| &change.reason)
     }
 
-    /// Whether the change was not caused by a failure, so that the old primary can lead until the order.
+    /// Whether the change was not caused by a failure, so that the old primary can lead until the daemons have stopped.
     pub(crate) fn is_planned(&self) -> bool {
         self.record.change.as_ref().is_some_and(PrimaryChange::is_planned)
     }
@@ -285,6 +286,22 @@
             }
             return self.promote_and_record(service, run, chosen, commands).await;
         }
+        match self.select_successor(service, &run, &stopped) {
+            Some(chosen) => self.promote_and_record(service, run, chosen, commands).await,
+            None => {
+                self.cancel_change(service, run, commands).await?;
+                Err(ChangeFailure::NoSuccessor)
+            }
+        }
+    }
+
+    /// Chooses the server to promote; `None` if no server can take over or the old primary should go on leading.
+    pub(crate) fn select_successor(
+        &self,
+        service: &Name,
+        run: &ChangeRun,
+        stopped: &[StoppedServer],
+    ) -> Option<ChosenServer> {
         let entries = self.entries(service);
         let succession = SuccessorSelection {
             record: &run.record,
@@ -293,16 +310,8 @@
             may_keep_primary: run.reason() == ChangeReason::ReplicasBehind.as_str(),
             is_primary_listed: entries.iter().any(|it| *it.server == *run.record.primary),
         };
-        let chosen = succession.choose(&stopped);
-        match chosen
-            .filter(|chosen| chosen.server != run.record.primary || !old_primary_leads(&stopped))
-        {
-            Some(chosen) => self.promote_and_record(service, run, chosen, commands).await,
-            None => {
-                self.cancel_change(service, run, commands).await?;
-                Err(ChangeFailure::NoSuccessor)
-            }
-        }
+        let chosen = succession.choose(stopped);
+        chosen.filter(|chosen| chosen.server != run.record.primary || !old_primary_leads(stopped))
     }
 
     /// Fails unless some replica has received nearly everything that the primary holds.
--- a/crates/proxy/src/control/fencing.rs
+++ b/crates/proxy/src/control/fencing.rs
@@ -15,7 +15,8 @@
         change::{ChangeFailure, ChangeRun},
         commands::{Commands, MIN_LEASE_TO_RESUME, POLL_INTERVAL},
         record::{
-            FencingProgress, LeadershipRecord, PrimaryLeaseDurations, StoppedServer, majority,
+            FencingProgress, LeadershipRecord, PrimaryLeaseDurations, StoppedServer,
+            has_stepped_down, majority,
         },
         runner::Control,
         state::SeenMember,
@@ -31,15 +32,17 @@
 /// How long a change tries to stop a majority before it is cancelled.
 const FENCE_TIMEOUT: Duration = Duration::from_secs(3);
 
-/// The servers that answered while the group was being stopped.
-pub(crate) struct StoppedGroup {
-    pub(crate) servers: Vec<StoppedServer>,
-    /// How many of them now report to every daemon that the old primary must not be used.
-    pub(crate) fenced_count: usize,
+/// What became of a group's fence by the time of the order.
+enum FenceState {
+    /// The group is fenced, and no daemon can hold a primary lease for the old primary.
+    Held(Vec<StoppedServer>),
+    /// No server can take over, and the old primary still leads.
+    NoSuccessor,
 }
 
 impl<P: Adapter> Control<P> {
-    /// Stops the servers and waits until no daemon can hold a primary lease for the old primary.
+    /// Stops the servers and waits until no daemon can hold a primary lease for the old primary. Returns the servers
+    /// that answered.
     pub(crate) async fn fence_old_primary(
         &self,
         service: &Name,
@@ -47,15 +50,24 @@
         commands: &mut Commands<'_, P>,
     ) -> Result<Vec<StoppedServer>, ChangeFailure> {
         let give_up_at = Instant::now() + FENCE_TIMEOUT;
+        let term = Term(run.record.term + 1);
         loop {
             let entries = self.entries(service);
-            let stopped = self.stop_servers(service, &entries, run, commands).await;
+            let answered = self.stop_servers(service, &entries, run, term, commands).await;
             self.check_lease_to_resume(Instant::now())?;
-            if stopped.fenced_count >= majority(entries.len()) {
+            let stopped = answered.iter().filter(|it| !it.is_old_primary || !it.status.leads);
+            if stopped.count() >= majority(entries.len()) {
                 self.log_step("fenced", service, run);
-                self.await_daemon_stops(service, run, Instant::now()).await?;
-                self.log_step("stopped", service, run);
-                return Ok(stopped.servers);
+                match self.hold_fence(service, run, answered, term, commands).await? {
+                    FenceState::Held(answered) => {
+                        self.log_step("stopped", service, run);
+                        return Ok(answered);
+                    }
+                    FenceState::NoSuccessor => {
+                        self.cancel_change(service, run.clone(), commands).await?;
+                        return Err(ChangeFailure::NoSuccessor);
+                    }
+                }
             }
             if Instant::now() >= give_up_at {
                 if run.chosen().is_none() {
@@ -67,26 +79,27 @@
         }
     }
 
-    /// Steps the old primary down and pauses the replicas; returns the servers that answered.
-    pub(crate) async fn stop_servers(
+    /// Stops the servers; returns those that answered. In a planned change the old primary is only stepped down if a
+    /// majority needs it.
+    async fn stop_servers(
         &self,
         service: &Name,
         entries: &[Arc<ServerEntry>],
         run: &ChangeRun,
+        term: Term,
         commands: &mut Commands<'_, P>,
-    ) -> StoppedGroup {
-        let term = Term(run.record.term + 1);
+    ) -> Vec<StoppedServer> {
         let (old, replicas): (Vec<_>, Vec<_>) =
             entries.iter().cloned().partition(|entry| *entry.server == *run.record.primary);
-        let step_down = |entry| (entry, EndpointOperation::StepDown { term });
         let is_planned = run.is_planned();
         let mut primary = if is_planned {
-            // The old primary leads until the order, so that nothing is lost if the change can't continue.
+            // The old primary leads until the daemons have stopped, so that nothing is lost if the change can't
+            // continue.
             self.await_acknowledgements(service, run).await;
             let status = |entry| (entry, EndpointOperation::Status);
             commands.send_all(old.iter().cloned().map(status).collect()).await
         } else {
-            commands.send_all(old.iter().cloned().map(step_down).collect()).await
+            step_down(&old, term, commands).await
         };
         if let Some((_, status)) = primary.first() {
             // The old primary's last log entries may be acknowledged to callers, so a replica gets time to receive
@@ -95,24 +108,40 @@
         }
         let pause = |entry| (entry, EndpointOperation::Pause { term });
         let paused = commands.send_all(replicas.into_iter().map(pause).collect()).await;
-        let needs_primary = paused.len() < majority(entries.len());
-        if is_planned && needs_primary {
-            primary = commands.send_all(old.into_iter().map(step_down).collect()).await;
+        if is_planned && paused.len() < majority(entries.len()) {
+            primary = step_down(&old, term, commands).await;
         }
-        // A primary that was not stepped down does not count towards the majority.
-        let fenced_count =
-            paused.len() + if is_planned && !needs_primary { 0 } else { primary.len() };
-        let stopped = |is_old_primary: bool| {
-            move |(entry, status): (Arc<ServerEntry>, EndpointStatus)| StoppedServer {
-                server: entry.server.to_string(),
-                status,
-                leaving: entry.leaving,
-                is_old_primary,
+        let primary = primary.into_iter().map(|answer| stopped_server(answer, true));
+        primary.chain(paused.into_iter().map(|answer| stopped_server(answer, false))).collect()
+    }
+
+    /// Waits until no daemon can hold a primary lease for the old primary while the servers stay stopped.
+    async fn hold_fence(
+        &self,
+        service: &Name,
+        run: &ChangeRun,
+        mut answered: Vec<StoppedServer>,
+        term: Term,
+        commands: &mut Commands<'_, P>,
+    ) -> Result<FenceState, ChangeFailure> {
+        let mut fenced_at = Instant::now();
+        if !has_stepped_down(&answered) && run.is_planned() {
+            if run.chosen().is_none() && self.select_successor(service, run, &answered).is_none() {
+                return Ok(FenceState::NoSuccessor);
             }
-        };
-        let primary = primary.into_iter().map(stopped(true));
-        let servers = primary.chain(paused.into_iter().map(stopped(false))).collect();
-        StoppedGroup { servers, fenced_count }
+            self.await_daemon_stops(service, run, None).await?;
+            // Without the store the change could not continue, and the group would have no primary.
+            self.confirm_promoter_lease().await?;
+            let old = self.entry_of(service, &run.record.primary);
+            let stepped_down = step_down(old.as_slice(), term, commands).await;
+            if let Some(answer) = stepped_down.into_iter().next() {
+                answered.retain(|server| !server.is_old_primary);
+                answered.push(stopped_server(answer, true));
+                fenced_at = Instant::now();
+            }
+        }
+        self.await_daemon_stops(service, run, Some(fenced_at)).await?;
+        Ok(FenceState::Held(answered))
     }
 
     /// Waits briefly for the daemons to acknowledge the stop, so that a replica can receive the last writes before it
@@ -128,15 +157,16 @@
     }
 
     /// Waits until every daemon that may hold a primary lease has acknowledged the stop, or these leases have expired.
+    /// With `fenced_at`, also waits until no daemon can hold one on evidence from before the group was fenced.
     ///
     /// Gives up shortly before an unrenewed promoter lease expires: until then no other daemon can have started a
     /// change, so the servers can be resumed and used on evidence. Otherwise the group would have no primary until the
     /// store answers again.
-    pub(crate) async fn await_daemon_stops(
+    async fn await_daemon_stops(
         &self,
         service: &Name,
         run: &ChangeRun,
-        fenced_at: Instant,
+        fenced_at: Option<Instant>,
     ) -> Result<(), ChangeFailure> {
         let bounds = PrimaryLeaseDurations {
             store: self.primary_lease_duration(),
@@ -145,10 +175,11 @@
         loop {
             let progress = FencingProgress {
                 recorded_at: run.recorded_at,
-                fenced_at: Some(fenced_at),
+                fenced_at,
                 all_acknowledged: self.all_acknowledged(service, run),
             };
-            let Some(complete_at) = progress.complete_at(bounds) else { return Ok(()) };
+            let complete_at =
+                progress.complete_at(bounds).unwrap_or(progress.daemons_stopped_at(bounds));
             let now = Instant::now();
             if now >= complete_at {
                 return Ok(());
@@ -206,3 +237,25 @@
         Ok(())
     }
 }
+
+/// Steps servers down; returns their answers.
+async fn step_down<P: Adapter>(
+    servers: &[Arc<ServerEntry>],
+    term: Term,
+    commands: &mut Commands<'_, P>,
+) -> Vec<(Arc<ServerEntry>, EndpointStatus)> {
+    let step_down = |entry| (entry, EndpointOperation::StepDown { term });
+    commands.send_all(servers.iter().cloned().map(step_down).collect()).await
+}
+
+fn stopped_server(
+    (entry, status): (Arc<ServerEntry>, EndpointStatus),
+    is_old_primary: bool,
+) -> StoppedServer {
+    StoppedServer {
+        server: entry.server.to_string(),
+        status,
+        leaving: entry.leaving,
+        is_old_primary,
+    }
+}
--- a/crates/proxy/src/control/promoter.rs
+++ b/crates/proxy/src/control/promoter.rs
@@ -19,7 +19,8 @@
     catalog::{ServerEntry, ServerIncarnation},
     control::{
         adapter::Adapter,
-        change::{ChangeReason, VersionedRecord},
+        change::{ChangeFailure, ChangeReason, VersionedRecord},
+        commands::MIN_LEASE_TO_RESUME,
         move_times::MoveTimes,
         record::is_primary_lost,
         runner::{Control, RENEWALS_PER_LEASE},
@@ -102,6 +103,19 @@
         lease.map_or(Duration::ZERO, |lease| lease.valid_until.saturating_duration_since(now))
     }
 
+    /// Confirms by the store that this daemon is the promoter. The store must answer while enough of the lease is left
+    /// to undo a change.
+    pub(crate) async fn confirm_promoter_lease(&self) -> Result<(), ChangeFailure> {
+        let lease = self.held_promoter_lease().ok_or(ChangeFailure::Superseded)?;
+        let left = self.promoter_lease_left(Instant::now()).saturating_sub(MIN_LEASE_TO_RESUME);
+        let read = self.store.get(&self.promoter_key(), self.read_timeout().min(left)).await;
+        self.count_call("get", &read);
+        match read.map_err(ChangeFailure::Store)? {
+            Some(item) if item.revision == lease.revision => Ok(()),
+            _ => Err(ChangeFailure::Superseded),
+        }
+    }
+
     /// Returns the value of the promoter key. It contains the lease, so that a restarted daemon does not mistake the
     /// key of its previous process for its own.
     pub(crate) fn promoter_value(&self, lease: LeaseId) -> Bytes {
--- a/crates/proxy/src/control/record.rs
+++ b/crates/proxy/src/control/record.rs
@@ -252,13 +252,18 @@
     servers / 2 + 1
 }
 
-/// The progress of fencing a primary. It is complete once a majority of the servers has been stopped for the evidence
-/// duration, and every daemon has acknowledged the stop or its primary lease has expired.
+/// Whether the old primary answered that it does not lead.
+pub fn has_stepped_down(answered: &[StoppedServer]) -> bool {
+    answered.iter().any(|server| server.is_old_primary && !server.status.leads)
+}
+
+/// The progress of fencing a primary. It is complete once the group has been fenced for the evidence duration, and every
+/// daemon has acknowledged the stop or its primary lease has expired.
 #[derive(Clone, Copy, Debug)]
 pub struct FencingProgress {
     /// When the change was stored.
     pub recorded_at: Instant,
-    /// When a majority of the servers had been stopped.
+    /// When the group was fenced.
     pub fenced_at: Option<Instant>,
     /// Whether every daemon that may hold a primary lease has acknowledged the stop.
     pub all_acknowledged: bool,
@@ -277,13 +282,18 @@
 const CLOCK_RATE_MARGIN: f64 = 1.05;
 
 impl FencingProgress {
-    /// Returns when the stop is complete if no further answer arrives; `None` without a majority.
+    /// Returns when the stop is complete if no further answer arrives; `None` if the group is not fenced.
     pub fn complete_at(&self, bounds: PrimaryLeaseDurations) -> Option<Instant> {
         let fenced = self.fenced_at? + bounds.evidence.mul_f64(CLOCK_RATE_MARGIN);
-        if self.all_acknowledged {
-            return Some(fenced);
+        Some(fenced.max(self.daemons_stopped_at(bounds)))
+    }
+
+    /// Returns when no daemon holds a primary lease on the basis of the store if no further answer arrives.
+    pub fn daemons_stopped_at(&self, bounds: PrimaryLeaseDurations) -> Instant {
+        match self.all_acknowledged {
+            true => self.recorded_at,
+            false => self.recorded_at + bounds.store.mul_f64(CLOCK_RATE_MARGIN),
         }
-        Some(fenced.max(self.recorded_at + bounds.store.mul_f64(CLOCK_RATE_MARGIN)))
     }
 }
 
