fencing: count servers by what their statuses show, and verify before the order

Cause: stop_servers counted every answer to a PAUSE as a stopped server, and nothing looked again before the order. So a change went on although the pauses had been ended by a late resume or a restart (where the old primary does not answer the promoter, they are the only proof), or had never been in force: a server ignores a pause for a term that it has already reached, and one that leads ignores any. And a change that found no majority was cancelled also where the old primary had stepped down for it, which left a record that names a primary that does not lead.

Change: a server counts as stopped if it is the old primary and does not lead, or if it is paused for the change's term or a later one. The term of the pauses goes above the newest that a server answered with. A server other than the old primary that leads is stepped down before it is paused. A planned change steps the old primary down for the majority only if that completes it, and a change whose primary has stepped down is not cancelled but taken up by the next check.

What stays: if the old primary does not answer the promoter, a resume that arrives between the check and the promotion still ends a pause; docs/PLATFORM.md says so.

--- a/crates/proxy/src/control/change.rs
+++ b/crates/proxy/src/control/change.rs
@@ -5,7 +5,7 @@
 //!    receive no log entries.
 //! 3. Wait until no daemon can hold a primary lease. In a planned change the old primary leads until no daemon uses it
 //!    on the basis of the store, and is stepped down then.
-//! 4. Record the successor and order its promotion.
+//! 4. Verify that the servers are still stopped, record the successor and order its promotion.
 //! 5. Verify that the successor is primary, and record the outcome.
 //!
 //! A new promoter can resume at every step. `docs/PLATFORM.md`, "Who leads", has the argument and the table of faults.
--- a/crates/proxy/src/control/fencing.rs
+++ b/crates/proxy/src/control/fencing.rs
@@ -1,5 +1,5 @@
-//! Fencing during a change of primary: stops the servers (steps the old primary down and pauses the replicas) and waits
-//! until no daemon holds a primary lease.
+//! Fencing during a change of primary: stops the servers (steps the old primary down and pauses the replicas), waits
+//! until no daemon holds a primary lease, and verifies before the order that the servers are still stopped.
 
 use std::{
     sync::Arc,
@@ -16,7 +16,7 @@
         commands::{Commands, MIN_LEASE_TO_RESUME, POLL_INTERVAL},
         record::{
             FencingProgress, LeadershipRecord, PrimaryLeaseDurations, StoppedServer,
-            has_stepped_down, majority,
+            has_stepped_down, is_fenced, majority,
         },
         runner::Control,
         state::SeenMember,
@@ -36,6 +36,8 @@
 enum FenceState {
     /// The group is fenced, and no daemon can hold a primary lease for the old primary.
     Held(Vec<StoppedServer>),
+    /// A majority is no longer stopped, so a daemon may have gained a primary lease meanwhile.
+    Broken,
     /// No server can take over, and the old primary still leads.
     NoSuccessor,
 }
@@ -50,19 +52,22 @@
         commands: &mut Commands<'_, P>,
     ) -> Result<Vec<StoppedServer>, ChangeFailure> {
         let give_up_at = Instant::now() + FENCE_TIMEOUT;
-        let term = Term(run.record.term + 1);
+        let mut term = Term(run.record.term + 1);
         loop {
             let entries = self.entries(service);
             let answered = self.stop_servers(service, &entries, run, term, commands).await;
             self.check_lease_to_resume(Instant::now())?;
-            let stopped = answered.iter().filter(|it| !it.is_old_primary || !it.status.leads);
-            if stopped.count() >= majority(entries.len()) {
+            // A server ignores a pause for a term that it has already reached.
+            let newest = answered.iter().map(|server| server.status.term).max();
+            let has_stepped_down = has_stepped_down(&answered);
+            if is_fenced(&answered, term, entries.len()) {
                 self.log_step("fenced", service, run);
                 match self.hold_fence(service, run, answered, term, commands).await? {
                     FenceState::Held(answered) => {
                         self.log_step("stopped", service, run);
                         return Ok(answered);
                     }
+                    FenceState::Broken => self.log_step("fence_broken", service, run),
                     FenceState::NoSuccessor => {
                         self.cancel_change(service, run.clone(), commands).await?;
                         return Err(ChangeFailure::NoSuccessor);
@@ -70,11 +75,13 @@
                 }
             }
             if Instant::now() >= give_up_at {
-                if run.chosen().is_none() {
+                // A primary that has stepped down can't remain in place, so the change goes on with the next check.
+                if run.chosen().is_none() && !has_stepped_down {
                     self.cancel_change(service, run.clone(), commands).await?;
                 }
                 return Err(ChangeFailure::NoMajority);
             }
+            term = term.max(Term(newest.map_or(0, |newest| newest.0 + 1)));
             tokio::time::sleep(POLL_INTERVAL).await;
         }
     }
@@ -106,9 +113,9 @@
             // them.
             commands.await_catch_up(&replicas, status).await;
         }
-        let pause = |entry| (entry, EndpointOperation::Pause { term });
-        let paused = commands.send_all(replicas.into_iter().map(pause).collect()).await;
-        if is_planned && paused.len() < majority(entries.len()) {
+        let paused = pause(&replicas, term, commands).await;
+        let paused_count = paused.iter().filter(|(_, status)| status.paused_for >= term).count();
+        if is_planned && paused_count + 1 == majority(entries.len()) {
             primary = step_down(&old, term, commands).await;
         }
         let primary = primary.into_iter().map(|answer| stopped_server(answer, true));
@@ -141,7 +148,40 @@
             }
         }
         self.await_daemon_stops(service, run, Some(fenced_at)).await?;
-        Ok(FenceState::Held(answered))
+        match self.is_still_fenced(service, &answered, term, commands).await {
+            true => Ok(FenceState::Held(answered)),
+            false => Ok(FenceState::Broken),
+        }
+    }
+
+    /// Whether the group is still fenced. The old primary alone is queried if it has stepped down, and it counts as
+    /// stopped if it does not answer any more.
+    async fn is_still_fenced(
+        &self,
+        service: &Name,
+        answered: &[StoppedServer],
+        term: Term,
+        commands: &mut Commands<'_, P>,
+    ) -> bool {
+        let by_step_down = has_stepped_down(answered);
+        let queried = answered.iter().filter(|server| server.is_old_primary || !by_step_down);
+        let entries = queried.filter_map(|server| self.entry_of(service, &server.server));
+        let queries = entries.map(|entry| (entry, EndpointOperation::Status)).collect();
+        let statuses = commands.send_all(queries).await;
+        if by_step_down {
+            return statuses.iter().all(|(_, status)| !status.leads);
+        }
+        let is_old_primary = |entry: &ServerEntry| {
+            answered.iter().any(|it| it.is_old_primary && *it.server == *entry.server)
+        };
+        let current: Vec<_> = statuses
+            .into_iter()
+            .map(|(entry, status)| {
+                let is_old_primary = is_old_primary(&entry);
+                stopped_server((entry, status), is_old_primary)
+            })
+            .collect();
+        is_fenced(&current, term, self.entries(service).len())
     }
 
     /// Waits briefly for the daemons to acknowledge the stop, so that a replica can receive the last writes before it
@@ -248,6 +288,26 @@
     commands.send_all(servers.iter().cloned().map(step_down).collect()).await
 }
 
+/// Pauses servers; returns their answers. A server that leads another term ignores a pause, so it is stepped down first.
+async fn pause<P: Adapter>(
+    servers: &[Arc<ServerEntry>],
+    term: Term,
+    commands: &mut Commands<'_, P>,
+) -> Vec<(Arc<ServerEntry>, EndpointStatus)> {
+    let pause = |entry| (entry, EndpointOperation::Pause { term });
+    let answers = commands.send_all(servers.iter().cloned().map(pause).collect()).await;
+    let (leading, mut paused): (Vec<_>, Vec<_>) =
+        answers.into_iter().partition(|(_, status)| status.leads);
+    if leading.is_empty() {
+        return paused;
+    }
+    let leading: Vec<_> = leading.into_iter().map(|(entry, _)| entry).collect();
+    let stepped_down = step_down(&leading, term, commands).await;
+    let stepped_down = stepped_down.into_iter().map(|(entry, _)| pause(entry)).collect();
+    paused.extend(commands.send_all(stepped_down).await);
+    paused
+}
+
 fn stopped_server(
     (entry, status): (Arc<ServerEntry>, EndpointStatus),
     is_old_primary: bool,
--- a/crates/proxy/src/control/record.rs
+++ b/crates/proxy/src/control/record.rs
@@ -175,6 +175,12 @@
 }
 
 impl StoppedServer {
+    /// Whether this server keeps queries from granting a primary lease: it is the old primary and has stepped down, or
+    /// it is paused for this term or a later one.
+    fn is_stopped(&self, term: Term) -> bool {
+        (self.is_old_primary && !self.status.leads) || self.status.paused_for >= term
+    }
+
     /// Whether its log is a prefix of the recorded history, so that it holds no discarded writes.
     ///
     /// A former primary that was unreachable during a promotion still holds the writes that the promotion discarded,
@@ -252,6 +258,15 @@
     servers / 2 + 1
 }
 
+/// Whether a group is fenced: a majority of its servers is stopped, so that queries of the servers can't grant a primary
+/// lease. The statuses must be those of now; `term` is the term for which the servers were paused.
+///
+/// A pause ends with any resume, and the resume of a former promoter may arrive late. A primary that has stepped down
+/// does not lead its term again without a restart.
+pub fn is_fenced(answered: &[StoppedServer], term: Term, servers: usize) -> bool {
+    answered.iter().filter(|server| server.is_stopped(term)).count() >= majority(servers)
+}
+
 /// Whether the old primary answered that it does not lead.
 pub fn has_stepped_down(answered: &[StoppedServer]) -> bool {
     answered.iter().any(|server| server.is_old_primary && !server.status.leads)
--- a/crates/proxy/tests/control.rs
+++ b/crates/proxy/tests/control.rs
@@ -15,7 +15,8 @@
         move_times::MoveTimes,
         record::{
             ChosenServer, FencingProgress, LeadershipRecord, PrimaryChange, PrimaryLeaseDurations,
-            RecordSource, StoppedServer, SuccessorSelection, is_primary_lost,
+            RecordSource, StoppedServer, SuccessorSelection, has_stepped_down, is_fenced,
+            is_primary_lost,
         },
         servers::{Lapsed, ServerList},
     },
@@ -121,6 +122,33 @@
     }
 }
 
+/// Guards against an order although a server that answered is not stopped, as one that has ignored a pause.
+#[test]
+fn a_group_is_fenced_by_a_majority_whose_statuses_show_it() {
+    let server = |is_old_primary, leads, paused_for| StoppedServer {
+        status: EndpointStatus { paused_for: Term(paused_for), ..status(leads, 1, 10, 0) },
+        ..stopped("a", 10, false, is_old_primary)
+    };
+    let leading = || server(true, true, 0);
+    let stepped_down = || server(true, false, 0);
+    let paused = || server(false, false, 2);
+    let resumed = || server(false, false, 0);
+    let cases = [
+        ("the replicas are paused", vec![leading(), paused(), paused()], true),
+        ("the old primary does not answer", vec![paused(), paused()], true),
+        ("one replica was resumed", vec![leading(), paused(), resumed()], false),
+        ("the old primary stepped down", vec![stepped_down(), paused()], true),
+        ("one server is no majority", vec![stepped_down(), resumed()], false),
+        ("paused for an earlier term", vec![paused(), server(false, false, 1)], false),
+        ("paused for a later term", vec![paused(), server(false, false, 3)], true),
+    ];
+    for (name, answered, expected) in cases {
+        assert_eq!(is_fenced(&answered, Term(2), 3), expected, "{name}");
+    }
+    assert!(has_stepped_down(&[stepped_down()]));
+    assert!(!has_stepped_down(&[leading(), resumed()]));
+}
+
 /// A group of three servers whose primary in term 1 is `a`.
 fn succession(record: &LeadershipRecord) -> SuccessorSelection<'_> {
     SuccessorSelection {
--- a/crates/proxy/tests/leadership_model.rs
+++ b/crates/proxy/tests/leadership_model.rs
@@ -2,7 +2,9 @@
 //!
 //! Runs the engine's decisions on leases, evidence and fencing over a model of time. Invariant: once the promotion is
 //! ordered, no daemon holds or gains a lease for the old primary, even if servers are resumed, learn of the new primary
-//! late or never, and answer only some daemons. Injected defects show that the model detects violations.
+//! late or never, and answer only some daemons. A former promoter may resume servers at any time, except after the order
+//! if the old primary could not be stepped down: `docs/PLATFORM.md`, "Commands to servers", states that gap. Injected
+//! defects show that the model detects violations.
 //!
 //! Not modelled: the servers' logs (`history_model.rs`) and messages between daemons.
 
@@ -86,6 +88,20 @@
     /// From the record's effect until the promoter receives the reply to its write.
     record_reply_delay_ms: u64,
     after_order: Vec<AfterOrder>,
+    /// Whether the old primary leads until the daemons have stopped.
+    is_planned: bool,
+    /// When the resume of a former promoter reaches each server, after the record; `None` if there is none.
+    late_resumes_after_ms: Vec<Option<u64>>,
+}
+
+/// When the steps of a change are done.
+#[derive(Clone, Copy, Debug)]
+struct Timeline {
+    /// When the old primary steps down; `None` if the promoter can't reach it, or does not step it down.
+    stepped_down_at_ms: Option<u64>,
+    /// Whether the promoter knows of that when the group is fenced.
+    is_step_down_known: bool,
+    ordered_at_ms: u64,
 }
 
 /// A daemon's lease for the old primary.
@@ -111,6 +127,10 @@
     LeaseWithoutMembership,
     /// A majority suffices after the lease has expired.
     MajorityAfterExpiry,
+    /// A planned change leaves the old primary leading until the order takes effect.
+    NoStepDown,
+    /// The promoter does not verify before the order that the servers are still paused.
+    NoFenceCheck,
 }
 
 fn request(sent_range_ms: std::ops::Range<u64>) -> impl Strategy<Value = Request> {
@@ -163,39 +183,55 @@
 }
 
 fn case() -> impl Strategy<Value = Case> {
+    let late_resume = prop::option::weighted(0.3, 0_u64..4_000);
     (
         prop::collection::vec(daemon(), 1..4),
         prop::collection::vec(prop::option::weighted(0.8, 0_u64..1_200), SERVERS),
         0_u64..200,
         0_u64..200,
         prop::collection::vec(after_order(), SERVERS),
+        any::<bool>(),
+        prop::collection::vec(late_resume, SERVERS),
     )
         .prop_map(
-            |(daemons, stops_after_ms, stop_reply_delay_ms, record_reply_delay_ms, after_order)| {
+            |(
+                daemons,
+                stops_after_ms,
+                stop_reply_delay_ms,
+                record_reply_delay_ms,
+                after_order,
+                is_planned,
+                late_resumes_after_ms,
+            )| {
                 Case {
                     daemons,
                     stops_after_ms,
                     stop_reply_delay_ms,
                     record_reply_delay_ms,
                     after_order,
+                    is_planned,
+                    late_resumes_after_ms,
                 }
             },
         )
 }
 
 impl Case {
-    /// When the promotion is ordered; `None` if the promoter can't stop enough servers.
-    fn ordered_at_ms(&self, defect: Defect) -> Option<u64> {
+    fn recorded_at_ms(&self) -> u64 {
+        CHANGE_AT_MS + self.record_reply_delay_ms
+    }
+
+    /// When the promoter stops a server, if nothing delays that.
+    fn stopped_at_ms(&self, server: usize) -> Option<u64> {
+        self.stops_after_ms[server].map(|after| self.recorded_at_ms() + after)
+    }
+
+    /// When the fence has been kept for long enough, if it was complete at `fenced_at_ms`; with `None`, when no daemon
+    /// holds a lease from the store.
+    fn waited_until_ms(&self, fenced_at_ms: Option<u64>, defect: Defect) -> u64 {
         let base = Instant::now();
         let at = |ms: u64| base + Duration::from_millis(ms);
-        let recorded_at_ms = CHANGE_AT_MS + self.record_reply_delay_ms;
-        let mut stops: Vec<u64> = self.stops_after_ms.iter().flatten().copied().collect();
-        stops.sort_unstable();
-        let needed = if defect == Defect::NoMajority { 1 } else { majority(SERVERS) };
-        // The promoter stops the servers once it knows that the change is recorded.
-        let last = *stops.get(needed - 1)?;
-        let fenced_at_ms = recorded_at_ms + last + self.stop_reply_delay_ms;
-        let acknowledged_at_ms = self.all_acknowledged_at_ms(recorded_at_ms);
+        let recorded_at_ms = self.recorded_at_ms();
         let bounds = PrimaryLeaseDurations {
             store: Duration::from_millis(match defect {
                 Defect::NoStoreWait => 0,
@@ -206,18 +242,55 @@
                 _ => EVIDENCE_LEASE_MS,
             }),
         };
-        let progress = |all_acknowledged| FencingProgress {
-            recorded_at: at(recorded_at_ms),
-            fenced_at: Some(at(fenced_at_ms)),
-            all_acknowledged,
-        };
         let complete_ms = |all_acknowledged| {
-            let complete_at = progress(all_acknowledged).complete_at(bounds).unwrap();
+            let progress = FencingProgress {
+                recorded_at: at(recorded_at_ms),
+                fenced_at: fenced_at_ms.map(at),
+                all_acknowledged,
+            };
+            let complete_at =
+                progress.complete_at(bounds).unwrap_or(progress.daemons_stopped_at(bounds));
             complete_at.duration_since(base).as_millis() as u64
         };
         let unacknowledged_ms = complete_ms(false);
-        let acknowledged_ms = acknowledged_at_ms.map(|at_ms| complete_ms(true).max(at_ms));
-        Some(acknowledged_ms.map_or(unacknowledged_ms, |at_ms| at_ms.min(unacknowledged_ms)))
+        let acknowledged_ms =
+            self.all_acknowledged_at_ms(recorded_at_ms).map(|at_ms| complete_ms(true).max(at_ms));
+        acknowledged_ms.map_or(unacknowledged_ms, |at_ms| at_ms.min(unacknowledged_ms))
+    }
+
+    /// Returns the steps of the change; `None` if the promoter can't stop enough servers or keep them stopped.
+    fn timeline(&self, defect: Defect) -> Option<Timeline> {
+        let needed = if defect == Defect::NoMajority { 1 } else { majority(SERVERS) };
+        let earliest = |servers: std::ops::Range<usize>| {
+            let mut stops: Vec<u64> =
+                servers.filter_map(|server| self.stopped_at_ms(server)).collect();
+            stops.sort_unstable();
+            stops.get(needed - 1).copied()
+        };
+        let paused_at_ms = earliest(1..SERVERS).filter(|_| self.is_planned);
+        let (last_ms, stepped_down_at_ms) = match paused_at_ms {
+            // The old primary leads until the daemons have stopped.
+            Some(paused_at_ms) => {
+                let waited_until_ms = self.waited_until_ms(None, defect).max(paused_at_ms);
+                let stop = self.stopped_at_ms(0).filter(|_| defect != Defect::NoStepDown);
+                let stepped_down_at_ms = stop.map(|at_ms| at_ms.max(waited_until_ms));
+                (stepped_down_at_ms.unwrap_or(paused_at_ms), stepped_down_at_ms)
+            }
+            None => (earliest(0..SERVERS)?, self.stopped_at_ms(0)),
+        };
+        let fenced_at_ms = last_ms + self.stop_reply_delay_ms;
+        let timeline = Timeline {
+            stepped_down_at_ms,
+            is_step_down_known: stepped_down_at_ms.is_some_and(|at_ms| at_ms <= last_ms),
+            ordered_at_ms: self.waited_until_ms(Some(fenced_at_ms), defect),
+        };
+        let is_checked = !matches!(defect, Defect::NoFenceCheck | Defect::NoStepDown);
+        let is_fenced = timeline.is_step_down_known || !is_checked || {
+            let statuses = (1..SERVERS)
+                .map(|server| self.status_at(server, timeline.ordered_at_ms - 1, timeline));
+            statuses.filter(|status| status.paused_for > Term(0)).count() >= needed
+        };
+        is_fenced.then_some(timeline)
     }
 
     /// When every recent member has acknowledged the stop; `None` if one never does.
@@ -238,18 +311,30 @@
         (1..SERVERS).find(|server| self.stops_after_ms[*server].is_some())
     }
 
-    fn status_at(&self, server: usize, ms: u64, ordered_at_ms: u64) -> EndpointStatus {
-        let recorded_at_ms = CHANGE_AT_MS + self.record_reply_delay_ms;
+    fn status_at(&self, server: usize, ms: u64, timeline: Timeline) -> EndpointStatus {
+        let ordered_at_ms = timeline.ordered_at_ms;
         let after = &self.after_order[server];
-        let stopped = self.stops_after_ms[server].is_some_and(|after| ms >= recorded_at_ms + after);
-        let resumed = ms >= ordered_at_ms + after.resumed_after_ms;
+        let stopped_at_ms = match server {
+            0 => timeline.stepped_down_at_ms,
+            _ => self.stopped_at_ms(server),
+        };
+        let stopped = stopped_at_ms.is_some_and(|at_ms| ms >= at_ms);
+        let late_resume_ms =
+            self.late_resumes_after_ms[server].map(|after| self.recorded_at_ms() + after);
+        // A resume before the pause has no effect.
+        let resumed_late = late_resume_ms.is_some_and(|at_ms| {
+            ms >= at_ms
+                && stopped_at_ms.is_some_and(|stopped_at_ms| at_ms > stopped_at_ms)
+                && (timeline.is_step_down_known || at_ms < ordered_at_ms)
+        });
+        let resumed = resumed_late || ms >= ordered_at_ms + after.resumed_after_ms;
         let is_ordered = ms >= ordered_at_ms;
         let leads_next = is_ordered && self.promoted() == Some(server);
         let follows_next =
             is_ordered && after.learns_after_ms.is_some_and(|learns| ms >= ordered_at_ms + learns);
         let in_next_term = leads_next || follows_next;
         EndpointStatus {
-            // The first server is the primary; stopping it steps it down.
+            // The first server is the primary; it is stepped down, the others are paused.
             leads: leads_next || (server == 0 && !stopped && !follows_next),
             term: Term(if in_next_term { 2 } else { 1 }),
             received: LogPoint::new(1, 1),
@@ -287,14 +372,14 @@
     }
 
     /// Returns until when a daemon uses the old primary.
-    fn latest_lease_expiry_ms(&self, daemon: &Daemon, ordered_at_ms: u64, defect: Defect) -> u64 {
+    fn latest_lease_expiry_ms(&self, daemon: &Daemon, timeline: Timeline, defect: Defect) -> u64 {
         let old = LeaderByEvidence { server: Name::from("0"), term: Term(1) };
         let mut leases = self.leases_from_store(daemon, defect);
         let mut evidence_queries: Vec<&EvidenceQuery> = daemon.evidence_queries.iter().collect();
         evidence_queries.sort_by_key(|evidence_query| evidence_query.request.sent_at_ms);
         for EvidenceQuery { request, reachable } in evidence_queries {
             let answering = (0..SERVERS).filter(|server| reachable[*server]).map(|server| {
-                let status = self.status_at(server, request.processed_at_ms(), ordered_at_ms);
+                let status = self.status_at(server, request.processed_at_ms(), timeline);
                 (Name::from(server.to_string()), status)
             });
             let statuses: Vec<_> = answering.collect();
@@ -316,9 +401,10 @@
     }
 
     fn check_invariant(&self, defect: Defect) -> Result<(), TestCaseError> {
-        let Some(ordered_at_ms) = self.ordered_at_ms(defect) else { return Ok(()) };
+        let Some(timeline) = self.timeline(defect) else { return Ok(()) };
+        let ordered_at_ms = timeline.ordered_at_ms;
         for daemon in &self.daemons {
-            let until = self.latest_lease_expiry_ms(daemon, ordered_at_ms, defect);
+            let until = self.latest_lease_expiry_ms(daemon, timeline, defect);
             prop_assert!(
                 until <= ordered_at_ms,
                 "a lease until {until} after the order at {ordered_at_ms}"
@@ -329,7 +415,7 @@
 }
 
 fn run(defect: Defect) -> Result<(), String> {
-    let config = Config { cases: 20_000, failure_persistence: None, ..Config::default() };
+    let config = Config { cases: 60_000, failure_persistence: None, ..Config::default() };
     let mut runner = TestRunner::new_with_rng(
         config,
         proptest::test_runner::TestRng::deterministic_rng(
@@ -353,6 +439,8 @@
         Defect::LeaseFromResponse,
         Defect::LeaseWithoutMembership,
         Defect::MajorityAfterExpiry,
+        Defect::NoStepDown,
+        Defect::NoFenceCheck,
     ] {
         assert!(run(defect).is_err(), "{defect:?} is not detected");
     }
