fencing: leave a server whose promotion was ordered leading

Cause: since the term of the pauses goes above the newest answered one, a promotion of an earlier attempt that took effect while the servers were being stopped was undone: the new primary was stepped down for the term after its own, and promoted once more.

Change: a change whose chosen server leads a new term is not fenced any further; the order changes nothing then and the takeover is recorded. The chosen server is never stepped down.

--- a/crates/proxy/src/control/fencing.rs
+++ b/crates/proxy/src/control/fencing.rs
@@ -12,7 +12,7 @@
     catalog::ServerEntry,
     control::{
         adapter::Adapter,
-        change::{ChangeFailure, ChangeRun},
+        change::{ChangeFailure, ChangeRun, has_taken_over},
         commands::{Commands, MIN_LEASE_TO_RESUME, POLL_INTERVAL},
         record::{
             FencingProgress, LeadershipRecord, PrimaryLeaseDurations, StoppedServer,
@@ -56,6 +56,10 @@
         loop {
             let entries = self.entries(service);
             let answered = self.stop_servers(service, &entries, run, term, commands).await;
+            if has_chosen_taken_over(run, &answered) {
+                // An order of an earlier attempt took effect meanwhile.
+                return Ok(answered);
+            }
             self.check_lease_to_resume(Instant::now())?;
             // A server ignores a pause for a term that it has already reached.
             let newest = answered.iter().map(|server| server.status.term).max();
@@ -113,7 +117,8 @@
             // them.
             commands.await_catch_up(&replicas, status).await;
         }
-        let paused = pause(&replicas, term, commands).await;
+        let chosen = run.chosen().map(|chosen| chosen.server);
+        let paused = pause(&replicas, chosen.as_deref(), term, commands).await;
         let paused_count = paused.iter().filter(|(_, status)| status.paused_for >= term).count();
         if is_planned && paused_count + 1 == majority(entries.len()) {
             primary = step_down(&old, term, commands).await;
@@ -288,16 +293,20 @@
     commands.send_all(servers.iter().cloned().map(step_down).collect()).await
 }
 
-/// Pauses servers; returns their answers. A server that leads another term ignores a pause, so it is stepped down first.
+/// Pauses servers; returns their answers. A server that leads another term ignores a pause, so it is stepped down first,
+/// unless it is the one whose promotion was ordered.
 async fn pause<P: Adapter>(
     servers: &[Arc<ServerEntry>],
+    chosen: Option<&str>,
     term: Term,
     commands: &mut Commands<'_, P>,
 ) -> Vec<(Arc<ServerEntry>, EndpointStatus)> {
     let pause = |entry| (entry, EndpointOperation::Pause { term });
     let answers = commands.send_all(servers.iter().cloned().map(pause).collect()).await;
     let (leading, mut paused): (Vec<_>, Vec<_>) =
-        answers.into_iter().partition(|(_, status)| status.leads);
+        answers.into_iter().partition(|(entry, status)| {
+            status.leads && chosen.is_none_or(|chosen| *entry.server != *chosen)
+        });
     if leading.is_empty() {
         return paused;
     }
@@ -308,6 +317,15 @@
     paused
 }
 
+/// Whether the server whose promotion was ordered leads.
+fn has_chosen_taken_over(run: &ChangeRun, answered: &[StoppedServer]) -> bool {
+    run.chosen().is_some_and(|chosen| {
+        answered.iter().any(|server| {
+            server.server == chosen.server && has_taken_over(&run.record, &chosen, &server.status)
+        })
+    })
+}
+
 fn stopped_server(
     (entry, status): (Arc<ServerEntry>, EndpointStatus),
     is_old_primary: bool,
