--- a/crates/proxy/src/control/change.rs
+++ b/crates/proxy/src/control/change.rs
@@ -19,15 +19,11 @@
 use model::{Name, Term};
 
 use crate::{
-    catalog::ServerEntry,
     control::{
         adapter::Adapter,
         commands::{Commands, POLL_INTERVAL},
         promoter::CHECK_INTERVAL,
-        record::{
-            ChosenServer, LeadershipRecord, PrimaryChange, StoppedServer, SuccessorSelection,
-            majority,
-        },
+        record::{ChosenServer, LeadershipRecord, PrimaryChange, majority},
         runner::Control,
     },
     metadata::{Item, MetadataError, MetadataStore, Revision, Transaction, TransactionOutcome},
@@ -36,15 +32,12 @@
 };
 
 /// Timeout of a command in a planned change: an overloaded primary answers slowly, and its position is needed.
-const PLANNED_COMMAND_TIMEOUT: Duration = Duration::from_millis(1_000);
+pub(crate) const PLANNED_COMMAND_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// The longest time between the store's confirmation of the promoter lease and the order. A new promoter waits longer
 /// than this before its first order.
 const MAX_ORDER_DELAY: Duration = Duration::from_millis(400);
 /// How long to wait for a promotion to take effect before it is ordered again.
 const REORDER_AFTER: Duration = Duration::from_millis(1_200);
-/// How many log entries a replica may lack to take over in an optional change; it receives the rest during the change.
-const MAX_SUCCESSOR_LAG_ENTRIES: u64 = 8;
-
 /// Why a change ended without a new primary.
 #[derive(Debug)]
 pub(crate) enum ChangeFailure {
@@ -295,57 +288,6 @@
         }
     }
 
-    /// Chooses the server to promote; `None` if no server can take over or the old primary should go on leading.
-    pub(crate) fn select_successor(
-        &self,
-        service: &Name,
-        run: &ChangeRun,
-        stopped: &[StoppedServer],
-    ) -> Option<ChosenServer> {
-        let entries = self.entries(service);
-        let succession = SuccessorSelection {
-            record: &run.record,
-            servers: entries.len(),
-            synchronous_replicas: self.synchronous_replicas(service),
-            may_keep_primary: run.reason() == ChangeReason::ReplicasBehind.as_str(),
-            is_primary_listed: entries.iter().any(|it| *it.server == *run.record.primary),
-        };
-        let chosen = succession.choose(stopped);
-        chosen.filter(|chosen| chosen.server != run.record.primary || !old_primary_leads(stopped))
-    }
-
-    /// Fails unless some replica has received nearly everything that the primary holds.
-    pub(crate) async fn check_caught_up_replica(
-        &self,
-        service: &Name,
-        record: &LeadershipRecord,
-    ) -> Result<(), ChangeFailure> {
-        let entries = self.entries(service);
-        let requests =
-            entries.iter().filter(|entry| !entry.leaving || *entry.server == *record.primary);
-        let requests = requests.map(|entry| (entry.clone(), EndpointOperation::Status)).collect();
-        let mut commands = Commands::new(self);
-        commands.timeout = PLANNED_COMMAND_TIMEOUT;
-        let statuses = commands.send_all(requests).await;
-        let leads = |entry: &Arc<ServerEntry>| *entry.server == *record.primary;
-        let primary = statuses.iter().find(|(entry, status)| leads(entry) && status.leads);
-        let (_, primary) = primary.ok_or(ChangeFailure::NoSuccessor)?;
-        let is_caught_up = |status: &EndpointStatus| {
-            status.received.term == primary.received.term
-                && status.received.position.0 + MAX_SUCCESSOR_LAG_ENTRIES
-                    >= primary.received.position.0
-        };
-        let caught_up =
-            statuses.iter().any(|(entry, status)| !leads(entry) && is_caught_up(status));
-        caught_up.then_some(()).ok_or(ChangeFailure::NoSuccessor)
-    }
-
-    /// Returns the number of replicas that receive a write before it is acknowledged.
-    pub(crate) fn synchronous_replicas(&self, service: &Name) -> u32 {
-        let state = self.state.borrow();
-        state.catalog.services.get(service).map_or(0, |rule| rule.synchronous_replicas)
-    }
-
     /// Records that the group's primary is being changed; daemons that know of it no longer renew their primary leases.
     pub(crate) async fn begin_change(
         &self,
@@ -506,10 +448,6 @@
     }
 }
 
-fn old_primary_leads(stopped: &[StoppedServer]) -> bool {
-    stopped.iter().any(|server| server.is_old_primary && server.status.leads)
-}
-
 /// Whether the chosen server was promoted, rather than still leading from before the change. A server that leads in the
 /// recorded term under another identity is the old primary after a restart.
 pub(crate) fn has_taken_over(
--- a/crates/proxy/src/control/mod.rs
+++ b/crates/proxy/src/control/mod.rs
@@ -41,6 +41,7 @@
 pub mod starting;
 mod state;
 mod store_restore;
+mod successor;
 mod suspicion;
 pub mod tree;
 pub(crate) mod tunnel;
