fencing: step the old primary down early enough not to delay the order

Change: the step-down comes V before W has passed. Daemons that have not acknowledged by then are refused by the old primary up to 0.3 s earlier; nothing else changes, and the order still comes V after the step-down and W after the record.

--- a/crates/proxy/src/control/fencing.rs
+++ b/crates/proxy/src/control/fencing.rs
@@ -104,8 +104,8 @@
             entries.iter().cloned().partition(|entry| *entry.server == *run.record.primary);
         let is_planned = run.is_planned();
         let mut primary = if is_planned {
-            // The old primary leads until the daemons have stopped, so that nothing is lost if the change can't
-            // continue.
+            // The old primary leads until the daemons have stopped or nearly so, so that nothing is lost if the change
+            // can't continue.
             self.await_acknowledgements(service, run).await;
             let status = |entry| (entry, EndpointOperation::Status);
             commands.send_all(old.iter().cloned().map(status).collect()).await
@@ -201,8 +201,9 @@
         }
     }
 
-    /// Waits until every daemon that may hold a primary lease has acknowledged the stop, or these leases have expired.
-    /// With `fenced_at`, also waits until no daemon can hold one on evidence from before the group was fenced.
+    /// Waits until every daemon that may hold a primary lease has acknowledged the stop, or these leases have expired,
+    /// and until no daemon can hold one on evidence from before `fenced_at`. With `None`, waits until the old primary of
+    /// a planned change is stepped down.
     ///
     /// Gives up shortly before an unrenewed promoter lease expires: until then no other daemon can have started a
     /// change, so the servers can be resumed and used on evidence. Otherwise the group would have no primary until the
@@ -223,8 +224,7 @@
                 fenced_at,
                 all_acknowledged: self.all_acknowledged(service, run),
             };
-            let complete_at =
-                progress.complete_at(bounds).unwrap_or(progress.daemons_stopped_at(bounds));
+            let complete_at = progress.complete_at(bounds).unwrap_or(progress.step_down_at(bounds));
             let now = Instant::now();
             if now >= complete_at {
                 return Ok(());
--- a/crates/proxy/src/control/record.rs
+++ b/crates/proxy/src/control/record.rs
@@ -303,8 +303,20 @@
         Some(fenced.max(self.daemons_stopped_at(bounds)))
     }
 
+    /// Returns when the old primary of a planned change is stepped down if no further answer arrives: as late as possible
+    /// without delaying the completion.
+    pub fn step_down_at(&self, bounds: PrimaryLeaseDurations) -> Instant {
+        match self.all_acknowledged {
+            true => self.recorded_at,
+            false => {
+                let lead = bounds.store.saturating_sub(bounds.evidence);
+                self.recorded_at + lead.mul_f64(CLOCK_RATE_MARGIN)
+            }
+        }
+    }
+
     /// Returns when no daemon holds a primary lease on the basis of the store if no further answer arrives.
-    pub fn daemons_stopped_at(&self, bounds: PrimaryLeaseDurations) -> Instant {
+    fn daemons_stopped_at(&self, bounds: PrimaryLeaseDurations) -> Instant {
         match self.all_acknowledged {
             true => self.recorded_at,
             false => self.recorded_at + bounds.store.mul_f64(CLOCK_RATE_MARGIN),
--- a/crates/proxy/tests/control.rs
+++ b/crates/proxy/tests/control.rs
@@ -296,6 +296,10 @@
     assert_eq!(complete(progress(Some(after(20)), true)), Some(after(335)));
     assert_eq!(complete(progress(Some(after(20)), false)), Some(after(1_575)));
     assert_eq!(complete(progress(Some(after(2_000)), false)), Some(after(2_315)));
+    // Stepping the old primary down of a planned change then delays nothing.
+    assert_eq!(progress(None, true).step_down_at(bounds), recorded_at);
+    assert_eq!(progress(None, false).step_down_at(bounds), after(1_260));
+    assert_eq!(complete(progress(Some(after(1_260)), false)), Some(after(1_575)));
 }
 
 #[test]
