fencing: pause the replicas of a planned change after the old primary stepped down

Cause: in a planned change the replicas were paused first, while the old primary led on until the daemons had stopped. What it committed in between (up to 0.7 s where a daemon does not acknowledge) was on no replica: a promoted replica discarded it, and in a change that nothing forces (replicas_behind) the old primary now counted as the one that holds most and was promoted again for nothing.

Change: a planned change first waits (daemons stopped, or V before W has passed; the store has confirmed the role), and then goes on like any other: step down, let a replica receive the rest, pause, wait V. Before the wait it asks the servers whether a majority answers and one of them can take over; if not, the old primary leads on. So nothing is paused while it leads, and a change that loses the store has nothing to resume.

--- a/crates/proxy/src/control/change.rs
+++ b/crates/proxy/src/control/change.rs
@@ -1,10 +1,9 @@
 //! The steps of a change of primary:
 //!
 //! 1. Record the change, so that daemons stop using the primary.
-//! 2. Stop the servers: step the old primary down unless the change is planned, and pause the replicas so that they
-//!    receive no log entries.
-//! 3. Wait until no daemon can hold a primary lease. In a planned change the old primary leads until no daemon uses it
-//!    on the basis of the store, and is stepped down then.
+//! 2. Stop the servers: step the old primary down, and pause the replicas so that they receive no log entries. In a
+//!    planned change the old primary leads until the daemons have stopped.
+//! 3. Wait until no daemon can hold a primary lease.
 //! 4. Verify that the servers are still stopped, record the successor and order its promotion.
 //! 5. Verify that the successor is primary, and record the outcome.
 //!
--- a/crates/proxy/src/control/fencing.rs
+++ b/crates/proxy/src/control/fencing.rs
@@ -25,20 +25,16 @@
     statement::{EndpointOperation, EndpointStatus},
 };
 
-/// How long a planned change waits for the daemons' acknowledgements before it pauses the replicas.
-const ACKNOWLEDGEMENT_TIMEOUT: Duration = Duration::from_millis(300);
 /// How often the remaining promoter lease is checked.
 const LEASE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// How long a change tries to stop a majority before it is cancelled.
 const FENCE_TIMEOUT: Duration = Duration::from_secs(3);
 
-/// What became of a group's fence by the time of the order.
-enum FenceState {
-    /// The group is fenced, and no daemon can hold a primary lease for the old primary.
-    Held(Vec<StoppedServer>),
-    /// A majority is no longer stopped, so a daemon may have gained a primary lease meanwhile.
-    Broken,
-    /// No server can take over, and the old primary still leads.
+/// Whether the old primary of a planned change may be stepped down.
+enum Preparation {
+    /// It may be, or it does not lead any more.
+    Done,
+    /// No server can take over, or too few answer, so it should lead on.
     NoSuccessor,
 }
 
@@ -51,11 +47,17 @@
         run: &mut ChangeRun,
         commands: &mut Commands<'_, P>,
     ) -> Result<Vec<StoppedServer>, ChangeFailure> {
+        if run.is_planned()
+            && let Preparation::NoSuccessor = self.prepare_step_down(service, run, commands).await?
+        {
+            self.cancel_change(service, run.clone(), commands).await?;
+            return Err(ChangeFailure::NoSuccessor);
+        }
         let give_up_at = Instant::now() + FENCE_TIMEOUT;
         let mut term = Term(run.record.term + 1);
         loop {
             let entries = self.entries(service);
-            let answered = self.stop_servers(service, &entries, run, term, commands).await;
+            let answered = self.stop_servers(&entries, run, term, commands).await;
             if has_chosen_taken_over(run, &answered) {
                 // An order of an earlier attempt took effect meanwhile.
                 return Ok(answered);
@@ -66,17 +68,13 @@
             let has_stepped_down = has_stepped_down(&answered);
             if is_fenced(&answered, term, entries.len()) {
                 self.log_step("fenced", service, run);
-                match self.hold_fence(service, run, answered, term, commands).await? {
-                    FenceState::Held(answered) => {
-                        self.log_step("stopped", service, run);
-                        return Ok(answered);
-                    }
-                    FenceState::Broken => self.log_step("fence_broken", service, run),
-                    FenceState::NoSuccessor => {
-                        self.cancel_change(service, run.clone(), commands).await?;
-                        return Err(ChangeFailure::NoSuccessor);
-                    }
+                self.await_daemon_stops(service, run, Some(Instant::now())).await?;
+                if self.is_still_fenced(service, &answered, term, commands).await {
+                    self.log_step("stopped", service, run);
+                    return Ok(answered);
                 }
+                // A daemon may have gained a primary lease meanwhile.
+                self.log_step("fence_broken", service, run);
             }
             if Instant::now() >= give_up_at {
                 // A primary that has stepped down can't remain in place, so the change goes on with the next check.
@@ -90,11 +88,42 @@
         }
     }
 
-    /// Stops the servers; returns those that answered. In a planned change the old primary is only stepped down if a
-    /// majority needs it.
-    async fn stop_servers(
+    /// Waits until the old primary of a planned change may be stepped down. It leads until the daemons have stopped, or
+    /// nearly so, and the store has just answered, so that the group keeps a primary if the change can't continue.
+    async fn prepare_step_down(
         &self,
         service: &Name,
+        run: &ChangeRun,
+        commands: &mut Commands<'_, P>,
+    ) -> Result<Preparation, ChangeFailure> {
+        let entries = self.entries(service);
+        let servers = entries.len();
+        let queries = entries.into_iter().map(|entry| (entry, EndpointOperation::Status)).collect();
+        let answered: Vec<_> = commands
+            .send_all(queries)
+            .await
+            .into_iter()
+            .map(|(entry, status)| {
+                let is_old_primary = *entry.server == *run.record.primary;
+                stopped_server((entry, status), is_old_primary)
+            })
+            .collect();
+        if !answered.iter().any(|server| server.is_old_primary && server.status.leads) {
+            return Ok(Preparation::Done);
+        }
+        let can_take_over = answered.len() >= majority(servers)
+            && self.select_successor(service, run, &answered).is_some();
+        if run.chosen().is_none() && !can_take_over {
+            return Ok(Preparation::NoSuccessor);
+        }
+        self.await_daemon_stops(service, run, None).await?;
+        self.confirm_promoter_lease().await?;
+        Ok(Preparation::Done)
+    }
+
+    /// Steps the old primary down and pauses the replicas; returns the servers that answered.
+    async fn stop_servers(
+        &self,
         entries: &[Arc<ServerEntry>],
         run: &ChangeRun,
         term: Term,
@@ -102,16 +131,7 @@
     ) -> Vec<StoppedServer> {
         let (old, replicas): (Vec<_>, Vec<_>) =
             entries.iter().cloned().partition(|entry| *entry.server == *run.record.primary);
-        let is_planned = run.is_planned();
-        let mut primary = if is_planned {
-            // The old primary leads until the daemons have stopped or nearly so, so that nothing is lost if the change
-            // can't continue.
-            self.await_acknowledgements(service, run).await;
-            let status = |entry| (entry, EndpointOperation::Status);
-            commands.send_all(old.iter().cloned().map(status).collect()).await
-        } else {
-            step_down(&old, term, commands).await
-        };
+        let primary = step_down(&old, term, commands).await;
         if let Some((_, status)) = primary.first() {
             // The old primary's last log entries may be acknowledged to callers, so a replica gets time to receive
             // them.
@@ -119,46 +139,10 @@
         }
         let chosen = run.chosen().map(|chosen| chosen.server);
         let paused = pause(&replicas, chosen.as_deref(), term, commands).await;
-        let paused_count = paused.iter().filter(|(_, status)| status.paused_for >= term).count();
-        if is_planned && paused_count + 1 == majority(entries.len()) {
-            primary = step_down(&old, term, commands).await;
-        }
         let primary = primary.into_iter().map(|answer| stopped_server(answer, true));
         primary.chain(paused.into_iter().map(|answer| stopped_server(answer, false))).collect()
     }
 
-    /// Waits until no daemon can hold a primary lease for the old primary while the servers stay stopped.
-    async fn hold_fence(
-        &self,
-        service: &Name,
-        run: &ChangeRun,
-        mut answered: Vec<StoppedServer>,
-        term: Term,
-        commands: &mut Commands<'_, P>,
-    ) -> Result<FenceState, ChangeFailure> {
-        let mut fenced_at = Instant::now();
-        if !has_stepped_down(&answered) && run.is_planned() {
-            if run.chosen().is_none() && self.select_successor(service, run, &answered).is_none() {
-                return Ok(FenceState::NoSuccessor);
-            }
-            self.await_daemon_stops(service, run, None).await?;
-            // Without the store the change could not continue, and the group would have no primary.
-            self.confirm_promoter_lease().await?;
-            let old = self.entry_of(service, &run.record.primary);
-            let stepped_down = step_down(old.as_slice(), term, commands).await;
-            if let Some(answer) = stepped_down.into_iter().next() {
-                answered.retain(|server| !server.is_old_primary);
-                answered.push(stopped_server(answer, true));
-                fenced_at = Instant::now();
-            }
-        }
-        self.await_daemon_stops(service, run, Some(fenced_at)).await?;
-        match self.is_still_fenced(service, &answered, term, commands).await {
-            true => Ok(FenceState::Held(answered)),
-            false => Ok(FenceState::Broken),
-        }
-    }
-
     /// Whether the group is still fenced. The old primary alone is queried if it has stepped down, and it counts as
     /// stopped if it does not answer any more.
     async fn is_still_fenced(
@@ -189,21 +173,9 @@
         is_fenced(&current, term, self.entries(service).len())
     }
 
-    /// Waits briefly for the daemons to acknowledge the stop, so that a replica can receive the last writes before it
-    /// is paused.
-    async fn await_acknowledgements(&self, service: &Name, run: &ChangeRun) {
-        let until = run.recorded_at + ACKNOWLEDGEMENT_TIMEOUT;
-        while !self.all_acknowledged(service, run) && Instant::now() < until {
-            tokio::select! {
-                () = tokio::time::sleep_until(until.into()) => {}
-                () = self.mirror_changed.notified() => {}
-            }
-        }
-    }
-
     /// Waits until every daemon that may hold a primary lease has acknowledged the stop, or these leases have expired,
     /// and until no daemon can hold one on evidence from before `fenced_at`. With `None`, waits until the old primary of
-    /// a planned change is stepped down.
+    /// a planned change may be stepped down.
     ///
     /// Gives up shortly before an unrenewed promoter lease expires: until then no other daemon can have started a
     /// change, so the servers can be resumed and used on evidence. Otherwise the group would have no primary until the
