fencing: a successor may lack what a leading primary has just committed

Cause: the commit before asks the servers whether one can take over while the old primary leads.

Change: before the step-down it is asked whether another server can take over at all; it receives the rest after the step-down. The choice after it is as before.

The test a_replica_that_lacks_the_last_entries_can_take_over_from_a_leading_primary holds the rule; what the commit before asked, choose(), names the old primary there.

--- a/crates/proxy/src/control/fencing.rs
+++ b/crates/proxy/src/control/fencing.rs
@@ -112,7 +112,7 @@
             return Ok(Preparation::Done);
         }
         let can_take_over = answered.len() >= majority(servers)
-            && self.select_successor(service, run, &answered).is_some();
+            && self.succession(service, run).has_successor(&answered);
         if run.chosen().is_none() && !can_take_over {
             return Ok(Preparation::NoSuccessor);
         }
--- a/crates/proxy/src/control/record.rs
+++ b/crates/proxy/src/control/record.rs
@@ -237,6 +237,12 @@
         })
     }
 
+    /// Whether another server can take over from a primary that still leads. It may lack what the primary committed last,
+    /// since it receives that once the primary has stepped down.
+    pub fn has_successor(&self, answered: &[StoppedServer]) -> bool {
+        SuccessorSelection { may_keep_primary: false, ..*self }.choose(answered).is_some()
+    }
+
     /// Whether the history of the current term is lost: its primary is no longer listed, and every listed server has
     /// answered. Continuing from an earlier history is then better than having no primary.
     fn is_history_lost(&self, stopped: &[StoppedServer]) -> bool {
--- a/crates/proxy/src/control/successor.rs
+++ b/crates/proxy/src/control/successor.rs
@@ -27,16 +27,24 @@
         run: &ChangeRun,
         stopped: &[StoppedServer],
     ) -> Option<ChosenServer> {
+        let chosen = self.succession(service, run).choose(stopped);
+        chosen.filter(|chosen| chosen.server != run.record.primary || !old_primary_leads(stopped))
+    }
+
+    /// Returns the inputs for choosing a successor.
+    pub(crate) fn succession<'a>(
+        &self,
+        service: &Name,
+        run: &'a ChangeRun,
+    ) -> SuccessorSelection<'a> {
         let entries = self.entries(service);
-        let succession = SuccessorSelection {
+        SuccessorSelection {
             record: &run.record,
             servers: entries.len(),
             synchronous_replicas: self.synchronous_replicas(service),
             may_keep_primary: run.reason() == ChangeReason::ReplicasBehind.as_str(),
             is_primary_listed: entries.iter().any(|it| *it.server == *run.record.primary),
-        };
-        let chosen = succession.choose(stopped);
-        chosen.filter(|chosen| chosen.server != run.record.primary || !old_primary_leads(stopped))
+        }
     }
 
     /// Fails unless some replica has received nearly everything that the primary holds.
--- a/crates/proxy/tests/control.rs
+++ b/crates/proxy/tests/control.rs
@@ -149,6 +149,18 @@
     assert!(!has_stepped_down(&[leading(), resumed()]));
 }
 
+/// Guards against an optional change that is called off because the primary has just committed something.
+#[test]
+fn a_replica_that_lacks_the_last_entries_can_take_over_from_a_leading_primary() {
+    let record = LeadershipRecord { term: 1, primary: "a".to_owned(), ..Default::default() };
+    let succession = SuccessorSelection { may_keep_primary: true, ..succession(&record) };
+    let primary = || stopped("a", 12, false, true);
+    let replica = || stopped("b", 10, false, false);
+    assert_eq!(succession.choose(&[primary(), replica()]).unwrap().server, "a");
+    assert!(succession.has_successor(&[primary(), replica()]));
+    assert!(!succession.has_successor(&[primary()]));
+}
+
 /// A group of three servers whose primary in term 1 is `a`.
 fn succession(record: &LeadershipRecord) -> SuccessorSelection<'_> {
     SuccessorSelection {
