--- a/crates/proxy/src/control/evidence.rs
+++ b/crates/proxy/src/control/evidence.rs
@@ -1,8 +1,9 @@
 //! Primary leases that are based on the statuses of the servers while the store is unreachable.
 //!
-//! A promoter stops a majority of the servers, that is, pauses them or steps them down, and then waits for the duration
-//! of such a lease. A majority that is not stopped therefore shows that no later term has started and that none will
-//! start within that duration. See `docs/PLATFORM.md`, "Who leads".
+//! A promoter steps the old primary down, or pauses a majority of the servers if it does not answer, and then waits for the
+//! duration of such a lease. A primary that leads in the latest term of servers that are not paused therefore shows that no
+//! later term has started and that none will start within that duration. The pauses alone would not show that, since any
+//! resume ends them. See `docs/PLATFORM.md`, "Commands to servers".
 
 use model::{Name, Term};
 
