--- /dev/null
+++ b/review/standin-2/main.rs
@@ -0,0 +1,40 @@
+//! Stand-ins of clients, servers and the platform, and the scenes of the cases that are scripts.
+//!
+//! `scene NAME RECORD` runs a scene at the root of the repository. It exits with 1 if the rule was broken, 0 if it held,
+//! and 2 if the scene couldn't be run. With `TROUBLE=0` in the environment it does the same without the disruption.
+
+mod clients;
+mod daemons;
+mod group;
+mod http;
+mod json;
+mod proxy;
+mod record;
+mod scenes;
+mod store;
+
+use std::process::exit;
+
+fn main() {
+    let arguments: Vec<String> = std::env::args().collect();
+    let [_, scene, record] = &arguments[..] else {
+        eprintln!("usage: scene NAME RECORD");
+        exit(2);
+    };
+    let has_trouble = std::env::var("TROUBLE").map_or(true, |text| text != "0");
+    let record = record::Record::create(record);
+    let ended = match scene.as_str() {
+        "late-order" => scenes::late_order(&record, has_trouble),
+        "slow-order" => scenes::slow_order(&record, has_trouble),
+        "lost-commit" => scenes::lost_commit(&record, has_trouble),
+        _ => Err(format!("no scene {scene}")),
+    };
+    let (line, code) = match ended {
+        Ok(None) => ("held: the rule was kept".to_owned(), 0),
+        Ok(Some(broken)) => (format!("BROKEN: {broken}"), 1),
+        Err(why) => (format!("not run: {why}"), 2),
+    };
+    record.line(&line);
+    println!("{line}");
+    exit(code);
+}
