--- a/review/standin-2/group.rs
+++ b/review/standin-2/group.rs
@@ -518,6 +518,7 @@
             server.log.push(entry.clone());
             let is_superseded = state.servers.iter().any(|it| it.is_primary && it.term > term);
             let at_ms = self.record.now_ms();
+            self.record.line(&format!("server {name}: commits {} in term {term}", entry.id));
             let commit = Commit { at_ms, server: name, id: entry.id.clone(), term, is_superseded };
             state.commits.push(commit);
         }
