--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -1,7 +1,7 @@
 //! Stand-ins of clients, servers and the platform, and the scenes of the cases that are scripts.
 //!
-//! `scene NAME RECORD` runs a scene at the root of the repository. It exits with 1 if the rule was broken, 0 if it held,
-//! and 2 if the scene couldn't be run. With `TROUBLE=0` in the environment it does the same without the disruption.
+//! `scene NAME RECORD TROUBLE` runs a scene at the root of the repository. It exits with 1 if the rule was broken, 0 if it
+//! held, and 2 if the scene couldn't be run. With 0 for TROUBLE it does the same without the disruption.
 
 mod clients;
 mod daemons;
@@ -16,11 +16,11 @@
 
 fn main() {
     let arguments: Vec<String> = std::env::args().collect();
-    let [_, scene, record] = &arguments[..] else {
-        eprintln!("usage: scene NAME RECORD");
+    let [_, scene, record, trouble] = &arguments[..] else {
+        eprintln!("usage: scene NAME RECORD TROUBLE");
         exit(2);
     };
-    let has_trouble = std::env::var("TROUBLE").map_or(true, |text| text != "0");
+    let has_trouble = trouble != "0";
     let record = record::Record::create(record);
     let ended = match scene.as_str() {
         "slow-order" => scenes::slow_order(&record, has_trouble),
