selection: the choice of a successor in a file of its own

Cause: record.rs held the stored record and the choice of a successor, and the tests of the choice stood among those of the mirror and the evidence.

Nothing else changes.

--- a/crates/proxy/src/control/fencing.rs
+++ b/crates/proxy/src/control/fencing.rs
@@ -15,10 +15,11 @@
         change::{ChangeFailure, ChangeRun, has_taken_over},
         commands::{Commands, MIN_LEASE_TO_RESUME, POLL_INTERVAL},
         record::{
-            FencingProgress, LeadershipRecord, PrimaryLeaseDurations, StoppedServer,
-            has_stepped_down, is_fenced, majority,
+            FencingProgress, LeadershipRecord, PrimaryLeaseDurations, has_stepped_down, is_fenced,
+            majority,
         },
         runner::Control,
+        selection::StoppedServer,
         state::SeenMember,
     },
     metadata::MetadataError,
--- a/crates/proxy/src/control/successor.rs
+++ b/crates/proxy/src/control/successor.rs
@@ -10,8 +10,9 @@
         adapter::Adapter,
         change::{ChangeFailure, ChangeReason, ChangeRun, PLANNED_COMMAND_TIMEOUT},
         commands::Commands,
-        record::{ChosenServer, LeadershipRecord, StoppedServer, SuccessorSelection},
+        record::{ChosenServer, LeadershipRecord},
         runner::Control,
+        selection::{StoppedServer, SuccessorSelection},
     },
     statement::{EndpointOperation, EndpointStatus},
 };
--- a/crates/proxy/tests/history_model.rs
+++ b/crates/proxy/tests/history_model.rs
@@ -9,7 +9,10 @@
     test_runner::{Config, RngAlgorithm, TestRng, TestRunner},
 };
 use proxy::{
-    control::record::{ChosenServer, LeadershipRecord, StoppedServer, SuccessorSelection},
+    control::{
+        record::{ChosenServer, LeadershipRecord},
+        selection::{StoppedServer, SuccessorSelection},
+    },
     statement::EndpointStatus,
 };
 
