successor: log what each server answered and which one was chosen

Cause: a change of primary logged its steps only. Of a promotion that lacks commits nobody could tell whether the others did not answer, answered behind, or were left out.

Change: the line successor_choice with each answer's term, position and role, the number of servers, synchronous_replicas and the choice.

--- a/crates/proxy/src/control/successor.rs
+++ b/crates/proxy/src/control/successor.rs
@@ -28,8 +28,18 @@
         run: &ChangeRun,
         stopped: &[StoppedServer],
     ) -> Option<ChosenServer> {
-        let chosen = self.succession(service, run).choose(stopped);
-        chosen.filter(|chosen| chosen.server != run.record.primary || !old_primary_leads(stopped))
+        let selection = self.succession(service, run);
+        let chosen = selection
+            .choose(stopped)
+            .filter(|chosen| chosen.server != run.record.primary || !old_primary_leads(stopped));
+        log::info!(
+            event = "successor_choice", service = &**service, change = run.id(),
+            answered = describe(stopped).as_str(), servers = selection.servers,
+            synchronous_replicas = selection.synchronous_replicas,
+            chosen = chosen.as_ref().map_or("", |chosen| &chosen.server);
+            "chose the server to promote"
+        );
+        chosen
     }
 
     /// Returns the inputs for choosing a successor.
@@ -84,3 +94,17 @@
 fn old_primary_leads(stopped: &[StoppedServer]) -> bool {
     stopped.iter().any(|server| server.is_old_primary && server.status.leads)
 }
+
+/// Returns what each server answered, for the log: its term, the position that it has received, and its role.
+fn describe(stopped: &[StoppedServer]) -> String {
+    let of_server = |server: &StoppedServer| {
+        let status = &server.status;
+        let role = match (status.leads, server.is_old_primary) {
+            (true, _) => "leads",
+            (false, true) => "old primary",
+            (false, false) => "replica",
+        };
+        format!("{} {}.{} {role}", server.server, status.term.0, status.received.position.0)
+    };
+    stopped.iter().map(of_server).collect::<Vec<_>>().join(", ")
+}
