selection: promote only a log that has every acknowledged commit

Cause: the demand that N - s servers answer counted the old primary, which the choice leaves out.

Change: two proofs, of which the chosen log needs one: it is as long as that of the old primary, which answered and does not lead, or the longest of N - s others. With synchronous replicas a change is not recorded unless it can end with one; a primary that has stepped down and is not caught up with is promoted again. The same cause on related paths: a change among three of five servers was called off after the step-down; an order of a former promoter was repeated for a server that lacks commits; servers that are resumed before the order counted as stopped; logs were compared by their servers' terms before their lengths; a lost history was followed by an earlier one.

--- a/crates/proxy/src/control/change.rs
+++ b/crates/proxy/src/control/change.rs
@@ -22,7 +22,7 @@
         adapter::Adapter,
         commands::{Commands, POLL_INTERVAL},
         promoter::CHECK_INTERVAL,
-        record::{ChosenServer, LeadershipRecord, PrimaryChange, majority},
+        record::{ChosenServer, LeadershipRecord, PrimaryChange, has_stepped_down, majority},
         runner::Control,
     },
     metadata::{Item, MetadataError, MetadataStore, Revision, Transaction, TransactionOutcome},
@@ -30,8 +30,6 @@
     statement::{EndpointOperation, EndpointStatus},
 };
 
-/// Timeout of a command in a planned change: an overloaded primary answers slowly, and its position is needed.
-pub(crate) const PLANNED_COMMAND_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// The longest time between the store's confirmation of the promoter lease and the order. A new promoter waits longer
 /// than this before its first order.
 const MAX_ORDER_DELAY: Duration = Duration::from_millis(400);
@@ -108,8 +106,15 @@
     }
 }
 
+impl ChangeReason {
+    /// Whether the change is not caused by a failure. Such a change takes about a second.
+    pub(crate) fn is_planned(self) -> bool {
+        matches!(self, ChangeReason::Leaving | ChangeReason::ReplicasBehind)
+    }
+}
+
 impl PrimaryChange {
-    /// Whether the change was not caused by a failure. Such a change takes about a second.
+    /// Whether the change was not caused by a failure.
     pub(crate) fn is_planned(&self) -> bool {
         [ChangeReason::Leaving, ChangeReason::ReplicasBehind]
             .iter()
@@ -234,12 +239,12 @@
             self.check_caught_up_replica(service, &known.record).await?;
             self.state.borrow_mut().leader_moved_at.insert(service.clone(), Instant::now());
         }
+        if known.record.change.is_none() {
+            self.check_commits_are_kept(service, &known.record, reason).await?;
+        }
         let run = self.begin_change(service, known, reason).await?;
         self.log_step("begun", service, &run);
-        let mut commands = Commands::new(self);
-        if matches!(reason, ChangeReason::Leaving | ChangeReason::ReplicasBehind) {
-            commands.timeout = PLANNED_COMMAND_TIMEOUT;
-        }
+        let mut commands = Commands::for_change(self, reason.is_planned());
         let ended = self.complete_change(service, run, &mut commands).await;
         if let Err(ChangeFailure::Store(_)) = &ended {
             // The change can't continue without the store. Until it is back, daemons use the old primary on evidence,
@@ -276,12 +281,18 @@
             if let Some(current) = current.filter(|it| it.status.term.0 == run.record.term) {
                 chosen.kept_position = current.status.received.position.0;
             }
-            return self.promote_and_record(service, run, chosen, commands).await;
+            return match self.succession(service, &run).may_promote(&chosen, &stopped) {
+                true => self.promote_and_record(service, run, chosen, commands).await,
+                false => self.await_earlier_order(service, run, chosen, commands).await,
+            };
         }
         match self.select_successor(service, &run, &stopped) {
             Some(chosen) => self.promote_and_record(service, run, chosen, commands).await,
             None => {
-                self.cancel_change(service, run, commands).await?;
+                // A primary that has stepped down can't remain in place, so the change goes on with the next check.
+                if !has_stepped_down(&stopped) {
+                    self.cancel_change(service, run, commands).await?;
+                }
                 Err(ChangeFailure::NoSuccessor)
             }
         }
@@ -337,7 +348,33 @@
                 return self.record_takeover(service, &run, &chosen, term, commands).await;
             }
         }
-        // The order can no longer take effect, so the next attempt may choose another server.
+        self.discard_chosen(service, &run).await
+    }
+
+    /// Waits until an order that an earlier attempt may have given has taken effect or no longer can. It is not given
+    /// again, because commits have been acknowledged that the chosen server lacks.
+    async fn await_earlier_order(
+        &self,
+        service: &Name,
+        run: ChangeRun,
+        chosen: ChosenServer,
+        commands: &mut Commands<'_, P>,
+    ) -> Result<(), ChangeFailure> {
+        let settles = Duration::from_millis(self.settings.leadership.order_settles_ms);
+        let settled_at = run.recorded_at + settles;
+        self.log_step("chosen_lacks_commits", service, &run);
+        while Instant::now() < settled_at {
+            if let Some(term) = self.await_takeover(service, &run, &chosen, commands).await {
+                return self.record_takeover(service, &run, &chosen, term, commands).await;
+            }
+            tokio::time::sleep(POLL_INTERVAL).await;
+        }
+        self.discard_chosen(service, &run).await
+    }
+
+    /// Records that the order for the chosen server can no longer take effect, so that the next attempt may choose another
+    /// one.
+    async fn discard_chosen(&self, service: &Name, run: &ChangeRun) -> Result<(), ChangeFailure> {
         let change =
             run.record.change.clone().map(|change| PrimaryChange { chosen: None, ..change });
         let record = LeadershipRecord { change, ..run.record.clone() };
--- a/crates/proxy/src/control/commands.rs
+++ b/crates/proxy/src/control/commands.rs
@@ -25,6 +25,8 @@
 
 /// Timeout of a command when the change was caused by a failure.
 const COMMAND_TIMEOUT: Duration = Duration::from_millis(150);
+/// Timeout of a command in a planned change: an overloaded primary answers slowly, and its position is needed.
+const PLANNED_COMMAND_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// The remaining promoter lease that is needed to stop a server, so that it can be resumed before the lease ends: one
 /// command and its answer on busy servers.
 pub(crate) const MIN_LEASE_TO_RESUME: Duration = Duration::from_millis(300);
@@ -33,6 +35,15 @@
 /// The interval between two requests to a server whose state is polled.
 pub(crate) const POLL_INTERVAL: Duration = Duration::from_millis(30);
 
+/// How waiting for a replica to receive the old primary's log ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum CatchUp {
+    /// Some replica has received everything.
+    Done,
+    /// No replica had received everything before the timeout.
+    TimedOut,
+}
+
 /// Why a command brought no status.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum CommandFailure {
@@ -81,6 +92,12 @@
         Commands { control, connections: HashMap::new(), timeout: COMMAND_TIMEOUT }
     }
 
+    /// Returns the commands of a change of primary. A planned change can wait longer for an answer.
+    pub(crate) fn for_change(control: &'a Control<P>, is_planned: bool) -> Commands<'a, P> {
+        let timeout = if is_planned { PLANNED_COMMAND_TIMEOUT } else { COMMAND_TIMEOUT };
+        Commands { timeout, ..Commands::new(control) }
+    }
+
     /// Sends a command to a server and returns its status afterwards.
     pub(crate) async fn send(
         &mut self,
@@ -135,21 +152,21 @@
         statuses
     }
 
-    /// Waits until some replica has received everything that the old primary holds, or the timeout expires.
+    /// Waits until some replica has received everything that the old primary held, or the timeout expires.
     pub(crate) async fn await_catch_up(
         &mut self,
         replicas: &[Arc<ServerEntry>],
         old: &EndpointStatus,
-    ) {
+    ) -> CatchUp {
         let give_up_at = Instant::now() + CATCH_UP_TIMEOUT;
         loop {
             let requests = replicas.iter().map(|entry| (entry.clone(), EndpointOperation::Status));
             let statuses = self.send_all(requests.collect()).await;
             if statuses.iter().any(|(_, status)| status.received >= old.received) {
-                return;
+                return CatchUp::Done;
             }
             if Instant::now() >= give_up_at {
-                return;
+                return CatchUp::TimedOut;
             }
             tokio::time::sleep(POLL_INTERVAL).await;
         }
--- a/crates/proxy/src/control/fencing.rs
+++ b/crates/proxy/src/control/fencing.rs
@@ -13,7 +13,7 @@
     control::{
         adapter::Adapter,
         change::{ChangeFailure, ChangeRun, has_taken_over},
-        commands::{Commands, MIN_LEASE_TO_RESUME, POLL_INTERVAL},
+        commands::{CatchUp, Commands, MIN_LEASE_TO_RESUME, POLL_INTERVAL},
         record::{
             FencingProgress, LeadershipRecord, PrimaryLeaseDurations, has_stepped_down, is_fenced,
             majority,
@@ -58,7 +58,7 @@
         let mut term = Term(run.record.term + 1);
         loop {
             let entries = self.entries(service);
-            let answered = self.stop_servers(&entries, run, term, commands).await;
+            let answered = self.stop_servers(service, run, term, commands).await;
             if has_chosen_taken_over(run, &answered) {
                 // An order of an earlier attempt took effect meanwhile.
                 return Ok(answered);
@@ -70,9 +70,9 @@
             if is_fenced(&answered, term, entries.len()) {
                 self.log_step("fenced", service, run);
                 self.await_daemon_stops(service, run, Some(Instant::now())).await?;
-                if self.is_still_fenced(service, &answered, term, commands).await {
+                if let Some(stopped) = self.confirm_fence(service, answered, term, commands).await {
                     self.log_step("stopped", service, run);
-                    return Ok(answered);
+                    return Ok(stopped);
                 }
                 // A daemon may have gained a primary lease meanwhile.
                 self.log_step("fence_broken", service, run);
@@ -97,18 +97,8 @@
         run: &ChangeRun,
         commands: &mut Commands<'_, P>,
     ) -> Result<Preparation, ChangeFailure> {
-        let entries = self.entries(service);
-        let servers = entries.len();
-        let queries = entries.into_iter().map(|entry| (entry, EndpointOperation::Status)).collect();
-        let answered: Vec<_> = commands
-            .send_all(queries)
-            .await
-            .into_iter()
-            .map(|(entry, status)| {
-                let is_old_primary = *entry.server == *run.record.primary;
-                stopped_server((entry, status), is_old_primary)
-            })
-            .collect();
+        let servers = self.entries(service).len();
+        let answered = self.query_servers(service, &run.record, commands).await;
         if !answered.iter().any(|server| server.is_old_primary && server.status.leads) {
             return Ok(Preparation::Done);
         }
@@ -125,18 +115,17 @@
     /// Steps the old primary down and pauses the replicas; returns the servers that answered.
     async fn stop_servers(
         &self,
-        entries: &[Arc<ServerEntry>],
+        service: &Name,
         run: &ChangeRun,
         term: Term,
         commands: &mut Commands<'_, P>,
     ) -> Vec<StoppedServer> {
-        let (old, replicas): (Vec<_>, Vec<_>) =
-            entries.iter().cloned().partition(|entry| *entry.server == *run.record.primary);
+        let (old, replicas) = self.primary_and_replicas(service, &run.record);
         let primary = step_down(&old, term, commands).await;
         if let Some((_, status)) = primary.first() {
             // The old primary's last log entries may be acknowledged to callers, so a replica gets time to receive
-            // them.
-            commands.await_catch_up(&replicas, status).await;
+            // them. The choice compares the logs, however the wait ends.
+            let _: CatchUp = commands.await_catch_up(&replicas, status).await;
         }
         let chosen = run.chosen().map(|chosen| chosen.server);
         let paused = pause(&replicas, chosen.as_deref(), term, commands).await;
@@ -144,34 +133,37 @@
         primary.chain(paused.into_iter().map(|answer| stopped_server(answer, false))).collect()
     }
 
-    /// Whether the group is still fenced. The old primary alone is queried if it has stepped down, and it counts as
-    /// stopped if it does not answer any more.
-    async fn is_still_fenced(
+    /// Returns the servers that are still stopped; `None` if the group is no longer fenced. The old primary alone is
+    /// queried if it has stepped down, and it counts as stopped if it does not answer any more. Otherwise it may commit
+    /// with any replica that is not paused, so the servers are returned as they are now.
+    async fn confirm_fence(
         &self,
         service: &Name,
-        answered: &[StoppedServer],
+        answered: Vec<StoppedServer>,
         term: Term,
         commands: &mut Commands<'_, P>,
-    ) -> bool {
-        let by_step_down = has_stepped_down(answered);
+    ) -> Option<Vec<StoppedServer>> {
+        let by_step_down = has_stepped_down(&answered);
         let queried = answered.iter().filter(|server| server.is_old_primary || !by_step_down);
         let entries = queried.filter_map(|server| self.entry_of(service, &server.server));
         let queries = entries.map(|entry| (entry, EndpointOperation::Status)).collect();
         let statuses = commands.send_all(queries).await;
         if by_step_down {
-            return statuses.iter().all(|(_, status)| !status.leads);
+            return statuses.iter().all(|(_, status)| !status.leads).then_some(answered);
         }
         let is_old_primary = |entry: &ServerEntry| {
             answered.iter().any(|it| it.is_old_primary && *it.server == *entry.server)
         };
-        let current: Vec<_> = statuses
+        let mut current: Vec<_> = statuses
             .into_iter()
             .map(|(entry, status)| {
                 let is_old_primary = is_old_primary(&entry);
                 stopped_server((entry, status), is_old_primary)
             })
             .collect();
-        is_fenced(&current, term, self.entries(service).len())
+        let is_still_fenced = is_fenced(&current, term, self.entries(service).len());
+        current.retain(|server| server.is_stopped(term));
+        is_still_fenced.then_some(current)
     }
 
     /// Waits until every daemon that may hold a primary lease has acknowledged the stop, or these leases have expired,
@@ -299,7 +291,7 @@
     })
 }
 
-fn stopped_server(
+pub(crate) fn stopped_server(
     (entry, status): (Arc<ServerEntry>, EndpointStatus),
     is_old_primary: bool,
 ) -> StoppedServer {
--- a/crates/proxy/src/control/successor.rs
+++ b/crates/proxy/src/control/successor.rs
@@ -8,18 +8,16 @@
     catalog::ServerEntry,
     control::{
         adapter::Adapter,
-        change::{ChangeFailure, ChangeReason, ChangeRun, PLANNED_COMMAND_TIMEOUT},
-        commands::Commands,
+        change::{ChangeFailure, ChangeReason, ChangeRun},
+        commands::{CatchUp, Commands},
+        fencing::stopped_server,
         record::{ChosenServer, LeadershipRecord},
         runner::Control,
-        selection::{StoppedServer, SuccessorSelection},
+        selection::{StoppedServer, SuccessorSelection, lacks_few_entries},
     },
-    statement::{EndpointOperation, EndpointStatus},
+    statement::EndpointOperation,
 };
 
-/// How many log entries a replica may lack to take over in an optional change; it receives the rest during the change.
-const MAX_SUCCESSOR_LAG_ENTRIES: u64 = 8;
-
 impl<P: Adapter> Control<P> {
     /// Chooses the server to promote; `None` if no server can take over or the old primary should go on leading.
     pub(crate) fn select_successor(
@@ -47,17 +45,84 @@
         &self,
         service: &Name,
         run: &'a ChangeRun,
+    ) -> SuccessorSelection<'a> {
+        let may_keep_primary = run.reason() == ChangeReason::ReplicasBehind.as_str();
+        SuccessorSelection { may_keep_primary, ..self.selection(service, &run.record) }
+    }
+
+    fn selection<'a>(
+        &self,
+        service: &Name,
+        record: &'a LeadershipRecord,
     ) -> SuccessorSelection<'a> {
         let entries = self.entries(service);
         SuccessorSelection {
-            record: &run.record,
+            record,
             servers: entries.len(),
             synchronous_replicas: self.synchronous_replicas(service),
-            may_keep_primary: run.reason() == ChangeReason::ReplicasBehind.as_str(),
-            is_primary_listed: entries.iter().any(|it| *it.server == *run.record.primary),
+            may_keep_primary: false,
+            is_primary_listed: entries.iter().any(|it| *it.server == *record.primary),
+            has_primary_restarted: self.state.borrow_mut().has_primary_restarted(service, record),
         }
     }
 
+    /// Fails unless a change can end with a primary whose log contains every acknowledged commit. It is called before the
+    /// change is recorded, since the daemons stop using the primary then. Without synchronous replicas nothing is asked.
+    pub(crate) async fn check_commits_are_kept(
+        &self,
+        service: &Name,
+        record: &LeadershipRecord,
+        reason: ChangeReason,
+    ) -> Result<(), ChangeFailure> {
+        if self.synchronous_replicas(service) == 0 {
+            return Ok(());
+        }
+        let mut commands = Commands::for_change(self, reason.is_planned());
+        let answered = self.query_servers(service, record, &mut commands).await;
+        let selection = self.selection(service, record);
+        if selection.enough_replicas_answered(&answered) {
+            return Ok(());
+        }
+        let primary = selection.primary_with_every_commit(&answered);
+        let primary = primary.ok_or(ChangeFailure::NoSuccessor)?;
+        if !primary.status.leads {
+            // It can lead again if no replica has received as much.
+            return Ok(());
+        }
+        let (_, replicas) = self.primary_and_replicas(service, record);
+        match commands.await_catch_up(&replicas, &primary.status).await {
+            CatchUp::Done => Ok(()),
+            CatchUp::TimedOut => Err(ChangeFailure::NoSuccessor),
+        }
+    }
+
+    /// Queries the statuses of a group's servers; returns those that answered.
+    pub(crate) async fn query_servers(
+        &self,
+        service: &Name,
+        record: &LeadershipRecord,
+        commands: &mut Commands<'_, P>,
+    ) -> Vec<StoppedServer> {
+        let entries = self.entries(service).into_iter();
+        let queries = entries.map(|entry| (entry, EndpointOperation::Status)).collect();
+        let answered = commands.send_all(queries).await.into_iter();
+        answered
+            .map(|(entry, status)| {
+                let is_old_primary = *entry.server == *record.primary;
+                stopped_server((entry, status), is_old_primary)
+            })
+            .collect()
+    }
+
+    /// Returns the recorded primary, if it is listed, and the other servers of its group.
+    pub(crate) fn primary_and_replicas(
+        &self,
+        service: &Name,
+        record: &LeadershipRecord,
+    ) -> (Vec<Arc<ServerEntry>>, Vec<Arc<ServerEntry>>) {
+        self.entries(service).into_iter().partition(|entry| *entry.server == *record.primary)
+    }
+
     /// Fails unless some replica has received nearly everything that the primary holds.
     pub(crate) async fn check_caught_up_replica(
         &self,
@@ -68,19 +133,14 @@
         let requests =
             entries.iter().filter(|entry| !entry.leaving || *entry.server == *record.primary);
         let requests = requests.map(|entry| (entry.clone(), EndpointOperation::Status)).collect();
-        let mut commands = Commands::new(self);
-        commands.timeout = PLANNED_COMMAND_TIMEOUT;
+        let mut commands = Commands::for_change(self, true);
         let statuses = commands.send_all(requests).await;
         let leads = |entry: &Arc<ServerEntry>| *entry.server == *record.primary;
         let primary = statuses.iter().find(|(entry, status)| leads(entry) && status.leads);
         let (_, primary) = primary.ok_or(ChangeFailure::NoSuccessor)?;
-        let is_caught_up = |status: &EndpointStatus| {
-            status.received.term == primary.received.term
-                && status.received.position.0 + MAX_SUCCESSOR_LAG_ENTRIES
-                    >= primary.received.position.0
-        };
-        let caught_up =
-            statuses.iter().any(|(entry, status)| !leads(entry) && is_caught_up(status));
+        let caught_up = statuses
+            .iter()
+            .any(|(entry, status)| !leads(entry) && lacks_few_entries(status, primary));
         caught_up.then_some(()).ok_or(ChangeFailure::NoSuccessor)
     }
 
--- a/crates/proxy/tests/history_model.rs
+++ b/crates/proxy/tests/history_model.rs
@@ -1,7 +1,8 @@
 //! Model test of the logs of a group over many changes of primary.
 //!
-//! Guards against writes that a promotion rolled back and a later one restores, after reads have run without
-//! them. Not modelled: synchronous replicas, delayed orders, servers that fail together.
+//! Guards against writes that a promotion rolled back and a later one restores, after reads have run without them; with
+//! synchronous replicas also against a promoted log that lacks an acknowledged write, and against a group that has no
+//! primary after the old one stepped down. Not modelled: delayed orders, servers that lose their log.
 
 use model::{LogPoint, Term};
 use proptest::{
@@ -16,7 +17,8 @@
     statement::EndpointStatus,
 };
 
-const SERVERS: usize = 3;
+/// The largest number of servers in a group.
+const MAX_SERVERS: usize = 5;
 
 /// An event of the model.
 #[derive(Clone, Debug)]
@@ -29,8 +31,35 @@
     Heal(usize),
     /// Every server that is not partitioned receives the log of the primary with the latest term.
     Replicate,
-    /// The primary is replaced; the flags mark the servers that answer the promoter.
-    Replace([bool; SERVERS]),
+    /// The primary is replaced.
+    Replace {
+        /// The servers that answer the promoter.
+        answers: [bool; MAX_SERVERS],
+        /// The replicas that catch up with the old primary after its step-down, before they are paused.
+        catch_up: [bool; MAX_SERVERS],
+    },
+}
+
+/// A group's size and the number of its synchronous replicas, with the events.
+#[derive(Clone, Debug)]
+struct Case {
+    servers: usize,
+    synchronous_replicas: u32,
+    events: Vec<Event>,
+}
+
+/// A defect that is injected into the choice of the successor.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Defect {
+    Nothing,
+    /// The choice ignores the recorded history.
+    IgnoresRecord,
+    /// The choice ignores that replicas are synchronous.
+    IgnoresSynchronousReplicas,
+    /// The old primary counts among the servers that must answer, though another one is chosen.
+    CountsOldPrimary,
+    /// A majority of the servers has to answer, whatever the number of synchronous replicas.
+    AsksMajority,
 }
 
 #[derive(Clone, Debug)]
@@ -44,32 +73,48 @@
 
 struct Group {
     servers: Vec<Server>,
+    synchronous_replicas: u32,
     record: LeadershipRecord,
     writes: u64,
     rolled_back: Vec<u64>,
+    acknowledged: Vec<u64>,
+    /// Whether the last change left the group without a primary although the old one had answered.
+    lacks_primary: bool,
 }
 
 fn event() -> impl Strategy<Value = Event> {
-    let server = 0..SERVERS;
+    let server = 0..MAX_SERVERS;
+    let flags = |weight| prop::array::uniform5(prop::bool::weighted(weight));
     prop_oneof![
         4 => Just(Event::Write),
         2 => server.clone().prop_map(Event::Partition),
         2 => server.prop_map(Event::Heal),
         3 => Just(Event::Replicate),
-        3 => prop::array::uniform3(prop::bool::weighted(0.7)).prop_map(Event::Replace),
+        3 => (flags(0.7), flags(0.5))
+            .prop_map(|(answers, catch_up)| Event::Replace { answers, catch_up }),
     ]
 }
 
+fn case() -> impl Strategy<Value = Case> {
+    let size = prop_oneof![2 => Just(3_usize), 1 => Just(5_usize)];
+    (size, 0_u32..3, prop::collection::vec(event(), 0..24)).prop_map(
+        |(servers, synchronous_replicas, events)| Case { servers, synchronous_replicas, events },
+    )
+}
+
 impl Group {
-    fn new() -> Group {
+    fn new(case: &Case) -> Group {
         let server = |leads| Server { leads, term: 1, log: Vec::new(), is_partitioned: false };
         let record =
             LeadershipRecord { term: 1, primary: "0".to_owned(), ..LeadershipRecord::default() };
         Group {
-            servers: (0..SERVERS).map(|index| server(index == 0)).collect(),
+            servers: (0..case.servers).map(|index| server(index == 0)).collect(),
+            synchronous_replicas: case.synchronous_replicas,
             record,
             writes: 0,
             rolled_back: Vec::new(),
+            acknowledged: Vec::new(),
+            lacks_primary: false,
         }
     }
 
@@ -77,13 +122,20 @@
         self.record.primary.parse().unwrap()
     }
 
-    fn apply(&mut self, event: &Event, ignore_record: bool) {
+    fn apply(&mut self, event: &Event, defect: Defect) {
         match event {
             Event::Write => self.write(),
-            Event::Partition(server) => self.servers[*server].is_partitioned = true,
-            Event::Heal(server) => self.servers[*server].is_partitioned = false,
+            Event::Partition(server) => self.set_partitioned(*server, true),
+            Event::Heal(server) => self.set_partitioned(*server, false),
             Event::Replicate => self.replicate(),
-            Event::Replace(answers) => self.replace(*answers, ignore_record),
+            Event::Replace { answers, catch_up } => self.replace(*answers, *catch_up, defect),
+        }
+        self.acknowledge();
+    }
+
+    fn set_partitioned(&mut self, server: usize, is_partitioned: bool) {
+        if let Some(server) = self.servers.get_mut(server) {
+            server.is_partitioned = is_partitioned;
         }
     }
 
@@ -96,6 +148,27 @@
         }
     }
 
+    /// The primary acknowledges what enough replicas of its term have received.
+    fn acknowledge(&mut self) {
+        let primary = self.primary();
+        let leader = &self.servers[primary];
+        if !leader.leads {
+            return;
+        }
+        let receives = |index: usize, entry: &(u64, u64)| {
+            let server = &self.servers[index];
+            index != primary && server.term == leader.term && server.log.contains(entry)
+        };
+        for entry in &leader.log {
+            let receipts = (0..self.servers.len()).filter(|index| receives(*index, entry));
+            if receipts.count() >= self.synchronous_replicas as usize
+                && !self.acknowledged.contains(&entry.1)
+            {
+                self.acknowledged.push(entry.1);
+            }
+        }
+    }
+
     fn replicate(&mut self) {
         let leading = self.servers.iter().filter(|server| server.leads && !server.is_partitioned);
         let Some(leader) = leading.max_by_key(|server| server.term).cloned() else { return };
@@ -121,12 +194,30 @@
         }
     }
 
-    fn replace(&mut self, answers: [bool; SERVERS], ignore_record: bool) {
+    /// The old primary steps down, and some replicas of its term receive what it holds.
+    fn step_down(&mut self, catch_up: [bool; MAX_SERVERS]) {
+        let primary = self.primary();
+        self.servers[primary].leads = false;
+        let old = self.servers[primary].clone();
+        for (index, server) in self.servers.iter_mut().enumerate() {
+            let receives = catch_up[index] && !server.is_partitioned && !old.is_partitioned;
+            if receives && server.term == old.term && server.log.len() < old.log.len() {
+                server.log.clone_from(&old.log);
+            }
+        }
+    }
+
+    fn replace(
+        &mut self,
+        answers: [bool; MAX_SERVERS],
+        catch_up: [bool; MAX_SERVERS],
+        defect: Defect,
+    ) {
         let primary = self.primary();
         if answers[primary] {
-            self.servers[primary].leads = false;
+            self.step_down(catch_up);
         }
-        let answering = (0..SERVERS).filter(|index| answers[*index]);
+        let answering = (0..self.servers.len()).filter(|index| answers[*index]);
         let stopped: Vec<StoppedServer> = answering
             .map(|index| StoppedServer {
                 server: index.to_string(),
@@ -135,18 +226,36 @@
                 is_old_primary: index == primary,
             })
             .collect();
-        let before = self.record.clone();
-        let record = if ignore_record { &LeadershipRecord::default() } else { &before };
+        let chosen = self.choose(&stopped, defect);
+        self.lacks_primary = answers[primary] && chosen.is_none();
+        if let Some(chosen) = chosen {
+            self.promote(&chosen);
+        }
+    }
+
+    fn choose(&self, stopped: &[StoppedServer], defect: Defect) -> Option<ChosenServer> {
+        let no_record = LeadershipRecord::default();
+        let servers = self.servers.len();
+        let needed = match defect {
+            Defect::CountsOldPrimary => servers - self.synchronous_replicas as usize,
+            Defect::AsksMajority => servers / 2 + 1,
+            _ => 0,
+        };
+        if stopped.len() < needed {
+            return None;
+        }
         let succession = SuccessorSelection {
-            record,
-            servers: SERVERS,
-            synchronous_replicas: 0,
+            record: if defect == Defect::IgnoresRecord { &no_record } else { &self.record },
+            servers,
+            synchronous_replicas: match defect {
+                Defect::Nothing | Defect::IgnoresRecord => self.synchronous_replicas,
+                _ => 0,
+            },
             may_keep_primary: false,
             is_primary_listed: true,
+            has_primary_restarted: false,
         };
-        if let Some(chosen) = succession.choose(&stopped) {
-            self.promote(&chosen);
-        }
+        succession.choose(stopped)
     }
 
     fn promote(&mut self, chosen: &ChosenServer) {
@@ -171,19 +280,28 @@
                 primary.term
             );
         }
+        if self.synchronous_replicas > 0 {
+            for write in &self.acknowledged {
+                prop_assert!(
+                    primary.log.iter().any(|(_, kept)| kept == write),
+                    "acknowledged write {write} is lost in term {}",
+                    primary.term
+                );
+            }
+        }
+        prop_assert!(!self.lacks_primary, "no primary after term {}", primary.term);
         Ok(())
     }
 }
 
-fn run(ignore_record: bool) -> Result<(), String> {
+fn run(defect: Defect) -> Result<(), String> {
     let config = Config { cases: 20_000, failure_persistence: None, ..Config::default() };
     let rng = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
     let mut runner = TestRunner::new_with_rng(config, rng);
-    let events = prop::collection::vec(event(), 0..24);
-    let result = runner.run(&events, |events| {
-        let mut group = Group::new();
-        for event in &events {
-            group.apply(event, ignore_record);
+    let result = runner.run(&case(), |case| {
+        let mut group = Group::new(&case);
+        for event in &case.events {
+            group.apply(event, defect);
             group.check()?;
         }
         Ok(())
@@ -192,11 +310,18 @@
 }
 
 #[test]
-fn a_rolled_back_write_is_never_restored() {
-    run(false).unwrap();
+fn no_write_is_restored_or_lost_and_a_primary_that_answers_is_succeeded() {
+    run(Defect::Nothing).unwrap();
 }
 
 #[test]
-fn the_model_detects_a_choice_that_ignores_the_record() {
-    assert!(run(true).is_err());
+fn every_injected_defect_is_detected() {
+    for defect in [
+        Defect::IgnoresRecord,
+        Defect::IgnoresSynchronousReplicas,
+        Defect::CountsOldPrimary,
+        Defect::AsksMajority,
+    ] {
+        assert!(run(defect).is_err(), "{defect:?} is not detected");
+    }
 }
--- a/crates/proxy/tests/selection.rs
+++ b/crates/proxy/tests/selection.rs
@@ -76,6 +76,7 @@
         synchronous_replicas: 0,
         may_keep_primary: false,
         is_primary_listed: true,
+        has_primary_restarted: false,
     }
 }
 
@@ -113,6 +114,94 @@
     }
 }
 
+/// Guards against a promotion that loses acknowledged commits: only the old primary's log, or so many replicas that one of
+/// them must have received each commit, show which log has all of them.
+#[test]
+fn with_synchronous_replicas_the_successor_has_every_acknowledged_commit() {
+    // Term 2 started after 30 entries; its primary `a` is being replaced.
+    let chosen_at_30 = ChosenServer { server: "a".to_owned(), kept_position: 30 };
+    let record = first_record().with_new_primary(&chosen_at_30, None, 2);
+    let server = |server: &str, term, received, is_old_primary| StoppedServer {
+        server: server.to_owned(),
+        status: status(false, term, received, 3),
+        leaving: false,
+        is_old_primary,
+    };
+    let primary = || server("a", 2, 40, true);
+    let replica = |name, received| server(name, 2, received, false);
+    let cases = [
+        ("a replica that lacks what the primary holds", vec![primary(), replica("b", 39)], 3, "a"),
+        ("a replica that has received everything", vec![primary(), replica("b", 40)], 3, "b"),
+        ("one replica alone", vec![replica("b", 39)], 3, ""),
+        ("both replicas", vec![replica("b", 39), replica("c", 38)], 3, "b"),
+        (
+            "both, one of them with discarded entries",
+            vec![replica("b", 39), server("c", 1, 31, false)],
+            3,
+            "",
+        ),
+        (
+            "the longer log, whose server has not heard of the term",
+            vec![replica("b", 20), server("c", 1, 30, false)],
+            3,
+            "c",
+        ),
+        (
+            "three of five with the primary",
+            vec![primary(), replica("b", 39), replica("c", 30)],
+            5,
+            "a",
+        ),
+        (
+            "three of five without it",
+            vec![replica("b", 39), replica("c", 39), replica("d", 39)],
+            5,
+            "",
+        ),
+        (
+            "an old primary that has lost its log",
+            vec![server("a", 0, 0, true), replica("b", 39)],
+            3,
+            "",
+        ),
+    ];
+    for (name, servers, group_size, expected) in cases {
+        let succession = SuccessorSelection {
+            synchronous_replicas: 1,
+            servers: group_size,
+            ..succession(&record)
+        };
+        let chosen = succession.choose(&servers).map_or(String::new(), |chosen| chosen.server);
+        assert_eq!(chosen, expected, "{name}");
+    }
+    let unlisted = SuccessorSelection {
+        synchronous_replicas: 1,
+        servers: 1,
+        is_primary_listed: false,
+        ..succession(&record)
+    };
+    assert_eq!(unlisted.choose(&[server("c", 1, 31, false)]), None, "a lost history");
+    let restarted = SuccessorSelection {
+        synchronous_replicas: 1,
+        has_primary_restarted: true,
+        ..succession(&record)
+    };
+    assert_eq!(restarted.choose(&[primary(), replica("b", 40)]), None, "a restarted primary");
+}
+
+#[test]
+fn a_server_chosen_earlier_is_promoted_only_with_every_acknowledged_commit() {
+    let record = first_record();
+    let with_replicas =
+        |synchronous_replicas| SuccessorSelection { synchronous_replicas, ..succession(&record) };
+    let chosen = ChosenServer { server: "b".to_owned(), kept_position: 7 };
+    let (behind, ahead) = (stopped("b", 7, false, false), stopped("c", 9, false, false));
+    assert!(!with_replicas(1).may_promote(&chosen, &[behind.clone(), ahead.clone()]));
+    assert!(!with_replicas(1).may_promote(&chosen, std::slice::from_ref(&ahead)));
+    assert!(with_replicas(1).may_promote(&chosen, &[behind.clone(), behind.clone()]));
+    assert!(with_replicas(0).may_promote(&chosen, &[behind, ahead]));
+}
+
 #[test]
 fn an_optional_change_keeps_the_primary_unless_a_replica_has_caught_up() {
     let old = stopped("a", 9, false, true);
