members: count servers that are not listed, with synchronous replicas

Cause: how many answers prove that a log has every commit was worked out from the listed servers. Entries lapse although their servers live, and a server that ends is off the list before the one that takes its log over is on it.

Change: with synchronous replicas the record holds the members: whoever was listed, until another server is listed at its address. The promoter writes them when they change (reason members_changed), and they count in the choice. Nothing changes without synchronous replicas; the field is left out of their records.

Tests: with the count of listed servers put back a_server_whose_others_have_lapsed_... and the_log_of_a_server_that_has_ended_... failed, each with the commit 1 lost; they pass now. group_members.rs has the rule as a table.

--- a/crates/proxy/src/control/change.rs
+++ b/crates/proxy/src/control/change.rs
@@ -78,6 +78,8 @@
     LeftUnfinished,
     /// The store was restored from a backup, so its record may be outdated.
     Restored,
+    /// Servers were added to a group with synchronous replicas, or took over the logs of others.
+    MembersChanged,
     /// The primary is no longer listed.
     Unlisted,
     /// The primary process restarted and lost the state in which it was primary.
@@ -97,6 +99,7 @@
             ChangeReason::Unknown => "unknown",
             ChangeReason::LeftUnfinished => "left_unfinished",
             ChangeReason::Restored => "restored",
+            ChangeReason::MembersChanged => "members_changed",
             ChangeReason::Unlisted => "gone",
             ChangeReason::Restarted => "reborn",
             ChangeReason::Leaving => "leaving",
@@ -162,6 +165,7 @@
         let ended = match reason {
             ChangeReason::Unknown => self.record_first_primary(service).await,
             ChangeReason::Restored => self.confirm_record(service).await,
+            ChangeReason::MembersChanged => self.record_members(service).await,
             _ => self.change_primary(service, reason).await,
         };
         let took_ms = began.elapsed().as_millis() as u64;
@@ -314,7 +318,8 @@
             None => reason.as_str().to_owned(),
         };
         let change = PrimaryChange { id, reason, chosen };
-        let record = LeadershipRecord { change: Some(change), ..known.record.clone() };
+        let record = self.with_members(service, &known.record);
+        let record = LeadershipRecord { change: Some(change), ..record };
         let revision = self.write_record(service, &record, known.revision).await?;
         Ok(ChangeRun { record, revision, recorded_at: Instant::now() })
     }
@@ -479,6 +484,7 @@
             primary_incarnation: entry.incarnation,
             ..LeadershipRecord::default()
         };
+        let record = self.with_members(service, &record);
         self.write_record(service, &record, Revision::ABSENT).await?;
         Ok(())
     }
--- a/crates/proxy/src/control/mod.rs
+++ b/crates/proxy/src/control/mod.rs
@@ -7,7 +7,8 @@
 //! * `membership`, `primary_lease` and `evidence_collection` keep this daemon a member and obtain the leases without
 //!   which it may not use a primary. `evidence` is used while the store does not answer.
 //! * `suspicion` reports servers that don't answer. One daemon, the `promoter`, evaluates these reports and changes
-//!   primaries: `change`, `fencing`, `commands`, `successor`, `selection`, `record` and `record_confirmation`.
+//!   primaries: `change`, `fencing`, `commands`, `successor`, `selection`, `group_members`, `record` and
+//!   `record_confirmation`.
 //! * `store_restore` and `republish` handle a store that was restored from a backup, which starts a new era.
 
 pub mod adapter;
@@ -22,6 +23,7 @@
 mod fencing;
 mod following;
 pub mod freshness;
+pub mod group_members;
 mod membership;
 pub mod mirror;
 pub mod move_times;
--- a/crates/proxy/src/control/promoter.rs
+++ b/crates/proxy/src/control/promoter.rs
@@ -309,7 +309,10 @@
         if known.record.change.is_some() {
             return Some(ChangeReason::LeftUnfinished);
         }
-        self.primary_fault(service, &known)
+        if let Some(fault) = self.primary_fault(service, &known) {
+            return Some(fault);
+        }
+        self.have_members_changed(service, &known.record).then_some(ChangeReason::MembersChanged)
     }
 
     /// Returns the fault for which a group's recorded primary has to be replaced, if any.
--- a/crates/proxy/src/control/record.rs
+++ b/crates/proxy/src/control/record.rs
@@ -8,7 +8,11 @@
 use model::{Term, TermStart};
 use serde::{Deserialize, Serialize};
 
-use crate::{catalog::ServerIncarnation, control::selection::StoppedServer, metadata::Era};
+use crate::{
+    catalog::ServerIncarnation,
+    control::{group_members::GroupMember, selection::StoppedServer},
+    metadata::Era,
+};
 
 /// The leadership record of one service.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -24,6 +28,9 @@
     pub starts: Vec<TermStart>,
     /// The change of primary that is in progress.
     pub change: Option<PrimaryChange>,
+    /// The servers that may hold acknowledged commits; empty without synchronous replicas.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub members: Vec<GroupMember>,
     /// The store's era in which the record was written; 0 if the store has no eras. A record of an earlier era grants
     /// no primary lease, because the store may have lost later writes.
     #[serde(default, skip_serializing_if = "is_zero")]
--- a/crates/proxy/src/control/successor.rs
+++ b/crates/proxy/src/control/successor.rs
@@ -11,6 +11,7 @@
         change::{ChangeFailure, ChangeReason, ChangeRun},
         commands::{CatchUp, Commands},
         fencing::stopped_server,
+        group_members::updated_members,
         record::{ChosenServer, LeadershipRecord},
         runner::Control,
         selection::{StoppedServer, SuccessorSelection, lacks_few_entries},
@@ -56,16 +57,47 @@
         record: &'a LeadershipRecord,
     ) -> SuccessorSelection<'a> {
         let entries = self.entries(service);
+        let synchronous_replicas = self.synchronous_replicas(service);
         SuccessorSelection {
             record,
-            servers: entries.len(),
-            synchronous_replicas: self.synchronous_replicas(service),
+            servers: match synchronous_replicas {
+                0 => entries.len(),
+                _ => updated_members(&record.members, &entries).len(),
+            },
+            synchronous_replicas,
             may_keep_primary: false,
             is_primary_listed: entries.iter().any(|it| *it.server == *record.primary),
             has_primary_restarted: self.state.borrow_mut().has_primary_restarted(service, record),
         }
     }
 
+    /// Whether a group with synchronous replicas has other members than its record.
+    pub(crate) fn have_members_changed(&self, service: &Name, record: &LeadershipRecord) -> bool {
+        self.synchronous_replicas(service) > 0
+            && updated_members(&record.members, &self.entries(service)) != record.members
+    }
+
+    /// Returns the record with the group's members as they are now, if it has synchronous replicas.
+    pub(crate) fn with_members(
+        &self,
+        service: &Name,
+        record: &LeadershipRecord,
+    ) -> LeadershipRecord {
+        let members = match self.synchronous_replicas(service) {
+            0 => record.members.clone(),
+            _ => updated_members(&record.members, &self.entries(service)),
+        };
+        LeadershipRecord { members, ..record.clone() }
+    }
+
+    /// Records the group's members, so that they count although they may not be listed when the primary is changed.
+    pub(crate) async fn record_members(&self, service: &Name) -> Result<(), ChangeFailure> {
+        let known = self.known_record(service).ok_or(ChangeFailure::Superseded)?;
+        let record = self.with_members(service, &known.record);
+        self.write_record(service, &record, known.revision).await?;
+        Ok(())
+    }
+
     /// Fails unless a change can end with a primary whose log contains every acknowledged commit. It is called before the
     /// change is recorded, since the daemons stop using the primary then. Without synchronous replicas nothing is asked.
     pub(crate) async fn check_commits_are_kept(
