--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -18,4 +18,4 @@
 pub mod revision;
 pub mod serve;
 pub mod statement;
-mod tcp_options;
+pub mod tcp_options;
--- a/crates/proxy/src/tcp_options.rs
+++ b/crates/proxy/src/tcp_options.rs
@@ -38,7 +38,9 @@
 ///
 /// After a graceful close the kernel would still deliver the data when a partition ends: a write could run after its
 /// caller received the error that its outcome is in doubt and wrote again. See `docs/PLATFORM.md`, "Verdicts".
-pub(crate) fn reset_on_close(stream: &TcpStream) -> std::io::Result<()> {
+///
+/// Fails if the operating system refuses the socket option.
+pub fn reset_on_close(stream: &TcpStream) -> std::io::Result<()> {
     SockRef::from(stream).set_linger(Some(Duration::ZERO))
 }
 
