control: one list of the reasons for planned changes

Cause: the read-through found the planned reasons in two places, a second impl block of ChangeReason, and a constant between a type and its methods.

Change: PLANNED_REASONS; the constant moves to the top. No behaviour changes.

--- a/crates/proxy/src/control/change.rs
+++ b/crates/proxy/src/control/change.rs
@@ -93,6 +93,9 @@
     ReplicasBehind,
 }
 
+/// The reasons for which a change is planned, not caused by a failure.
+const PLANNED_REASONS: [ChangeReason; 2] = [ChangeReason::Leaving, ChangeReason::ReplicasBehind];
+
 impl ChangeReason {
     pub(crate) fn as_str(self) -> &'static str {
         match self {
@@ -107,21 +110,17 @@
             ChangeReason::ReplicasBehind => "replicas_behind",
         }
     }
-}
 
-impl ChangeReason {
     /// Whether the change is not caused by a failure. Such a change takes about a second.
     pub(crate) fn is_planned(self) -> bool {
-        matches!(self, ChangeReason::Leaving | ChangeReason::ReplicasBehind)
+        PLANNED_REASONS.contains(&self)
     }
 }
 
 impl PrimaryChange {
     /// Whether the change was not caused by a failure.
     pub(crate) fn is_planned(&self) -> bool {
-        [ChangeReason::Leaving, ChangeReason::ReplicasBehind]
-            .iter()
-            .any(|it| it.as_str() == self.reason)
+        PLANNED_REASONS.iter().any(|reason| reason.as_str() == self.reason)
     }
 }
 
--- a/crates/proxy/src/control/selection.rs
+++ b/crates/proxy/src/control/selection.rs
@@ -10,6 +10,10 @@
     statement::EndpointStatus,
 };
 
+/// How many log entries a replica may lack to take over from a primary that still leads; it receives the rest during the
+/// change.
+const MAX_SUCCESSOR_LAG_ENTRIES: u64 = 8;
+
 /// A server that answered after the group was stopped for a change of primary.
 #[derive(Clone, Debug)]
 pub struct StoppedServer {
@@ -62,10 +66,6 @@
     pub has_primary_restarted: bool,
 }
 
-/// How many log entries a replica may lack to take over from a primary that still leads; it receives the rest during the
-/// change.
-const MAX_SUCCESSOR_LAG_ENTRIES: u64 = 8;
-
 impl SuccessorSelection<'_> {
     /// Chooses the server with the longest log; among equals one that is not leaving. With synchronous replicas its log
     /// contains every acknowledged commit, or none is chosen. All servers must have been stopped before they answered.
