--- a/crates/proxy/src/control/change.rs
+++ b/crates/proxy/src/control/change.rs
@@ -130,9 +130,6 @@
     pub(crate) record: LeadershipRecord,
     pub(crate) revision: Revision,
     pub(crate) recorded_at: Instant,
-    /// When the latest order without an answer was given, by this attempt or possibly by an earlier one. It may still take
-    /// effect until it has settled.
-    pub(crate) unanswered_order_at: Option<Instant>,
 }
 
 impl ChangeRun {
@@ -289,10 +286,7 @@
             }
             return match self.succession(service, &run).may_promote(&chosen, &stopped) {
                 true => self.promote_and_record(service, run, chosen, commands).await,
-                false => {
-                    self.log_step("chosen_lacks_commits", service, &run);
-                    self.await_unanswered_order(service, run, chosen, commands).await
-                }
+                false => self.await_earlier_order(service, run, chosen, commands).await,
             };
         }
         match self.select_successor(service, &run, &stopped) {
@@ -324,13 +318,9 @@
         };
         let change = PrimaryChange { id, reason, chosen };
         let record = self.with_members(service, &known.record);
-        let was_ordered = change.chosen.is_some();
-        let record =
-            LeadershipRecord { change: Some(change), has_unsettled_order: false, ..record };
+        let record = LeadershipRecord { change: Some(change), ..record };
         let revision = self.write_record(service, &record, known.revision).await?;
-        let recorded_at = Instant::now();
-        let unanswered_order_at = was_ordered.then_some(recorded_at);
-        Ok(ChangeRun { record, revision, recorded_at, unanswered_order_at })
+        Ok(ChangeRun { record, revision, recorded_at: Instant::now() })
     }
 
     /// Logs and counts a step of a change.
@@ -362,18 +352,22 @@
                 return self.record_takeover(service, &run, &chosen, term, commands).await;
             }
         }
-        self.await_unanswered_order(service, run, chosen, commands).await
+        self.discard_chosen(service, &run).await
     }
 
-    /// Waits until an order without an answer has taken effect or no longer can. It is not given again.
-    async fn await_unanswered_order(
+    /// Waits until an order that an earlier attempt may have given has taken effect or no longer can. It is not given
+    /// again, because commits have been acknowledged that the chosen server lacks.
+    async fn await_earlier_order(
         &self,
         service: &Name,
         run: ChangeRun,
         chosen: ChosenServer,
         commands: &mut Commands<'_, P>,
     ) -> Result<(), ChangeFailure> {
-        while self.has_unsettled_order(&run, Instant::now()) {
+        let settles = Duration::from_millis(self.settings.leadership.order_settles_ms);
+        let settled_at = run.recorded_at + settles;
+        self.log_step("chosen_lacks_commits", service, &run);
+        while Instant::now() < settled_at {
             if let Some(term) = self.await_takeover(service, &run, &chosen, commands).await {
                 return self.record_takeover(service, &run, &chosen, term, commands).await;
             }
@@ -382,12 +376,6 @@
         self.discard_chosen(service, &run).await
     }
 
-    /// Whether an order of this change without an answer may still take effect.
-    pub(crate) fn has_unsettled_order(&self, run: &ChangeRun, now: Instant) -> bool {
-        let settles = Duration::from_millis(self.settings.leadership.order_settles_ms);
-        run.unanswered_order_at.is_some_and(|at| now < at + settles)
-    }
-
     /// Records that the order for the chosen server can no longer take effect, so that the next attempt may choose another
     /// one.
     async fn discard_chosen(&self, service: &Name, run: &ChangeRun) -> Result<(), ChangeFailure> {
@@ -429,9 +417,6 @@
                     fencing_token = lease.fencing_token, why = error.to_string().as_str();
                     "promotion order failed"
                 );
-                if matches!(error, OrderError::NoAnswer(_)) {
-                    run.unanswered_order_at = Some(Instant::now());
-                }
                 Ok(error != OrderError::NotRunning)
             }
         }
--- a/crates/proxy/src/control/promoter.rs
+++ b/crates/proxy/src/control/promoter.rs
@@ -268,10 +268,7 @@
             if self.changes_running.borrow().contains_key(&service) {
                 continue;
             }
-            let now = Instant::now();
-            if self.must_wait_for_orders(&service, now)
-                || self.must_wait_for_last_order(&service, now)
-            {
+            if self.must_wait_for_orders(&service, Instant::now()) {
                 continue;
             }
             let Some(reason) = self.change_reason(&service) else { continue };
@@ -288,24 +285,6 @@
         }
     }
 
-    /// Whether a group must not be changed yet, since an order for its primary was not answered and may be carried out late,
-    /// which would replace the next primary. The order counts from when this daemon first saw the record.
-    fn must_wait_for_last_order(&self, service: &Name, now: Instant) -> bool {
-        let settles = Duration::from_millis(self.settings.leadership.order_settles_ms);
-        let mut state = self.state.borrow_mut();
-        let Some(known) = state.records.get(service).cloned() else { return false };
-        if !known.record.has_unsettled_order {
-            state.unsettled_orders.remove(service);
-            return false;
-        }
-        let term = known.record.term;
-        let seen = state.unsettled_orders.entry(service.clone()).or_insert((term, now));
-        if seen.0 != term {
-            *seen = (term, now);
-        }
-        now.saturating_duration_since(seen.1) < settles
-    }
-
     /// Whether another change for this reason may start while others are running.
     fn may_start_change(&self, reason: ChangeReason) -> bool {
         let queries_all_servers = |reason: &ChangeReason| {
--- a/crates/proxy/src/control/record.rs
+++ b/crates/proxy/src/control/record.rs
@@ -28,10 +28,6 @@
     pub starts: Vec<TermStart>,
     /// The change of primary that is in progress.
     pub change: Option<PrimaryChange>,
-    /// Whether an order for the primary was not answered before it became primary. It may be carried out late, so no other
-    /// server may be ordered until it has settled.
-    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
-    pub has_unsettled_order: bool,
     /// The servers that may hold acknowledged commits; empty without synchronous replicas.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub members: Vec<GroupMember>,
--- a/crates/proxy/src/control/record_confirmation.rs
+++ b/crates/proxy/src/control/record_confirmation.rs
@@ -110,11 +110,7 @@
         commands: &mut Commands<'_, P>,
     ) -> Result<(), ChangeFailure> {
         let incarnation = self.incarnation_of(service, &chosen.server);
-        let has_unsettled_order = self.has_unsettled_order(run, Instant::now());
-        let record = LeadershipRecord {
-            has_unsettled_order,
-            ..run.record.with_new_primary(chosen, incarnation, term)
-        };
+        let record = run.record.with_new_primary(chosen, incarnation, term);
         self.write_record(service, &record, run.revision).await?;
         self.log_step("settled", service, run);
         let old = run.record.primary.as_str();
--- a/crates/proxy/src/control/state.rs
+++ b/crates/proxy/src/control/state.rs
@@ -106,8 +106,6 @@
     pub(crate) member_written_at: Option<Instant>,
     /// Since when the recorded primary of a service has had no entry.
     pub(crate) primary_missing_since: HashMap<Name, Instant>,
-    /// The terms whose records say that an order has not settled, and when this daemon first saw that as the promoter.
-    pub(crate) unsettled_orders: HashMap<Name, (u64, Instant)>,
     /// When the replicas of a service were last found too far behind for its reads.
     pub(crate) replicas_behind_at: HashMap<Name, Instant>,
     /// When this daemon last reported that to the promoter.
