history_model: as many groups of three without synchronous replicas as before

Cause: with sizes and numbers of synchronous replicas drawn as well, two ninths of the 20,000 cases were groups of three with none, which all of them used to be.

Change: 90,000 cases, 20,000 of them such groups on average.

--- a/crates/proxy/tests/history_model.rs
+++ b/crates/proxy/tests/history_model.rs
@@ -19,6 +19,8 @@
 
 /// The largest number of servers in a group.
 const MAX_SERVERS: usize = 5;
+/// Enough for 20,000 groups of three without synchronous replicas.
+const CASES: u32 = 90_000;
 
 /// An event of the model.
 #[derive(Clone, Debug)]
@@ -295,7 +297,7 @@
 }
 
 fn run(defect: Defect) -> Result<(), String> {
-    let config = Config { cases: 20_000, failure_persistence: None, ..Config::default() };
+    let config = Config { cases: CASES, failure_persistence: None, ..Config::default() };
     let rng = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
     let mut runner = TestRunner::new_with_rng(config, rng);
     let result = runner.run(&case(), |case| {
